--- /dev/null
+++ b/include/magnolia/config.h
@@ -0,0 +1,29 @@
+/// Every compile-time limit of the system.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+namespace magnolia::config {
+
+/// Release of the protocol between processes; frames of other releases are read as far as they are
+/// known.
+inline constexpr std::uint32_t protocol_release = 1;
+
+/// Longest frame between two processes, bytes.
+inline constexpr std::size_t max_frame_bytes = std::size_t{1} << 20U;
+
+/// Longest request body from a caller, bytes: a million tokens of text with room to spare.
+inline constexpr std::size_t max_body_bytes = std::size_t{16} << 20U;
+
+/// Longest value of an object in the platform's store, bytes.
+inline constexpr std::size_t max_object_bytes = std::size_t{1} << 20U;
+
+/// Slots of a ring between two duties.
+inline constexpr std::size_t ring_slots = 4096;
+
+/// Bytes of text that stand for one token until an engine has counted.
+inline constexpr std::size_t estimated_bytes_per_token = 4;
+
+} // namespace magnolia::config
--- /dev/null
+++ b/src/schema_reader.cpp
@@ -0,0 +1,104 @@
+#include "schema_reader.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace magnolia {
+namespace {
+
+constexpr std::size_t longest_shown_value = 60;
+
+std::string shown(const nlohmann::json& in) {
+    auto text = in.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    if (text.size() > longest_shown_value) {
+        text.resize(longest_shown_value);
+        text += "...";
+    }
+    return text;
+}
+
+std::string shown(bounds range) {
+    std::ostringstream text;
+    text << (std::isnan(range.least) ? 0.0 : range.least) << "..";
+    if (!std::isnan(range.most)) {
+        text << std::fixed << std::setprecision(0) << range.most;
+    }
+    return text.str();
+}
+
+} // namespace
+
+void schema_reader::fail(const nlohmann::json& in, std::string bound) {
+    errors_.push_back({path_, shown(in), std::move(bound)});
+}
+
+bool schema_reader::expect_object(const nlohmann::json& in) {
+    if (!in.is_object()) {
+        fail(in, "an object");
+    }
+    return in.is_object();
+}
+
+bool schema_reader::expect_array(const nlohmann::json& in) {
+    if (!in.is_array()) {
+        fail(in, "a list");
+    }
+    return in.is_array();
+}
+
+void schema_reader::reject_unknown(const nlohmann::json& in,
+                                   std::initializer_list<std::string_view> known) {
+    if (policy_ == unknown_keys::accept) {
+        return;
+    }
+    for (const auto& [key, item] : in.items()) {
+        if (std::ranges::find(known, key) == known.end()) {
+            errors_.push_back(
+                {path_.empty() ? key : path_ + "." + key, shown(item), "a known key"});
+        }
+    }
+}
+
+void schema_reader::report_absent(const char* name, bool required) {
+    if (required) {
+        errors_.push_back(
+            {path_.empty() ? name : path_ + "." + name, "nothing", "a value; it is required"});
+    }
+}
+
+void schema_reader::check(const nlohmann::json& in, double measured, bounds range) {
+    const bool too_small = !std::isnan(range.least) && measured < range.least;
+    const bool too_large = !std::isnan(range.most) && measured > range.most;
+    if (too_small || too_large) {
+        fail(in, shown(range));
+    }
+}
+
+void schema_reader::read_value(const nlohmann::json& in, bounds /*range*/, bool& value) {
+    if (!in.is_boolean()) {
+        fail(in, "true or false");
+        return;
+    }
+    value = in.get<bool>();
+}
+
+void schema_reader::read_value(const nlohmann::json& in, bounds range, std::string& value) {
+    if (!in.is_string()) {
+        fail(in, "text");
+        return;
+    }
+    value = in.get<std::string>();
+    check(in, static_cast<double>(value.size()), range);
+}
+
+void schema_reader::read_value(const nlohmann::json& in, bounds range,
+                               std::chrono::milliseconds& value) {
+    if (!in.is_number_integer()) {
+        fail(in, "a whole number of milliseconds");
+        return;
+    }
+    value = std::chrono::milliseconds{in.get<std::int64_t>()};
+    check(in, static_cast<double>(value.count()), range);
+}
+
+} // namespace magnolia
--- /dev/null
+++ b/src/schema_reader.h
@@ -0,0 +1,170 @@
+/// Reads JSON values into generated structures and collects every error with its path.
+#pragma once
+
+#include <magnolia/schema.h>
+
+#include <nlohmann/json.hpp>
+
+#include <cmath>
+#include <initializer_list>
+#include <limits>
+#include <type_traits>
+
+namespace magnolia {
+
+/// Marks an open end of a range.
+inline constexpr double no_bound = std::numeric_limits<double>::quiet_NaN();
+
+/// Inclusive range of a number, a length or a count.
+struct bounds {
+    double least = no_bound;
+    double most = no_bound;
+};
+
+/// One value that breaks the schema.
+struct schema_error {
+    /// Key path, for example `listen.port` or `engines[2].model`.
+    std::string path;
+    /// Offending value as JSON text, cut to a readable length.
+    std::string value;
+    /// What is allowed there.
+    std::string bound;
+};
+
+/// How a key that the schema does not name is treated.
+enum class unknown_keys : std::uint8_t {
+    /// Tolerated: messages and objects that a newer release may have written.
+    accept,
+    /// Reported: settings and contracts written by a person.
+    reject,
+};
+
+template <class T>
+[[nodiscard]] inline nlohmann::json encode(const T& value);
+
+/// Visits a JSON document along the schema; errors are collected, not thrown.
+class schema_reader {
+public:
+    explicit schema_reader(unknown_keys policy) : policy_{policy} {}
+
+    /// Errors found so far, in the order of the document.
+    [[nodiscard]] const std::vector<schema_error>& errors() const { return errors_; }
+
+    /// Records that `in` breaks `bound` at the current path.
+    void fail(const nlohmann::json& in, std::string bound);
+
+    [[nodiscard]] bool expect_object(const nlohmann::json& in);
+    [[nodiscard]] bool expect_array(const nlohmann::json& in);
+
+    /// Reports keys of `in` that are not in `known`, if the policy rejects them.
+    void reject_unknown(const nlohmann::json& in, std::initializer_list<std::string_view> known);
+
+    /// Reads the field `name` of an object; an absent one keeps its default.
+    template <class T>
+    void field(const nlohmann::json& in, const char* name, bool required, bounds range, T& value) {
+        const auto found = in.find(name);
+        if (found == in.end()) {
+            report_absent(name, required);
+            return;
+        }
+        read_at(*found, name, range, value);
+    }
+
+    /// Reads the field at `index` of an array; trailing fields that an older release does not send
+    /// keep defaults.
+    template <class T>
+    void field(const nlohmann::json& in, std::size_t index, const char* name, bool required,
+               bounds range, T& value) {
+        if (index >= in.size()) {
+            report_absent(name, required);
+            return;
+        }
+        read_at(in[index], name, range, value);
+    }
+
+private:
+    void report_absent(const char* name, bool required);
+    void check(const nlohmann::json& in, double measured, bounds range);
+
+    template <class T>
+    void read_at(const nlohmann::json& in, const std::string& step, bounds range, T& value) {
+        const auto length = path_.size();
+        path_ += path_.empty() || step.front() == '[' ? step : "." + step;
+        read_value(in, range, value);
+        path_.resize(length);
+    }
+
+    template <class T>
+    void read_number(const nlohmann::json& in, bounds range, T& value) {
+        constexpr bool is_integer = std::is_integral_v<T>;
+        if (is_integer ? !in.is_number_integer() : !in.is_number()) {
+            fail(in, is_integer ? "an integer" : "a number");
+            return;
+        }
+        const auto measured = in.get<double>();
+        const bool fits =
+            !is_integer || (measured >= static_cast<double>(std::numeric_limits<T>::min()) &&
+                            measured <= static_cast<double>(std::numeric_limits<T>::max()));
+        if (!fits) {
+            fail(in, "a smaller number");
+            return;
+        }
+        check(in, measured, range);
+        value = in.get<T>();
+    }
+
+    void read_value(const nlohmann::json& in, bounds range, bool& value);
+    void read_value(const nlohmann::json& in, bounds range, std::string& value);
+    void read_value(const nlohmann::json& in, bounds range, std::chrono::milliseconds& value);
+
+    template <class T>
+    void read_value(const nlohmann::json& in, bounds range, std::vector<T>& value) {
+        if (!expect_array(in)) {
+            return;
+        }
+        check(in, static_cast<double>(in.size()), range);
+        value.clear();
+        for (std::size_t index = 0; index < in.size(); ++index) {
+            read_at(in[index], "[" + std::to_string(index) + "]", {}, value.emplace_back());
+        }
+    }
+
+    template <class T>
+    void read_value(const nlohmann::json& in, bounds range, std::map<std::string, T>& value) {
+        if (!expect_object(in)) {
+            return;
+        }
+        check(in, static_cast<double>(in.size()), range);
+        value.clear();
+        for (const auto& [key, item] : in.items()) {
+            read_at(item, key, {}, value[key]);
+        }
+    }
+
+    template <class T>
+    void read_value(const nlohmann::json& in, bounds range, T& value) {
+        if constexpr (std::is_arithmetic_v<T>) {
+            read_number(in, range, value);
+        } else {
+            read(in, *this, value);
+        }
+    }
+
+    unknown_keys policy_;
+    std::string path_;
+    std::vector<schema_error> errors_;
+};
+
+/// Value as JSON: enumerations by name, durations in milliseconds.
+template <class T>
+nlohmann::json encode(const T& value) {
+    if constexpr (std::is_enum_v<T>) {
+        return std::string{to_string(value)};
+    } else if constexpr (std::is_same_v<T, std::chrono::milliseconds>) {
+        return value.count();
+    } else {
+        return nlohmann::json(value);
+    }
+}
+
+} // namespace magnolia
--- /dev/null
+++ b/src/settings.cpp
@@ -0,0 +1,111 @@
+#include "settings.h"
+
+#include <yaml-cpp/yaml.h>
+
+#include <fstream>
+#include <sstream>
+
+namespace magnolia {
+namespace {
+
+nlohmann::json scalar(const YAML::Node& node) {
+    // A quoted scalar carries the tag "!" and stays text.
+    if (node.Tag() == "!") {
+        return node.Scalar();
+    }
+    if (std::int64_t whole = 0; YAML::convert<std::int64_t>::decode(node, whole)) {
+        return whole;
+    }
+    if (double number = 0; YAML::convert<double>::decode(node, number)) {
+        return number;
+    }
+    if (bool flag = false; YAML::convert<bool>::decode(node, flag)) {
+        return flag;
+    }
+    return node.Scalar();
+}
+
+nlohmann::json convert(const YAML::Node& node) {
+    switch (node.Type()) {
+    case YAML::NodeType::Map: {
+        auto object = nlohmann::json::object();
+        for (const auto& item : node) {
+            object[item.first.Scalar()] = convert(item.second);
+        }
+        return object;
+    }
+    case YAML::NodeType::Sequence: {
+        auto list = nlohmann::json::array();
+        for (const auto& item : node) {
+            list.push_back(convert(item));
+        }
+        return list;
+    }
+    case YAML::NodeType::Scalar:
+        return scalar(node);
+    default:
+        return nullptr;
+    }
+}
+
+void emit(YAML::Emitter& out, const nlohmann::json& value) {
+    if (value.is_object()) {
+        out << YAML::BeginMap;
+        for (const auto& [key, item] : value.items()) {
+            out << YAML::Key << key << YAML::Value;
+            emit(out, item);
+        }
+        out << YAML::EndMap;
+    } else if (value.is_array()) {
+        out << YAML::BeginSeq;
+        for (const auto& item : value) {
+            emit(out, item);
+        }
+        out << YAML::EndSeq;
+    } else if (value.is_string()) {
+        out << YAML::DoubleQuoted << value.get<std::string>();
+    } else {
+        out << value.dump();
+    }
+}
+
+} // namespace
+
+result<nlohmann::json> parse_yaml(const std::string& text) {
+    try {
+        return convert(YAML::Load(text));
+    } catch (const YAML::Exception& failure) {
+        return fail(error_code::bad_settings, failure.what());
+    }
+}
+
+result<nlohmann::json> read_yaml(const std::filesystem::path& file) {
+    std::ifstream stream{file};
+    if (!stream) {
+        return fail(error_code::bad_settings, file.string() + ": cannot be opened");
+    }
+    std::ostringstream text;
+    text << stream.rdbuf();
+    auto document = parse_yaml(text.str());
+    if (!document) {
+        return fail(error_code::bad_settings, file.string() + ": " + document.error().subject);
+    }
+    return document;
+}
+
+std::string describe(const std::filesystem::path& file, std::span<const schema_error> errors) {
+    std::ostringstream text;
+    for (const auto& item : errors) {
+        text << file.string() << ": " << item.path << " is " << item.value
+             << "; allowed: " << item.bound << '\n';
+    }
+    return text.str();
+}
+
+std::string print_yaml(const nlohmann::json& document) {
+    YAML::Emitter out;
+    emit(out, document);
+    return out.c_str();
+}
+
+} // namespace magnolia
