--- /dev/null
+++ b/src/duty.h
@@ -0,0 +1,67 @@
+/// One thread with one job. Duties meet only in bounded rings.
+#pragma once
+
+#include "ring.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
+#include <atomic>
+#include <functional>
+#include <thread>
+
+namespace magnolia {
+
+/// Thread that runs an I/O context until it is stopped.
+class duty {
+public:
+    /// @param name  shown by the system's thread list; at most 15 characters.
+    explicit duty(std::string name);
+    ~duty();
+    duty(const duty&) = delete;
+    duty& operator=(const duty&) = delete;
+
+    [[nodiscard]] boost::asio::io_context& context() { return context_; }
+    void start();
+    /// Ends the thread after the handler that runs now, and joins it. Idempotent.
+    void stop();
+
+private:
+    std::string name_;
+    boost::asio::io_context context_{1};
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
+    std::thread thread_;
+};
+
+/// Ring into a duty; items are handled in order on the duty's thread.
+template <class T>
+class inbox {
+public:
+    inbox(duty& owner, std::size_t slots, std::function<void(T)> handler)
+        : owner_{owner}, ring_{slots}, handler_{std::move(handler)} {}
+
+    /// Hands an item to the duty, from any thread. Errors: ring_full.
+    [[nodiscard]] result<void> push(T item) {
+        auto pushed = ring_.push(std::move(item));
+        if (pushed && !is_scheduled_.exchange(true)) {
+            boost::asio::post(owner_.context(), [this] { drain(); });
+        }
+        return pushed;
+    }
+
+private:
+    void drain() {
+        is_scheduled_.store(false);
+        while (auto item = ring_.pop()) {
+            handler_(std::move(*item));
+        }
+    }
+
+    duty& owner_;
+    bounded_ring<T> ring_;
+    std::function<void(T)> handler_;
+    std::atomic<bool> is_scheduled_{false};
+};
+
+} // namespace magnolia
