--- /dev/null
+++ b/fakes/block_cache.cpp
@@ -0,0 +1,74 @@
+#include "block_cache.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <iterator>
+
+namespace magnolia::fakes {
+
+std::vector<std::uint64_t> block_cache::blocks_of(std::string_view prompt) {
+    std::vector<std::uint64_t> blocks;
+    blocks.reserve(prompt.size() / cache_block_bytes);
+    std::uint64_t chain = 0;
+    for (; prompt.size() >= cache_block_bytes; prompt.remove_prefix(cache_block_bytes)) {
+        chain = XXH64(prompt.data(), cache_block_bytes, chain);
+        blocks.push_back(chain);
+    }
+    return blocks;
+}
+
+std::uint32_t block_cache::match(std::string_view prompt) {
+    const auto blocks = blocks_of(prompt);
+    const auto end = std::ranges::find_if(
+        blocks, [this](std::uint64_t block) { return !places_.contains(block); });
+    // The first block is touched last, so that a prefix outlives what continues it.
+    std::for_each(std::make_reverse_iterator(end), blocks.rend(),
+                  [this](std::uint64_t block) { touch(block); });
+    return static_cast<std::uint32_t>(end - blocks.begin()) * cache_block_tokens;
+}
+
+std::vector<cache_change> block_cache::insert(std::string_view prompt) {
+    auto blocks = blocks_of(prompt);
+    blocks.resize(std::min<std::size_t>(blocks.size(), capacity_ / cache_block_tokens));
+    std::vector<cache_change> changes;
+    for (auto block = blocks.rbegin(); block != blocks.rend(); ++block) {
+        if (!places_.contains(*block)) {
+            changes.push_back({*block, true});
+        }
+        touch(*block);
+    }
+    std::ranges::reverse(changes);
+    std::ranges::copy(trim(capacity_), std::back_inserter(changes));
+    return changes;
+}
+
+std::vector<cache_change> block_cache::trim(std::uint32_t tokens) {
+    std::vector<cache_change> changes;
+    while (this->tokens() > tokens) {
+        changes.push_back({order_.back(), false});
+        places_.erase(order_.back());
+        order_.pop_back();
+    }
+    return changes;
+}
+
+std::uint32_t block_cache::tokens() const {
+    return static_cast<std::uint32_t>(order_.size()) * cache_block_tokens;
+}
+
+void block_cache::clear() {
+    order_.clear();
+    places_.clear();
+}
+
+void block_cache::touch(std::uint64_t block) {
+    if (const auto place = places_.find(block); place != places_.end()) {
+        order_.splice(order_.begin(), order_, place->second);
+        return;
+    }
+    order_.push_front(block);
+    places_[block] = order_.begin();
+}
+
+} // namespace magnolia::fakes
--- a/src/engine_port.h
+++ b/src/engine_port.h
@@ -36,6 +36,7 @@
     std::string prefix_answer;
     /// Tokens of prefix_answer; the first token of this attempt has this offset.
     std::uint32_t resume_offset = 0;
+    /// Longest answer in tokens, counted from offset 0, prefix_answer included.
     std::uint32_t max_generated_tokens = 0;
     urgency_level urgency = urgency_level::standard;
     /// Time left until the engine has to be done.
@@ -105,6 +106,7 @@
 struct engine_finished {
     attempt_id id;
     std::uint32_t prompt_tokens = 0;
+    /// Tokens of the whole answer, prefix_answer included.
     std::uint32_t generated_tokens = 0;
 };
 
@@ -115,6 +117,13 @@
     std::string reservation;
 };
 
+/// Answer to engine_release: the engine holds nothing under this name at that moment.
+struct engine_released {
+    attempt_id id;
+    engine_handle engine;
+    std::string reservation;
+};
+
 /// Answer to engine_prefill_part.
 struct engine_part_ready {
     attempt_id id;
@@ -131,10 +140,12 @@
     unknown,
 };
 
-/// The attempt, reservation or part failed.
+/// The attempt, reservation, release or part failed.
 struct engine_failed {
     attempt_id id;
     engine_handle engine;
+    /// Reservation of a failed engine_reserve or engine_release; empty otherwise.
+    std::string reservation;
     error failure;
     run_certainty certainty = run_certainty::unknown;
     /// The engine is leaving or draining and refuses new work.
@@ -143,7 +154,7 @@
 
 /// Anything an engine tells about a request.
 using engine_event = std::variant<engine_accepted, engine_tokens, engine_finished, engine_reserved,
-                                  engine_part_ready, engine_failed>;
+                                  engine_released, engine_part_ready, engine_failed>;
 
 /// Load of an engine as it reported it, some time ago.
 struct engine_load {
