--- /dev/null
+++ b/src/engine_client.cpp
@@ -0,0 +1,593 @@
+#include "engine_client.h"
+
+#include "http_client.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+
+namespace magnolia {
+namespace {
+
+/// Longest body of a stream, bytes: the longest answer, a line a token.
+constexpr std::size_t max_stream_bytes = std::size_t{512} << 20U;
+/// Longest line of a stream, bytes.
+constexpr std::size_t max_line_bytes = config::max_frame_bytes;
+/// Added to the time left of an attempt before it is given up.
+constexpr std::chrono::milliseconds deadline_grace{1000};
+/// Time after which a refused event is offered again.
+constexpr std::chrono::milliseconds offer_interval{2};
+/// Tries of a cancel whose answer does not come.
+constexpr int cancel_tries = 5;
+constexpr std::chrono::milliseconds cancel_interval{500};
+/// Step of the clock that spreads the questions for load.
+constexpr std::chrono::milliseconds question_tick{20};
+constexpr unsigned status_ok = 200;
+
+/// What is certain after a call broke without an answer.
+run_certainty certainty_of(const http_failure& failure) {
+    return failure.is_request_written ? run_certainty::unknown : run_certainty::not_run;
+}
+
+error lost(const http_failure& failure) {
+    return {failure.failure.code == error_code::connection ? error_code::backend_lost
+                                                           : failure.failure.code,
+            failure.failure.subject,
+            {}};
+}
+
+std::chrono::milliseconds time_limit(duration left) {
+    return std::max(std::chrono::ceil<std::chrono::milliseconds>(left),
+                    std::chrono::milliseconds{0}) +
+           deadline_grace;
+}
+
+/// One start or part and the stream that answers it.
+struct engine_stream {
+    attempt_id id;
+    std::string id_text;
+    engine_handle engine;
+    http_call_id call;
+    /// Offset of the next token.
+    std::uint32_t next_offset = 0;
+    unsigned status = 0;
+    bool has_run = false;
+    bool is_over = false;
+    /// Bytes of a line that has not ended, or the body of a refusal.
+    std::string rest;
+    /// Tokens of the text at hand, told as one event.
+    engine_tokens pending;
+};
+
+using stream_pointer = std::shared_ptr<engine_stream>;
+
+struct known_engine {
+    engine_backend backend;
+    bool is_asked = false;
+    std::chrono::steady_clock::time_point next_question;
+};
+
+/// Event that the sink had no room for.
+struct refused_event {
+    engine_handle engine;
+    engine_event event;
+};
+
+/// Whether an event belongs to a reservation, and not to a stream.
+bool is_about_memory(const engine_event& event) {
+    const auto* failed = std::get_if<engine_failed>(&event);
+    return std::holds_alternative<engine_reserved>(event) ||
+           std::holds_alternative<engine_released>(event) ||
+           (failed != nullptr && !failed->reservation.empty());
+}
+
+attempt_id attempt_of(const engine_event& event) {
+    return std::visit([](const auto& value) { return value.id; }, event);
+}
+
+} // namespace
+
+class engine_client::state : public std::enable_shared_from_this<engine_client::state> {
+public:
+    state(boost::asio::io_context& context, engine_client_settings settings)
+        : context_{context}, settings_{std::move(settings)},
+          http_{std::in_place, context, settings_.max_idle}, offer_timer_{context},
+          question_timer_{context} {}
+
+    void put(engine_handle engine, engine_backend backend) {
+        engines_[engine].backend = std::move(backend);
+        ask_later();
+    }
+    void remove(engine_handle engine) { engines_.erase(engine); }
+    void submit(const engine_command& command) {
+        std::visit([this](const auto& value) { run(value); }, command);
+    }
+    void close() {
+        is_closed_ = true;
+        http_.reset();
+        offer_timer_.cancel();
+        question_timer_.cancel();
+    }
+
+    template <class T, class Decode>
+    void ask(engine_handle engine, std::string target, Decode decode,
+             std::function<void(result<T>)> done);
+    void order(const engine_order& value, std::function<void(result<void>)> done);
+
+    engine_event_sink event_sink;
+    engine_report_sink report_sink;
+    std::map<std::uint64_t, stream_pointer> streams;
+
+private:
+    void run(const engine_start& command) {
+        open_stream(command, command.resume_offset, command.time_left);
+    }
+    void run(const engine_prefill_part& command) { open_stream(command, 0, command.time_left); }
+    void run(const engine_cancel& command);
+    void run(const engine_reserve& command) {
+        call_once(command, engine_reserved{command.id, command.engine, command.reservation});
+    }
+    void run(const engine_release& command) {
+        call_once(command, engine_released{command.id, command.engine, command.reservation});
+    }
+
+    template <class Command>
+    void open_stream(const Command& command, std::uint32_t offset, duration time_left);
+    template <class Command>
+    void call_once(const Command& command, engine_event success);
+    void send_cancel(const engine_cancel& command, int tries);
+
+    void on_text(const stream_pointer& stream, std::string_view text);
+    void take_lines(const stream_pointer& stream);
+    void flush_tokens(const stream_pointer& stream);
+    void on_line(const stream_pointer& stream, std::string_view line);
+    void on_end(const stream_pointer& stream, const http_failure* failure);
+    void on_value(const stream_pointer& stream, engine_tokens value);
+    void on_value(const stream_pointer& stream, engine_accepted value);
+    void on_value(const stream_pointer&, engine_waiting) {}
+    template <class Last>
+    void on_value(const stream_pointer& stream, Last value) {
+        flush_tokens(stream);
+        stream->is_over = true;
+        tell(stream->engine, std::move(value));
+    }
+    void give_up(const stream_pointer& stream, error failure);
+    void fail_later(const attempt_id& id, engine_handle engine, std::string reservation);
+
+    void tell(engine_handle engine, engine_event event);
+    void offer();
+    void offer_later();
+    void ask_later();
+    void ask_for_loads();
+    void ask_for_load(engine_handle engine);
+
+    [[nodiscard]] const endpoint* address_of(engine_handle engine) const;
+    [[nodiscard]] std::string name_of(engine_handle engine) const;
+    [[nodiscard]] memory_owner owner_of(const attempt_id& id) const {
+        return {settings_.owner, id.request.origin};
+    }
+    [[nodiscard]] http_call_limits limits() const {
+        return {settings_.connect_timeout, settings_.silence_timeout, settings_.call_timeout};
+    }
+    template <class Command>
+    [[nodiscard]] http_request request_for(const Command& command) const {
+        return std::visit(
+            [&](const http_engine&) {
+                return encode(command, owner_of(command.id),
+                              [this](engine_handle engine) { return name_of(engine); });
+            },
+            engines_.at(command.engine).backend);
+    }
+
+    boost::asio::io_context& context_;
+    engine_client_settings settings_;
+    std::optional<http_client> http_;
+    std::map<engine_handle, known_engine> engines_;
+    /// Events that the sink had no room for, oldest first.
+    std::deque<refused_event> refused_;
+    boost::asio::steady_timer offer_timer_;
+    boost::asio::steady_timer question_timer_;
+    bool is_asking_ = false;
+    bool is_closed_ = false;
+};
+
+const endpoint* engine_client::state::address_of(engine_handle engine) const {
+    const auto found = engines_.find(engine);
+    if (found == engines_.end()) {
+        return nullptr;
+    }
+    return std::visit([](const http_engine& value) { return &value.address; },
+                      found->second.backend);
+}
+
+std::string engine_client::state::name_of(engine_handle engine) const {
+    const auto* address = address_of(engine);
+    return address == nullptr ? std::string{}
+                              : address->address + ":" + std::to_string(address->port);
+}
+
+void engine_client::state::fail_later(const attempt_id& id, engine_handle engine,
+                                      std::string reservation) {
+    boost::asio::post(context_, [self = shared_from_this(), id, engine,
+                                 reservation = std::move(reservation)]() mutable {
+        self->tell(engine, engine_failed{id, engine, std::move(reservation),
+                                         error{error_code::no_capacity, "engine is not known", {}},
+                                         run_certainty::not_run, false});
+    });
+}
+
+template <class Command>
+void engine_client::state::open_stream(const Command& command, std::uint32_t offset,
+                                       duration time_left) {
+    const auto* address = address_of(command.engine);
+    if (address == nullptr) {
+        fail_later(command.id, command.engine, {});
+        return;
+    }
+    const auto stream = std::make_shared<engine_stream>();
+    stream->id = command.id;
+    stream->id_text = to_string(command.id);
+    stream->engine = command.engine;
+    stream->next_offset = offset;
+    auto bounds = limits();
+    bounds.total_timeout = time_limit(time_left);
+    bounds.max_body_bytes = max_stream_bytes;
+    const auto self = shared_from_this();
+    http_stream_handlers handlers;
+    handlers.on_header = [stream](unsigned status, const http_headers&) {
+        stream->status = status;
+    };
+    handlers.on_text = [self, stream](std::string_view text) { self->on_text(stream, text); };
+    handlers.on_end = [self, stream](const http_failure* failure) {
+        self->on_end(stream, failure);
+    };
+    stream->call = http_->stream(*address, request_for(command), bounds, std::move(handlers));
+    streams.emplace(stream->call.value, stream);
+}
+
+void engine_client::state::on_text(const stream_pointer& stream, std::string_view text) {
+    if (stream->is_over) {
+        return;
+    }
+    stream->rest += text;
+    if (stream->status == status_ok) {
+        take_lines(stream);
+        flush_tokens(stream);
+    }
+    if (!stream->is_over && stream->rest.size() > max_line_bytes) {
+        give_up(stream, {error_code::frame_invalid, "line too long", {}});
+    }
+    if (!refused_.empty()) {
+        http_->pause(stream->call);
+    }
+}
+
+void engine_client::state::take_lines(const stream_pointer& stream) {
+    std::size_t begin = 0;
+    const std::string text = std::exchange(stream->rest, {});
+    for (auto end = text.find('\n'); end != std::string::npos && !stream->is_over;
+         end = text.find('\n', begin)) {
+        on_line(stream, std::string_view{text}.substr(begin, end - begin));
+        begin = end + 1;
+    }
+    stream->rest = text.substr(begin);
+}
+
+void engine_client::state::on_line(const stream_pointer& stream, std::string_view line) {
+    auto decoded = decode_line(line, stream->id, stream->id_text, stream->engine);
+    if (!decoded) {
+        give_up(stream, decoded.error());
+        return;
+    }
+    std::visit([&](auto& value) { on_value(stream, std::move(value)); }, *decoded);
+}
+
+void engine_client::state::on_value(const stream_pointer& stream, engine_accepted value) {
+    stream->has_run = true;
+    tell(stream->engine, value);
+}
+
+void engine_client::state::on_value(const stream_pointer& stream, engine_tokens value) {
+    stream->has_run = true;
+    if (value.offset + value.count <= stream->next_offset) {
+        return;
+    }
+    if (value.offset != stream->next_offset) {
+        give_up(stream, {error_code::frame_invalid,
+                         "offset " + std::to_string(value.offset) + " in place of " +
+                             std::to_string(stream->next_offset),
+                         {}});
+        return;
+    }
+    stream->next_offset += value.count;
+    auto& pending = stream->pending;
+    if (pending.count == 0) {
+        pending = std::move(value);
+        return;
+    }
+    pending.count += value.count;
+    pending.text += value.text;
+}
+
+void engine_client::state::flush_tokens(const stream_pointer& stream) {
+    if (stream->pending.count > 0) {
+        tell(stream->engine, std::exchange(stream->pending, {}));
+    }
+}
+
+void engine_client::state::give_up(const stream_pointer& stream, error failure) {
+    flush_tokens(stream);
+    stream->is_over = true;
+    http_->cancel(stream->call);
+    send_cancel({stream->id, stream->engine}, cancel_tries);
+    tell(stream->engine,
+         engine_failed{stream->id,
+                       stream->engine,
+                       {},
+                       std::move(failure),
+                       stream->has_run ? run_certainty::ran : run_certainty::unknown,
+                       false});
+}
+
+void engine_client::state::on_end(const stream_pointer& stream, const http_failure* failure) {
+    streams.erase(stream->call.value);
+    if (stream->is_over) {
+        return;
+    }
+    stream->is_over = true;
+    engine_failed event{stream->id, stream->engine, {}, {}, run_certainty::ran, false};
+    if (failure == nullptr && stream->status != status_ok) {
+        auto refusal = decode_refusal(stream->status, stream->rest);
+        event.failure = std::move(refusal.failure);
+        event.certainty = refusal.certainty;
+        event.leaving = refusal.leaving;
+    } else {
+        event.failure = failure == nullptr
+                            ? error{error_code::backend_lost, "stream without an end", {}}
+                            : lost(*failure);
+        const auto otherwise = failure == nullptr ? run_certainty::unknown : certainty_of(*failure);
+        event.certainty = stream->has_run ? run_certainty::ran : otherwise;
+    }
+    if (event.certainty != run_certainty::not_run) {
+        send_cancel({stream->id, stream->engine}, cancel_tries);
+    }
+    tell(stream->engine, std::move(event));
+}
+
+void engine_client::state::run(const engine_cancel& command) {
+    for (const auto& [number, stream] : streams) {
+        if (stream->id == command.id && stream->engine == command.engine) {
+            stream->is_over = true;
+            http_->cancel(stream->call);
+        }
+    }
+    std::erase_if(refused_, [&command](const refused_event& item) {
+        return item.engine == command.engine && attempt_of(item.event) == command.id &&
+               !is_about_memory(item.event);
+    });
+    send_cancel(command, cancel_tries);
+}
+
+void engine_client::state::send_cancel(const engine_cancel& command, int tries) {
+    const auto* address = address_of(command.engine);
+    if (address == nullptr || tries == 0 || is_closed_) {
+        return;
+    }
+    http_->call(*address, request_for(command), limits(),
+                [self = shared_from_this(), command,
+                 tries](const tl::expected<http_response, http_failure>& answer) {
+                    if (answer && answer->status == status_ok) {
+                        return;
+                    }
+                    const auto timer = std::make_shared<boost::asio::steady_timer>(self->context_,
+                                                                                   cancel_interval);
+                    timer->async_wait([self, command, tries, timer](const auto& failure) {
+                        if (!failure) {
+                            self->send_cancel(command, tries - 1);
+                        }
+                    });
+                });
+}
+
+template <class Command>
+void engine_client::state::call_once(const Command& command, engine_event success) {
+    const auto* address = address_of(command.engine);
+    if (address == nullptr) {
+        fail_later(command.id, command.engine, command.reservation);
+        return;
+    }
+    const auto done = [self = shared_from_this(), command, success = std::move(success)](
+                          const tl::expected<http_response, http_failure>& answer) {
+        if (answer && answer->status == status_ok) {
+            self->tell(command.engine, success);
+            return;
+        }
+        engine_failed event{command.id, command.engine, command.reservation, {}, {}, false};
+        if (answer) {
+            auto refusal = decode_refusal(answer->status, answer->body);
+            event.failure = std::move(refusal.failure);
+            event.certainty = refusal.certainty;
+            event.leaving = refusal.leaving;
+        } else {
+            event.failure = lost(answer.error());
+            event.certainty = certainty_of(answer.error());
+        }
+        self->tell(command.engine, std::move(event));
+    };
+    http_->call(*address, request_for(command), limits(), done);
+}
+
+void engine_client::state::tell(engine_handle engine, engine_event event) {
+    if (refused_.empty() && event_sink(event)) {
+        return;
+    }
+    refused_.push_back({engine, std::move(event)});
+    offer_later();
+}
+
+void engine_client::state::offer_later() {
+    offer_timer_.expires_after(offer_interval);
+    offer_timer_.async_wait([self = shared_from_this()](const auto& failure) {
+        if (!failure && !self->is_closed_) {
+            self->offer();
+        }
+    });
+}
+
+void engine_client::state::offer() {
+    while (!refused_.empty() && event_sink(refused_.front().event)) {
+        refused_.pop_front();
+    }
+    if (!refused_.empty()) {
+        offer_later();
+        return;
+    }
+    for (const auto& [number, stream] : streams) {
+        http_->resume(stream->call);
+    }
+}
+
+template <class T, class Decode>
+void engine_client::state::ask(engine_handle engine, std::string target, Decode decode,
+                               std::function<void(result<T>)> done) {
+    const auto* address = address_of(engine);
+    if (address == nullptr) {
+        boost::asio::post(context_, [done = std::move(done)] {
+            done(fail(error_code::no_capacity, "engine is not known"));
+        });
+        return;
+    }
+    http_request request;
+    request.target = std::move(target);
+    http_->call(
+        *address, std::move(request), limits(),
+        [decode, done = std::move(done)](const tl::expected<http_response, http_failure>& answer) {
+            if (!answer) {
+                done(tl::unexpected{lost(answer.error())});
+            } else if (answer->status != status_ok) {
+                done(tl::unexpected{decode_refusal(answer->status, answer->body).failure});
+            } else {
+                done(decode(answer->body));
+            }
+        });
+}
+
+void engine_client::state::order(const engine_order& value,
+                                 std::function<void(result<void>)> done) {
+    const auto* address = address_of(value.engine);
+    if (address == nullptr) {
+        boost::asio::post(context_, [done = std::move(done)] {
+            done(fail(error_code::no_capacity, "engine is not known"));
+        });
+        return;
+    }
+    http_->call(*address, encode(value), limits(),
+                [done = std::move(done)](const tl::expected<http_response, http_failure>& answer) {
+                    if (!answer) {
+                        done(tl::unexpected{lost(answer.error())});
+                    } else if (answer->status != status_ok) {
+                        done(tl::unexpected{decode_refusal(answer->status, answer->body).failure});
+                    } else {
+                        done({});
+                    }
+                });
+}
+
+void engine_client::state::ask_later() {
+    if (is_asking_ || settings_.load_interval.count() == 0) {
+        return;
+    }
+    is_asking_ = true;
+    question_timer_.expires_after(question_tick);
+    question_timer_.async_wait([self = shared_from_this()](const auto& failure) {
+        self->is_asking_ = false;
+        if (!failure && !self->is_closed_) {
+            self->ask_for_loads();
+        }
+    });
+}
+
+void engine_client::state::ask_for_loads() {
+    using std::chrono::milliseconds;
+    const auto now = std::chrono::steady_clock::now();
+    const milliseconds least{engines_.size() * 1000 / settings_.max_load_questions_per_s};
+    const auto interval = std::max(settings_.load_interval, least);
+    for (auto& [engine, known] : engines_) {
+        if (known.is_asked || known.next_question > now) {
+            continue;
+        }
+        // Questions spread over the interval by the engine's number.
+        const bool is_first = known.next_question == std::chrono::steady_clock::time_point{};
+        known.next_question =
+            now + interval + (is_first ? interval * (engine.value % 16) / 16 : milliseconds{0});
+        ask_for_load(engine);
+    }
+    ask_later();
+}
+
+void engine_client::state::ask_for_load(engine_handle engine) {
+    engines_.at(engine).is_asked = true;
+    const std::function<void(result<engine_load>)> done = [self = shared_from_this(),
+                                                           engine](result<engine_load> load) {
+        const auto found = self->engines_.find(engine);
+        if (found == self->engines_.end()) {
+            return;
+        }
+        found->second.is_asked = false;
+        if (self->report_sink) {
+            self->report_sink({engine, std::move(load)});
+        }
+    };
+    ask<engine_load>(engine, "/v1/load", decode_load, done);
+}
+
+engine_client::engine_client(boost::asio::io_context& context, engine_client_settings settings)
+    : state_{std::make_shared<state>(context, std::move(settings))} {
+    state_->event_sink = [](engine_event&) { return true; };
+}
+
+engine_client::~engine_client() {
+    state_->close();
+}
+
+void engine_client::set_event_sink(engine_event_sink sink) {
+    state_->event_sink = std::move(sink);
+}
+
+void engine_client::set_report_sink(engine_report_sink sink) {
+    state_->report_sink = std::move(sink);
+}
+
+void engine_client::put_engine(engine_handle engine, engine_backend backend) {
+    state_->put(engine, std::move(backend));
+}
+
+void engine_client::remove_engine(engine_handle engine) {
+    state_->remove(engine);
+}
+
+void engine_client::submit(const engine_command& command) {
+    state_->submit(command);
+}
+
+void engine_client::order(const engine_order& order, std::function<void(result<void>)> done) {
+    state_->order(order, std::move(done));
+}
+
+void engine_client::status(engine_handle engine, std::function<void(result<engine_status>)> done) {
+    state_->ask<engine_status>(engine, "/v1/status", decode_status, std::move(done));
+}
+
+void engine_client::memory(engine_handle engine,
+                           std::function<void(result<std::vector<held_memory>>)> done) {
+    state_->ask<std::vector<held_memory>>(engine, "/v1/memory", decode_memory, std::move(done));
+}
+
+std::size_t engine_client::active_streams() const {
+    return state_->streams.size();
+}
+
+} // namespace magnolia
--- /dev/null
+++ b/tests/engine_client_test.cpp
@@ -0,0 +1,292 @@
+#include "engine_client.h"
+#include "engine_server.h"
+
+#include <gtest/gtest.h>
+
+namespace magnolia {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr double time_scale = 200;
+/// Bound of a hung test.
+constexpr seconds patience{30};
+
+fakes::engine_server_settings two_engines() {
+    fakes::engine_server_settings settings;
+    settings.time_scale = time_scale;
+    settings.engines.resize(2);
+    return settings;
+}
+
+engine_client_settings client_settings() {
+    engine_client_settings settings;
+    settings.owner = "entry-1";
+    settings.load_interval = std::chrono::milliseconds{20};
+    settings.silence_timeout = std::chrono::milliseconds{1500};
+    return settings;
+}
+
+struct engine_client_test : testing::Test {
+    boost::asio::io_context context;
+    fakes::engine_server server{context, two_engines()};
+    engine_client client{context, client_settings()};
+    std::vector<engine_event> events;
+    std::vector<engine_report> reports;
+    bool has_room = true;
+
+    engine_client_test() {
+        EXPECT_TRUE(server.listen());
+        for (std::uint32_t index = 0; index < 2; ++index) {
+            client.put_engine(engine_handle{index}, http_engine{{"127.0.0.1", server.port(index)}});
+        }
+        client.set_event_sink([this](engine_event& event) {
+            if (has_room) {
+                events.push_back(std::move(event));
+            }
+            return has_room;
+        });
+        client.set_report_sink([this](const engine_report& report) { reports.push_back(report); });
+    }
+
+    /// Runs both sides until the condition holds.
+    bool run_until(const std::function<bool()>& holds) {
+        const auto end = std::chrono::steady_clock::now() + patience;
+        while (!holds() && std::chrono::steady_clock::now() < end) {
+            context.run_one_for(std::chrono::milliseconds{100});
+        }
+        return holds();
+    }
+
+    template <class Event>
+    [[nodiscard]] const Event* find() const {
+        for (const auto& event : events) {
+            if (const auto* found = std::get_if<Event>(&event)) {
+                return found;
+            }
+        }
+        return nullptr;
+    }
+
+    template <class Event>
+    bool run_until_event() {
+        return run_until([this] { return find<Event>() != nullptr; });
+    }
+
+    [[nodiscard]] std::string text() const {
+        std::string all;
+        for (const auto& event : events) {
+            if (const auto* tokens = std::get_if<engine_tokens>(&event)) {
+                all += tokens->text;
+            }
+        }
+        return all;
+    }
+
+    static engine_start start(std::size_t prompt_bytes = 4000, std::uint32_t answer = 100) {
+        engine_start command;
+        command.id = {{7, 1}, 1};
+        command.engine = engine_handle{0};
+        command.model = "model";
+        command.prompt = std::make_shared<std::string>(prompt_bytes, 'p');
+        command.max_generated_tokens = answer;
+        command.time_left = seconds{20};
+        return command;
+    }
+};
+
+TEST_F(engine_client_test, streams_the_whole_answer) {
+    const auto command = start();
+    client.submit(command);
+    ASSERT_TRUE(run_until_event<engine_finished>());
+    EXPECT_EQ(text(), fakes::answer_text(*command.prompt, 0, 100));
+    EXPECT_EQ(find<engine_accepted>()->prompt_tokens, 1000U);
+    EXPECT_EQ(find<engine_finished>()->generated_tokens, 100U);
+}
+
+TEST_F(engine_client_test, resumes_behind_a_prefix_of_the_answer) {
+    auto command = start();
+    command.resume_offset = 30;
+    command.prefix_answer = fakes::answer_text(*command.prompt, 0, 30);
+    client.submit(command);
+    ASSERT_TRUE(run_until_event<engine_finished>());
+    EXPECT_EQ(text(), fakes::answer_text(*command.prompt, 30, 70));
+}
+
+TEST_F(engine_client_test, a_prompt_beyond_the_memory_proves_that_nothing_ran) {
+    client.submit(start(4000000));
+    ASSERT_TRUE(run_until_event<engine_failed>());
+    EXPECT_EQ(find<engine_failed>()->failure.code, error_code::too_large);
+    EXPECT_EQ(find<engine_failed>()->certainty, run_certainty::not_run);
+    EXPECT_TRUE(server.model(0).counts().executions.empty());
+}
+
+TEST_F(engine_client_test, an_unreachable_engine_has_not_run) {
+    ASSERT_TRUE(server.apply(0, "crash", 1));
+    client.submit(start());
+    ASSERT_TRUE(run_until_event<engine_failed>());
+    EXPECT_EQ(find<engine_failed>()->certainty, run_certainty::not_run);
+}
+
+TEST_F(engine_client_test, an_unknown_engine_has_not_run) {
+    auto command = start();
+    command.engine = engine_handle{9};
+    client.submit(command);
+    EXPECT_TRUE(events.empty());
+    ASSERT_TRUE(run_until_event<engine_failed>());
+    EXPECT_EQ(find<engine_failed>()->certainty, run_certainty::not_run);
+}
+
+TEST_F(engine_client_test, a_draining_engine_says_that_it_is_leaving) {
+    ASSERT_TRUE(server.apply(0, "drain", 1));
+    client.submit(start());
+    ASSERT_TRUE(run_until_event<engine_failed>());
+    EXPECT_TRUE(find<engine_failed>()->leaving);
+    EXPECT_EQ(find<engine_failed>()->certainty, run_certainty::not_run);
+}
+
+TEST_F(engine_client_test, a_refusal_without_proof_is_unknown) {
+    ASSERT_TRUE(server.apply(0, "vague_refusals", 1));
+    client.submit(start());
+    ASSERT_TRUE(run_until_event<engine_failed>());
+    EXPECT_EQ(find<engine_failed>()->certainty, run_certainty::unknown);
+}
+
+TEST_F(engine_client_test, a_lost_answer_is_unknown_and_its_memory_is_freed) {
+    ASSERT_TRUE(server.apply(0, "lost_answers", 1));
+    client.submit(start());
+    ASSERT_TRUE(run_until_event<engine_failed>());
+    EXPECT_EQ(find<engine_failed>()->certainty, run_certainty::unknown);
+    EXPECT_TRUE(
+        run_until([this] { return server.model(0).current_load().free_memory_tokens == 450000U; }));
+}
+
+TEST_F(engine_client_test, a_stream_that_breaks_after_tokens_has_run) {
+    ASSERT_TRUE(server.apply(0, "broken_streams", 1));
+    client.submit(start());
+    ASSERT_TRUE(run_until_event<engine_failed>());
+    EXPECT_EQ(find<engine_failed>()->certainty, run_certainty::ran);
+    EXPECT_FALSE(text().empty());
+}
+
+TEST_F(engine_client_test, a_crossed_line_ends_the_attempt) {
+    ASSERT_TRUE(server.apply(0, "crossed_lines", 1));
+    client.submit(start());
+    ASSERT_TRUE(run_until_event<engine_failed>());
+    EXPECT_EQ(find<engine_failed>()->failure.code, error_code::frame_invalid);
+    EXPECT_EQ(client.active_streams(), 0U);
+}
+
+TEST_F(engine_client_test, a_gap_ends_the_attempt_with_a_true_prefix) {
+    ASSERT_TRUE(server.apply(0, "missing_lines", 1));
+    client.submit(start());
+    ASSERT_TRUE(run_until_event<engine_failed>());
+    EXPECT_EQ(find<engine_failed>()->certainty, run_certainty::ran);
+    EXPECT_EQ(text(), fakes::answer_text(std::string(4000, 'p'), 0,
+                                         static_cast<std::uint32_t>(text().size() / 4)));
+}
+
+TEST_F(engine_client_test, repeated_lines_are_dropped) {
+    ASSERT_TRUE(server.apply(0, "repeated_lines", 50));
+    client.submit(start());
+    ASSERT_TRUE(run_until_event<engine_finished>());
+    EXPECT_EQ(text(), fakes::answer_text(std::string(4000, 'p'), 0, 100));
+}
+
+TEST_F(engine_client_test, a_cancelled_attempt_gets_no_event_and_frees_its_memory) {
+    const auto command = start(400000, 100000);
+    client.submit(command);
+    ASSERT_TRUE(run_until([this] { return server.model(0).current_load().running_requests == 1; }));
+    client.submit(engine_cancel{command.id, command.engine});
+    const auto told = events.size();
+    EXPECT_TRUE(run_until([this] {
+        return client.active_streams() == 0 &&
+               server.model(0).current_load().free_memory_tokens == 450000U;
+    }));
+    EXPECT_EQ(events.size(), told);
+}
+
+TEST_F(engine_client_test, a_paused_engine_is_given_up) {
+    ASSERT_TRUE(server.apply(0, "pause", 1));
+    client.submit(start());
+    ASSERT_TRUE(run_until_event<engine_failed>());
+    EXPECT_EQ(find<engine_failed>()->certainty, run_certainty::unknown);
+}
+
+TEST_F(engine_client_test, a_paused_engine_that_returns_keeps_no_memory) {
+    ASSERT_TRUE(server.apply(0, "pause", 1));
+    client.submit(start());
+    ASSERT_TRUE(run_until_event<engine_failed>());
+    ASSERT_TRUE(server.apply(0, "resume", 1));
+    EXPECT_TRUE(
+        run_until([this] { return server.model(0).current_load().free_memory_tokens == 450000U; }));
+    EXPECT_TRUE(text().empty());
+}
+
+TEST_F(engine_client_test, a_full_sink_holds_the_streams_and_loses_nothing) {
+    has_room = false;
+    client.submit(start());
+    ASSERT_TRUE(run_until([this] { return server.model(0).counts().tokens_delivered == 100; }));
+    EXPECT_TRUE(events.empty());
+    has_room = true;
+    ASSERT_TRUE(run_until_event<engine_finished>());
+    EXPECT_EQ(text(), fakes::answer_text(std::string(4000, 'p'), 0, 100));
+}
+
+TEST_F(engine_client_test, a_group_reserves_prefills_generates_and_releases) {
+    auto command = start(2400000, 10);
+    client.submit(engine_reserve{command.id, engine_handle{0}, "a", 300000, seconds{30}});
+    client.submit(engine_reserve{command.id, engine_handle{1}, "b", 310000, seconds{30}});
+    ASSERT_TRUE(run_until([this] { return events.size() == 2; }));
+    client.submit(engine_prefill_part{
+        command.id, engine_handle{0}, "a", "model", command.prompt, 0, 300000, {}, seconds{30}});
+    ASSERT_TRUE(run_until_event<engine_part_ready>());
+    command.parts = {find<engine_part_ready>()->part};
+    command.engine = engine_handle{1};
+    command.reservation = "b";
+    client.submit(command);
+    ASSERT_TRUE(run_until_event<engine_finished>());
+    EXPECT_EQ(text(), fakes::answer_text(*command.prompt, 0, 10));
+    client.submit(engine_release{command.id, engine_handle{0}, "a"});
+    client.submit(engine_release{command.id, engine_handle{1}, "b"});
+    ASSERT_TRUE(run_until_event<engine_released>());
+    EXPECT_TRUE(run_until([this] {
+        return server.model(0).current_load().free_memory_tokens == 450000U &&
+               server.model(1).current_load().free_memory_tokens == 450000U;
+    }));
+}
+
+TEST_F(engine_client_test, loads_are_reported_and_a_dead_engine_is_an_error) {
+    ASSERT_TRUE(run_until([this] { return reports.size() >= 4; }));
+    EXPECT_TRUE(reports.front().load);
+    ASSERT_TRUE(server.apply(1, "crash", 1));
+    EXPECT_TRUE(run_until([this] {
+        return std::ranges::any_of(reports, [](const auto& report) { return !report.load; });
+    }));
+}
+
+TEST_F(engine_client_test, orders_and_held_memory_pass) {
+    std::optional<result<void>> ordered;
+    std::optional<result<engine_status>> status;
+    std::optional<result<std::vector<held_memory>>> held;
+    client.order({engine_handle{0}, order_kind::set_role, {}, {}, engine_role::long_prompts, 4},
+                 [&](result<void> answer) { ordered = answer; });
+    client.submit(engine_reserve{{{7, 1}, 1}, engine_handle{0}, "a", 300, seconds{30}});
+    ASSERT_TRUE(run_until([&] { return ordered && events.size() == 1; }));
+    EXPECT_TRUE(*ordered);
+    client.status(engine_handle{0}, [&](auto answer) { status = answer; });
+    client.memory(engine_handle{0}, [&](auto answer) { held = answer; });
+    ASSERT_TRUE(run_until([&] { return status && held; }));
+    ASSERT_TRUE(*status && *held);
+    EXPECT_EQ((*status)->role, engine_role::long_prompts);
+    EXPECT_EQ((*status)->fencing, 4U);
+    ASSERT_EQ((*held)->size(), 1U);
+    EXPECT_EQ((*held)->front().owner, (memory_owner{"entry-1", 7}));
+    client.order({engine_handle{0}, order_kind::drain, {}, {}, {}, 3},
+                 [&](result<void> answer) { ordered = answer; });
+    ASSERT_TRUE(run_until([&] { return !*ordered; }));
+    EXPECT_EQ(ordered->error().code, error_code::fenced);
+}
+
+} // namespace
+} // namespace magnolia
