--- /dev/null
+++ b/src/http_client.cpp
@@ -0,0 +1,372 @@
+#include "http_client.h"
+
+#include "http_p.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
+#include <map>
+#include <optional>
+#include <unordered_map>
+
+namespace magnolia {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+using system_error = boost::system::error_code;
+using steady_clock = std::chrono::steady_clock;
+
+constexpr unsigned http_11 = 11;
+
+/// Shorter than the servers' idle timeout, so that a kept connection is rarely closed in use.
+constexpr auto kept_time = std::chrono::seconds{20};
+
+/// Connection with the bytes that were read beyond the last response.
+struct connection {
+    explicit connection(const asio::any_io_executor& executor) : stream{executor} {}
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+};
+
+struct kept_connection {
+    std::unique_ptr<connection> link;
+    steady_clock::time_point since;
+};
+
+using peer_key = std::pair<std::string, std::uint16_t>;
+
+peer_key key_of(const endpoint& peer) {
+    return {peer.address, peer.port};
+}
+
+/// Kept connections of every peer, the freshest of a peer at the back.
+class connection_pool {
+public:
+    explicit connection_pool(std::size_t max_idle) : max_idle_{max_idle} {}
+
+    /// A connection that is open and quiet, or none.
+    std::unique_ptr<connection> take(const endpoint& peer) {
+        const auto found = kept_.find(key_of(peer));
+        while (found != kept_.end() && !found->second.empty()) {
+            auto item = std::move(found->second.back());
+            found->second.pop_back();
+            const bool is_fresh = steady_clock::now() - item.since < kept_time;
+            if (is_fresh && look_at(item.link->stream.socket()) == peer_state::quiet) {
+                return std::move(item.link);
+            }
+        }
+        return nullptr;
+    }
+
+    void keep(const endpoint& peer, std::unique_ptr<connection> link) {
+        auto& list = kept_[key_of(peer)];
+        const auto now = steady_clock::now();
+        std::erase_if(list, [now](const auto& item) { return now - item.since >= kept_time; });
+        if (list.size() < max_idle_) {
+            link->stream.expires_never();
+            list.push_back({std::move(link), now});
+        }
+    }
+
+private:
+    std::size_t max_idle_;
+    std::map<peer_key, std::vector<kept_connection>> kept_;
+};
+
+} // namespace
+
+/// One call; lives while its coroutine runs.
+class http_exchange : public boost::intrusive_ref_counter<http_exchange> {
+public:
+    using client_state = http_client::state;
+
+    http_exchange(std::shared_ptr<client_state> client, endpoint peer, http_request request,
+                  const http_call_limits& limits, http_stream_handlers handlers);
+
+    asio::awaitable<void> run(http_call_id id);
+    void cancel();
+    void pause() { is_paused_ = true; }
+    void resume();
+
+private:
+    using text_parser = http::response_parser<http::string_body>;
+
+    asio::awaitable<system_error> connect();
+    asio::awaitable<system_error> write();
+    asio::awaitable<system_error> read(text_parser& parser);
+    asio::awaitable<void> wait_while_paused();
+    void arm(std::chrono::milliseconds timeout);
+    void deliver(text_parser& parser);
+    [[nodiscard]] http_failure failure_of(const system_error& failure) const;
+
+    std::shared_ptr<client_state> client_;
+    endpoint peer_;
+    http_request request_;
+    http_call_limits limits_;
+    http_stream_handlers handlers_;
+    std::unique_ptr<connection> link_;
+    asio::steady_timer wake_;
+    steady_clock::time_point deadline_ = steady_clock::time_point::max();
+    bool is_cancelled_ = false;
+    bool is_paused_ = false;
+    bool is_request_written_ = false;
+    bool is_response_started_ = false;
+    bool is_header_told_ = false;
+};
+
+class http_client::state {
+public:
+    state(asio::io_context& io, std::size_t max_idle)
+        : executor{io.get_executor()}, pool{max_idle} {}
+
+    asio::any_io_executor executor;
+    connection_pool pool;
+    std::uint64_t next_id = 1;
+    bool is_closed = false;
+    std::unordered_map<std::uint64_t, boost::intrusive_ptr<http_exchange>> calls;
+};
+
+http_exchange::http_exchange(std::shared_ptr<client_state> client, endpoint peer,
+                             http_request request, const http_call_limits& limits,
+                             http_stream_handlers handlers)
+    : client_{std::move(client)}, peer_{std::move(peer)}, request_{std::move(request)},
+      limits_{limits}, handlers_{std::move(handlers)}, wake_{client_->executor} {
+    if (limits_.total_timeout.count() > 0) {
+        deadline_ = steady_clock::now() + limits_.total_timeout;
+    }
+}
+
+/// Bounds the next operation by its own timeout and the deadline of the call.
+void http_exchange::arm(std::chrono::milliseconds timeout) {
+    link_->stream.expires_at(std::min(steady_clock::now() + timeout, deadline_));
+}
+
+asio::awaitable<system_error> http_exchange::connect() {
+    link_ = client_->pool.take(peer_);
+    if (link_) {
+        co_return system_error{};
+    }
+    link_ = std::make_unique<connection>(client_->executor);
+    system_error failure;
+    const auto address = asio::ip::make_address(peer_.address, failure);
+    if (failure) {
+        co_return failure;
+    }
+    arm(limits_.connect_timeout);
+    co_await link_->stream.async_connect(tcp::endpoint{address, peer_.port},
+                                         asio::redirect_error(asio::use_awaitable, failure));
+    if (!failure) {
+        system_error ignored;
+        link_->stream.socket().set_option(tcp::no_delay{true}, ignored);
+    }
+    co_return failure;
+}
+
+asio::awaitable<system_error> http_exchange::write() {
+    http::request<http::string_body> message;
+    message.version(http_11);
+    message.method_string(request_.method);
+    message.target(request_.target);
+    message.set(http::field::host, peer_.address + ":" + std::to_string(peer_.port));
+    for (const auto& field : request_.headers) {
+        message.set(field.name, field.value);
+    }
+    message.body() = std::move(request_.body);
+    message.prepare_payload();
+    http::request_serializer<http::string_body> serializer{message};
+    system_error failure;
+    while (!failure && !is_cancelled_ && !serializer.is_done()) {
+        arm(limits_.silence_timeout);
+        const auto count = co_await http::async_write_some(
+            link_->stream, serializer, asio::redirect_error(asio::use_awaitable, failure));
+        is_request_written_ = is_request_written_ || count > 0;
+    }
+    co_return failure;
+}
+
+asio::awaitable<void> http_exchange::wait_while_paused() {
+    while (is_paused_ && !is_cancelled_) {
+        system_error ignored;
+        wake_.expires_at(deadline_);
+        co_await wake_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        if (steady_clock::now() >= deadline_) {
+            co_return;
+        }
+    }
+}
+
+asio::awaitable<system_error> http_exchange::read(text_parser& parser) {
+    parser.header_limit(max_header_bytes);
+    parser.body_limit(limits_.max_body_bytes);
+    if (request_.method == "HEAD") {
+        parser.skip(true);
+    }
+    system_error failure;
+    while (!failure && !is_cancelled_ && !parser.is_done()) {
+        co_await wait_while_paused();
+        arm(limits_.silence_timeout);
+        co_await http::async_read_some(link_->stream, link_->buffer, parser,
+                                       asio::redirect_error(asio::use_awaitable, failure));
+        is_response_started_ = is_response_started_ || parser.got_some();
+        if (!is_cancelled_) {
+            deliver(parser);
+        }
+    }
+    co_return failure;
+}
+
+void http_exchange::deliver(text_parser& parser) {
+    if (!parser.is_header_done()) {
+        return;
+    }
+    if (!is_header_told_) {
+        is_header_told_ = true;
+        if (handlers_.on_header) {
+            handlers_.on_header(parser.get().result_int(), copy_headers(parser.get().base()));
+        }
+    }
+    auto& body = parser.get().body();
+    if (!body.empty()) {
+        const auto text = std::exchange(body, {});
+        handlers_.on_text(text);
+    }
+}
+
+http_failure http_exchange::failure_of(const system_error& failure) const {
+    http_failure result{{error_code::connection, peer_.address + ":" + std::to_string(peer_.port) +
+                                                     ": " + failure.message()},
+                        is_request_written_,
+                        is_response_started_};
+    if (is_cancelled_) {
+        result.failure = {error_code::caller_gone, "cancelled"};
+    } else if (failure == http::error::body_limit || failure == http::error::header_limit) {
+        result.failure.code = error_code::too_large;
+    } else if (failure.category() == http::make_error_code(http::error::bad_version).category() &&
+               failure != http::error::end_of_stream && failure != http::error::partial_message) {
+        result.failure.code = error_code::bad_request;
+    }
+    return result;
+}
+
+asio::awaitable<void> http_exchange::run(http_call_id id) {
+    const boost::intrusive_ptr<http_exchange> self{this};
+    text_parser parser;
+    auto failure =
+        is_cancelled_ ? system_error{asio::error::operation_aborted} : co_await connect();
+    if (!failure && !is_cancelled_) {
+        failure = co_await write();
+    }
+    // A peer may refuse and close before it has read the whole request; its answer counts.
+    if (!is_cancelled_ && (!failure || is_request_written_)) {
+        const auto write_failure = failure;
+        failure = co_await read(parser);
+        if (failure && write_failure) {
+            failure = write_failure;
+        }
+        if (!failure && !write_failure && !is_cancelled_ && parser.keep_alive()) {
+            client_->pool.keep(peer_, std::move(link_));
+        }
+    }
+    client_->calls.erase(id.value);
+    link_.reset();
+    if (client_->is_closed) {
+        co_return;
+    }
+    if (failure || is_cancelled_) {
+        const auto report = failure_of(failure);
+        handlers_.on_end(&report);
+    } else {
+        handlers_.on_end(nullptr);
+    }
+}
+
+void http_exchange::cancel() {
+    is_cancelled_ = true;
+    wake_.cancel();
+    if (link_) {
+        link_->stream.close();
+    }
+}
+
+void http_exchange::resume() {
+    is_paused_ = false;
+    wake_.cancel();
+}
+
+http_client::http_client(asio::io_context& context, std::size_t max_idle)
+    : state_{std::make_shared<state>(context, max_idle)} {}
+
+http_client::~http_client() {
+    state_->is_closed = true;
+    const auto calls = std::exchange(state_->calls, {});
+    for (const auto& [id, exchange] : calls) {
+        exchange->cancel();
+    }
+}
+
+http_call_id http_client::call(const endpoint& peer, http_request request,
+                               const http_call_limits& limits, http_done done) {
+    const auto response = std::make_shared<http_response>();
+    http_stream_handlers handlers;
+    handlers.on_header = [response](unsigned status, const http_headers& headers) {
+        response->status = status;
+        response->headers = headers;
+    };
+    handlers.on_text = [response](std::string_view text) { response->body += text; };
+    handlers.on_end = [response, done = std::move(done)](const http_failure* failure) {
+        if (failure != nullptr) {
+            done(tl::unexpected{*failure});
+        } else {
+            done(std::move(*response));
+        }
+    };
+    return stream(peer, std::move(request), limits, std::move(handlers));
+}
+
+http_call_id http_client::stream(const endpoint& peer, http_request request,
+                                 const http_call_limits& limits, http_stream_handlers handlers) {
+    const http_call_id id{state_->next_id++};
+    const boost::intrusive_ptr<http_exchange> exchange{
+        new http_exchange{state_, peer, std::move(request), limits, std::move(handlers)}};
+    state_->calls.emplace(id.value, exchange);
+    asio::co_spawn(
+        state_->executor, [exchange, id] { return exchange->run(id); }, asio::detached);
+    return id;
+}
+
+void http_client::cancel(http_call_id id) {
+    if (const auto found = state_->calls.find(id.value); found != state_->calls.end()) {
+        found->second->cancel();
+    }
+}
+
+void http_client::pause(http_call_id id) {
+    if (const auto found = state_->calls.find(id.value); found != state_->calls.end()) {
+        found->second->pause();
+    }
+}
+
+void http_client::resume(http_call_id id) {
+    if (const auto found = state_->calls.find(id.value); found != state_->calls.end()) {
+        found->second->resume();
+    }
+}
+
+std::size_t http_client::active_calls() const {
+    return state_->calls.size();
+}
+
+} // namespace magnolia
--- /dev/null
+++ b/src/http_server.cpp
@@ -0,0 +1,629 @@
+#include "http_server.h"
+
+#include "http_p.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/buffers_to_string.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/intrusive/list.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <optional>
+#include <sstream>
+
+namespace magnolia {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+using system_error = boost::system::error_code;
+
+constexpr unsigned http_11 = 11;
+constexpr auto accept_pause = std::chrono::milliseconds{50};
+constexpr auto linger_time = std::chrono::milliseconds{1000};
+constexpr auto overload_retry = std::chrono::milliseconds{500};
+
+std::string header_text(unsigned status, const http_headers& headers, bool keep_alive) {
+    http::response_header<> header;
+    header.version(http_11);
+    header.result(status);
+    for (const auto& field : headers) {
+        header.insert(field.name, field.value);
+    }
+    if (!keep_alive) {
+        header.set(http::field::connection, "close");
+    }
+    std::ostringstream text;
+    text << header;
+    return std::move(text).str();
+}
+
+} // namespace
+
+/// Link of a connection in its server's list.
+using session_hook = boost::intrusive::list_base_hook<boost::intrusive::tag<struct session_tag>>;
+
+/// Shared by the listener and its connections.
+class http_server::state : public std::enable_shared_from_this<http_server::state> {
+public:
+    state(asio::io_context& io, http_server_limits bounds, http_handler on_request,
+          http_refuser on_refusal)
+        : context{io}, limits{bounds}, handler{std::move(on_request)},
+          refuser{std::move(on_refusal)}, acceptor{io} {}
+
+    asio::awaitable<void> accept();
+    void open_session(tcp::socket socket);
+    void shut_down();
+
+    asio::io_context& context;
+    http_server_limits limits;
+    http_handler handler;
+    http_refuser refuser;
+    tcp::acceptor acceptor;
+    std::size_t body_bytes = 0;
+    std::size_t active = 0;
+    bool is_stopping = false;
+    boost::intrusive::list<http_session, boost::intrusive::base_hook<session_hook>,
+                           boost::intrusive::constant_time_size<false>>
+        sessions;
+    std::size_t session_count = 0;
+};
+
+/// One connection; lives while its coroutine or a responder refers to it.
+class http_session : public session_hook {
+public:
+    using server_state = http_server::state;
+
+    http_session(tcp::socket socket, server_state& server)
+        : stream_{std::move(socket)}, wake_{stream_.get_executor()},
+          deadline_{stream_.get_executor()}, server_{&server} {}
+
+    asio::awaitable<void> run();
+    void close();
+    /// Closes without telling the handler; the server is gone.
+    void detach();
+    void close_if_idle();
+
+    // Called by responders.
+    void start(unsigned status, http_headers headers, std::optional<std::size_t> length);
+    void append(std::string_view text);
+    void append_chunk(std::string_view text, std::function<void()> written);
+    void finish(bool is_chunked);
+    void on_gone(std::function<void()> gone) { gone_ = std::move(gone); }
+    [[nodiscard]] bool is_current(std::uint64_t exchange) const {
+        return exchange == exchange_ && is_open_exchange_;
+    }
+    [[nodiscard]] bool accepts(std::uint64_t exchange) const {
+        return is_current(exchange) && !is_finished_;
+    }
+    [[nodiscard]] std::size_t pending_bytes() const { return wire_.size() + writing_.size(); }
+
+    mutable std::atomic<std::uint32_t> references{0};
+
+private:
+    using body_parser = http::request_parser<http::string_body>;
+
+    asio::awaitable<bool> read_request(http_request& request);
+    asio::awaitable<system_error> read_header(body_parser& parser);
+    asio::awaitable<system_error> read_body(body_parser& parser);
+    asio::awaitable<void> refuse(const error& failure);
+    error reason(const system_error& failure) const;
+    void arm(std::chrono::milliseconds timeout);
+    void disarm();
+    asio::awaitable<void> wait_for_end();
+    [[nodiscard]] std::size_t body_bound(const body_parser& parser) const;
+    bool take_body_memory(std::size_t bytes);
+    void release_body_memory();
+    void open_exchange();
+    void close_exchange();
+    void watch_peer();
+    void pump();
+    void on_written(const system_error& failure);
+    void peer_gone();
+
+    beast::tcp_stream stream_;
+    asio::steady_timer wake_;
+    asio::steady_timer deadline_;
+    bool is_late_ = false;
+    server_state* server_;
+    beast::flat_buffer buffer_;
+    std::uint64_t exchange_ = 0;
+    bool is_open_exchange_ = false;
+    bool is_finished_ = false;
+    bool is_idle_ = true;
+    bool keep_alive_ = true;
+    bool is_head_ = false;
+    bool is_writing_ = false;
+    std::size_t body_bytes_ = 0;
+    std::string wire_;
+    std::string writing_;
+    std::vector<std::function<void()>> written_;
+    std::vector<std::function<void()>> writing_callbacks_;
+    std::function<void()> gone_;
+};
+
+void intrusive_ptr_add_ref(const http_session* session) noexcept {
+    session->references.fetch_add(1, std::memory_order_relaxed);
+}
+
+void intrusive_ptr_release(const http_session* session) noexcept {
+    if (session->references.fetch_sub(1, std::memory_order_acq_rel) == 1) {
+        delete session;
+    }
+}
+
+asio::awaitable<void> http_session::run() {
+    const boost::intrusive_ptr<http_session> self{this};
+    while (server_ != nullptr && keep_alive_ && stream_.socket().is_open()) {
+        http_request request;
+        is_idle_ = true;
+        const bool is_read = co_await read_request(request);
+        if (!is_read || server_ == nullptr) {
+            break;
+        }
+        is_head_ = request.method == "HEAD";
+        open_exchange();
+        watch_peer();
+        server_->handler(std::move(request), http_responder{self, exchange_});
+        co_await wait_for_end();
+    }
+    close();
+    if (server_ != nullptr) {
+        server_->sessions.erase(server_->sessions.iterator_to(*this));
+        --server_->session_count;
+        server_ = nullptr;
+    }
+}
+
+/// Cancels the reads under way when the time is over; the connection stays open for the refusal.
+void http_session::arm(std::chrono::milliseconds timeout) {
+    is_late_ = false;
+    deadline_.expires_after(timeout);
+    deadline_.async_wait([self = boost::intrusive_ptr<http_session>{this}](const auto& failure) {
+        if (!failure) {
+            self->is_late_ = true;
+            self->stream_.cancel();
+        }
+    });
+}
+
+void http_session::disarm() {
+    deadline_.cancel();
+}
+
+error http_session::reason(const system_error& failure) const {
+    if (failure == http::error::body_limit || failure == http::error::header_limit) {
+        return {error_code::too_large, failure.message()};
+    }
+    if (is_late_) {
+        return {error_code::slow_body, "body"};
+    }
+    return {error_code::bad_request, failure.message()};
+}
+
+asio::awaitable<system_error> http_session::read_header(body_parser& parser) {
+    system_error failure;
+    if (buffer_.size() == 0) {
+        arm(server_->limits.idle_timeout);
+        const auto count = co_await stream_.async_read_some(
+            buffer_.prepare(max_header_bytes), asio::redirect_error(asio::use_awaitable, failure));
+        buffer_.commit(count);
+        disarm();
+    }
+    if (failure || server_ == nullptr) {
+        co_return http::error::end_of_stream;
+    }
+    is_idle_ = false;
+    arm(server_->limits.read_timeout);
+    co_await http::async_read_header(stream_, buffer_, parser,
+                                     asio::redirect_error(asio::use_awaitable, failure));
+    co_return failure;
+}
+
+asio::awaitable<system_error> http_session::read_body(body_parser& parser) {
+    system_error failure;
+    if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+        const std::string proceed = "HTTP/1.1 100 Continue\r\n\r\n";
+        co_await asio::async_write(stream_, asio::buffer(proceed),
+                                   asio::redirect_error(asio::use_awaitable, failure));
+    }
+    if (!failure) {
+        co_await http::async_read(stream_, buffer_, parser,
+                                  asio::redirect_error(asio::use_awaitable, failure));
+    }
+    co_return failure;
+}
+
+/// Bytes that the body may take: its length, or the bound if it comes in chunks.
+std::size_t http_session::body_bound(const body_parser& parser) const {
+    return parser.chunked() ? server_->limits.max_body_bytes : parser.content_length().value_or(0);
+}
+
+asio::awaitable<bool> http_session::read_request(http_request& request) {
+    body_parser parser;
+    parser.header_limit(max_header_bytes);
+    parser.body_limit(server_->limits.max_body_bytes);
+    stream_.expires_never();
+    auto failure = co_await read_header(parser);
+    if (server_ == nullptr || failure == http::error::end_of_stream) {
+        co_return false;
+    }
+    if (!failure && !take_body_memory(body_bound(parser))) {
+        // g++ 12 destroys temporaries in the arguments of an awaited call twice.
+        const error refusal{error_code::overloaded, "memory for bodies", overload_retry};
+        co_await refuse(refusal);
+        co_return false;
+    }
+    if (!failure) {
+        failure = co_await read_body(parser);
+    }
+    disarm();
+    if (server_ == nullptr) {
+        co_return false;
+    }
+    if (failure) {
+        const auto refusal = reason(failure);
+        co_await refuse(refusal);
+        co_return false;
+    }
+    keep_alive_ = parser.keep_alive() && !server_->is_stopping;
+    request.method = std::string{parser.get().method_string()};
+    request.target = std::string{parser.get().target()};
+    request.headers = copy_headers(parser.get().base());
+    request.body = std::move(parser.get().body());
+    co_return true;
+}
+
+/// Answers a request that could not be read, and lets the peer read the answer before the close.
+asio::awaitable<void> http_session::refuse(const error& failure) {
+    disarm();
+    if (server_ == nullptr) {
+        co_return;
+    }
+    keep_alive_ = false;
+    open_exchange();
+    const http_responder responder{this, exchange_};
+    responder.send(server_->refuser(failure));
+    co_await wait_for_end();
+    system_error ignored;
+    stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    arm(linger_time);
+    std::array<char, 4096> rest{};
+    while (!ignored) {
+        co_await stream_.async_read_some(asio::buffer(rest),
+                                         asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    disarm();
+}
+
+bool http_session::take_body_memory(std::size_t bytes) {
+    if (bytes > server_->limits.max_body_bytes) {
+        return true; // The parser refuses it.
+    }
+    if (server_->body_bytes + bytes > server_->limits.max_total_body_bytes) {
+        return false;
+    }
+    body_bytes_ = bytes;
+    server_->body_bytes += bytes;
+    return true;
+}
+
+void http_session::release_body_memory() {
+    if (server_ != nullptr) {
+        server_->body_bytes -= body_bytes_;
+    }
+    body_bytes_ = 0;
+}
+
+void http_session::open_exchange() {
+    ++exchange_;
+    is_open_exchange_ = true;
+    is_finished_ = false;
+    wake_.expires_at(asio::steady_timer::time_point::max());
+    ++server_->active;
+}
+
+asio::awaitable<void> http_session::wait_for_end() {
+    while (is_open_exchange_) {
+        system_error ignored;
+        co_await wake_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
+void http_session::close_exchange() {
+    if (!is_open_exchange_) {
+        return;
+    }
+    is_open_exchange_ = false;
+    gone_ = nullptr;
+    wire_.clear();
+    written_.clear();
+    release_body_memory();
+    if (server_ != nullptr) {
+        --server_->active;
+    }
+    wake_.cancel();
+}
+
+void http_session::watch_peer() {
+    stream_.socket().async_wait(tcp::socket::wait_read,
+                                [self = boost::intrusive_ptr<http_session>{this},
+                                 exchange = exchange_](const system_error& failure) {
+                                    if (!failure && self->is_current(exchange) &&
+                                        look_at(self->stream_.socket()) == peer_state::gone) {
+                                        self->peer_gone();
+                                    }
+                                });
+}
+
+void http_session::peer_gone() {
+    keep_alive_ = false;
+    const auto gone = std::move(gone_);
+    close_exchange();
+    stream_.close();
+    if (gone) {
+        gone();
+    }
+}
+
+void http_session::close() {
+    keep_alive_ = false;
+    disarm();
+    if (is_open_exchange_) {
+        peer_gone();
+    }
+    stream_.close();
+}
+
+void http_session::close_if_idle() {
+    keep_alive_ = false;
+    if (is_idle_) {
+        close();
+    }
+}
+
+void http_session::detach() {
+    gone_ = nullptr;
+    close();
+    server_ = nullptr;
+}
+
+void http_session::start(unsigned status, http_headers headers, std::optional<std::size_t> length) {
+    if (length) {
+        headers.push_back({"Content-Length", std::to_string(*length)});
+    } else {
+        headers.push_back({"Transfer-Encoding", "chunked"});
+    }
+    keep_alive_ = keep_alive_ && server_ != nullptr && !server_->is_stopping;
+    wire_ += header_text(status, headers, keep_alive_);
+}
+
+void http_session::append(std::string_view text) {
+    if (!is_head_) {
+        wire_ += text;
+    }
+}
+
+void http_session::append_chunk(std::string_view text, std::function<void()> written) {
+    if (!is_head_ && !text.empty()) {
+        wire_ += beast::buffers_to_string(http::make_chunk(asio::buffer(text)));
+    }
+    if (written) {
+        written_.push_back(std::move(written));
+    }
+    pump();
+}
+
+void http_session::finish(bool is_chunked) {
+    if (is_chunked && !is_head_) {
+        wire_ += beast::buffers_to_string(http::make_chunk_last());
+    }
+    is_finished_ = true;
+    pump();
+}
+
+/// Writes all that has gathered since the last write.
+void http_session::pump() {
+    if (is_writing_ || !is_open_exchange_) {
+        return;
+    }
+    if (wire_.empty() && written_.empty()) {
+        if (is_finished_) {
+            close_exchange();
+        }
+        return;
+    }
+    is_writing_ = true;
+    writing_.swap(wire_);
+    writing_callbacks_.swap(written_);
+    stream_.expires_after(server_->limits.write_timeout);
+    asio::async_write(stream_, asio::buffer(writing_),
+                      [self = boost::intrusive_ptr<http_session>{this}](
+                          const system_error& failure, std::size_t) { self->on_written(failure); });
+}
+
+void http_session::on_written(const system_error& failure) {
+    is_writing_ = false;
+    stream_.expires_never();
+    writing_.clear();
+    const auto callbacks = std::exchange(writing_callbacks_, {});
+    if (failure) {
+        if (is_open_exchange_) {
+            peer_gone();
+        }
+        return;
+    }
+    std::ranges::for_each(callbacks, [](const auto& written) { written(); });
+    pump();
+}
+
+http_responder::http_responder(boost::intrusive_ptr<http_session> session, std::uint64_t exchange)
+    : session_{std::move(session)}, exchange_{exchange} {}
+
+bool http_responder::is_over() const {
+    return !session_->accepts(exchange_);
+}
+
+void http_responder::send(http_response response) const {
+    if (is_over()) {
+        return;
+    }
+    const auto length = response.body.size();
+    session_->start(response.status, std::move(response.headers), length);
+    session_->append(response.body);
+    session_->finish(false);
+}
+
+void http_responder::start(unsigned status, const http_headers& headers) const {
+    if (!is_over()) {
+        session_->start(status, headers, std::nullopt);
+        session_->append_chunk({}, {});
+    }
+}
+
+void http_responder::write(std::string_view text, std::function<void()> written) const {
+    if (!is_over()) {
+        session_->append_chunk(text, std::move(written));
+    }
+}
+
+void http_responder::finish() const {
+    if (!is_over()) {
+        session_->finish(true);
+    }
+}
+
+void http_responder::abort() const {
+    if (!is_over()) {
+        session_->on_gone(nullptr);
+        session_->close();
+    }
+}
+
+void http_responder::on_gone(std::function<void()> gone) const {
+    if (!is_over()) {
+        session_->on_gone(std::move(gone));
+    }
+}
+
+std::size_t http_responder::pending_bytes() const {
+    return is_over() ? 0 : session_->pending_bytes();
+}
+
+http_response error_response(const error& failure) {
+    nlohmann::json body{{"type", to_string(failure.code)}, {"subject", failure.subject}};
+    if (failure.retry_after.count() > 0) {
+        body["retry_after_ms"] = failure.retry_after.count();
+    }
+    const auto text = nlohmann::json{{"error", body}}.dump(
+        -1, ' ', false, nlohmann::json::error_handler_t::replace);
+    return json_response(http_status(failure.code), text);
+}
+
+asio::awaitable<void> http_server::state::accept() {
+    const auto self = shared_from_this();
+    while (acceptor.is_open()) {
+        system_error failure;
+        tcp::socket socket{context};
+        co_await acceptor.async_accept(socket, asio::redirect_error(asio::use_awaitable, failure));
+        if (!acceptor.is_open()) {
+            co_return;
+        }
+        if (failure) {
+            // Out of file descriptors, most likely; closing connections free some.
+            asio::steady_timer pause{context, accept_pause};
+            co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, failure));
+            continue;
+        }
+        open_session(std::move(socket));
+    }
+}
+
+void http_server::state::open_session(tcp::socket socket) {
+    if (session_count >= limits.max_connections) {
+        return;
+    }
+    system_error ignored;
+    socket.set_option(tcp::no_delay{true}, ignored);
+    const boost::intrusive_ptr<http_session> session{new http_session{std::move(socket), *this}};
+    sessions.push_back(*session);
+    ++session_count;
+    asio::co_spawn(context, session->run(), asio::detached);
+}
+
+void http_server::state::shut_down() {
+    system_error ignored;
+    acceptor.close(ignored);
+    while (!sessions.empty()) {
+        auto& session = sessions.front();
+        sessions.pop_front();
+        session.detach();
+    }
+    session_count = 0;
+}
+
+http_server::http_server(asio::io_context& context, http_server_limits limits, http_handler handler,
+                         http_refuser refuser)
+    : state_{std::make_shared<state>(context, limits, std::move(handler), std::move(refuser))} {}
+
+http_server::~http_server() {
+    state_->shut_down();
+}
+
+result<void> http_server::listen(const endpoint& where) {
+    system_error failure;
+    const auto address = asio::ip::make_address(where.address, failure);
+    const tcp::endpoint target{address, where.port};
+    auto& acceptor = state_->acceptor;
+    if (!failure) {
+        acceptor.open(target.protocol(), failure);
+    }
+    if (!failure) {
+        acceptor.set_option(tcp::acceptor::reuse_address{true}, failure);
+        acceptor.bind(target, failure);
+    }
+    if (!failure) {
+        acceptor.listen(asio::socket_base::max_listen_connections, failure);
+    }
+    if (failure) {
+        return fail(error_code::connection,
+                    where.address + ":" + std::to_string(where.port) + ": " + failure.message());
+    }
+    asio::co_spawn(state_->context, state_->accept(), asio::detached);
+    return {};
+}
+
+std::uint16_t http_server::port() const {
+    system_error ignored;
+    return state_->acceptor.local_endpoint(ignored).port();
+}
+
+void http_server::stop_accepting() {
+    system_error ignored;
+    state_->is_stopping = true;
+    state_->acceptor.close(ignored);
+    for (auto& session : state_->sessions) {
+        session.close_if_idle();
+    }
+}
+
+void http_server::close() {
+    state_->shut_down();
+}
+
+std::size_t http_server::active_requests() const {
+    return state_->active;
+}
+
+} // namespace magnolia
--- /dev/null
+++ b/tests/http_test.cpp
@@ -0,0 +1,236 @@
+#include "http_client.h"
+#include "http_server.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+
+#include <optional>
+
+namespace magnolia {
+namespace {
+
+namespace asio = boost::asio;
+
+/// Server and client on one context, which is run until a condition holds.
+class http_pair : public testing::Test {
+protected:
+    void serve(http_handler handler, http_server_limits limits = {}) {
+        server.emplace(context, limits, std::move(handler));
+        ASSERT_TRUE(server->listen(endpoint{}));
+        peer.port = server->port();
+    }
+
+    tl::expected<http_response, http_failure> call(http_request request,
+                                                   const http_call_limits& limits = {}) {
+        std::optional<tl::expected<http_response, http_failure>> answer;
+        client.call(peer, std::move(request), limits,
+                    [&](auto received) { answer = std::move(received); });
+        run_until([&] { return answer.has_value(); });
+        return *answer;
+    }
+
+    template <class Condition>
+    void run_until(Condition condition) {
+        while (!condition() && context.run_one() > 0) {
+        }
+    }
+
+    asio::io_context context{1};
+    std::optional<http_server> server;
+    http_client client{context};
+    endpoint peer;
+};
+
+void echo(const http_request& request, const http_responder& responder) {
+    responder.send({200, {{"X-Target", request.target}}, request.method + ":" + request.body});
+}
+
+TEST_F(http_pair, whole_requests_and_responses_on_a_kept_connection) {
+    serve(echo);
+    for (const std::string body : {"one", "two"}) {
+        const auto answer = call({"POST", "/a?b=c", {}, body});
+        ASSERT_TRUE(answer);
+        EXPECT_EQ(answer->body, "POST:" + body);
+        EXPECT_EQ(find_header(answer->headers, "x-target"), "/a?b=c");
+    }
+}
+
+TEST_F(http_pair, a_stream_arrives_as_it_is_written) {
+    std::optional<http_responder> open;
+    serve([&](const auto&, const http_responder& responder) {
+        responder.start(200, {{"Content-Type", "text/event-stream"}});
+        open = responder;
+    });
+    std::string text;
+    bool is_whole = false;
+    unsigned status = 0;
+    client.stream(peer, {}, {},
+                  {[&](unsigned code, const auto&) { status = code; },
+                   [&](std::string_view part) { text += part; },
+                   [&](const http_failure* failure) { is_whole = failure == nullptr; }});
+    run_until([&] { return status == 200; });
+    open->write("first");
+    run_until([&] { return text == "first"; });
+    open->write(" second");
+    open->finish();
+    run_until([&] { return is_whole; });
+    EXPECT_EQ(text, "first second");
+}
+
+TEST_F(http_pair, an_aborted_stream_is_reported_as_incomplete) {
+    serve([&](const auto&, const http_responder& responder) {
+        responder.start(200, {});
+        responder.write("part", [responder] { responder.abort(); });
+    });
+    const auto answer = call({});
+    ASSERT_FALSE(answer);
+    EXPECT_EQ(answer.error().failure.code, error_code::connection);
+    EXPECT_TRUE(answer.error().is_request_written);
+    EXPECT_TRUE(answer.error().is_response_started);
+}
+
+TEST_F(http_pair, a_refused_connection_proves_that_nothing_was_written) {
+    serve(echo);
+    server->close();
+    const auto answer = call({"POST", "/", {}, "order"});
+    ASSERT_FALSE(answer);
+    EXPECT_EQ(answer.error().failure.code, error_code::connection);
+    EXPECT_FALSE(answer.error().is_request_written);
+}
+
+TEST_F(http_pair, a_silent_peer_is_unknown) {
+    serve([](const auto&, const auto&) {});
+    http_call_limits limits;
+    limits.silence_timeout = std::chrono::milliseconds{20};
+    const auto answer = call({"POST", "/", {}, "order"}, limits);
+    ASSERT_FALSE(answer);
+    EXPECT_TRUE(answer.error().is_request_written);
+    EXPECT_FALSE(answer.error().is_response_started);
+}
+
+TEST_F(http_pair, the_handler_learns_that_the_peer_has_gone) {
+    bool is_gone = false;
+    bool is_received = false;
+    serve([&](const auto&, const http_responder& responder) {
+        responder.on_gone([&] { is_gone = true; });
+        is_received = true;
+    });
+    std::optional<http_failure> failure;
+    const auto id =
+        client.call(peer, {}, {}, [&](const auto& answer) { failure = answer.error(); });
+    run_until([&] { return is_received; });
+    client.cancel(id);
+    run_until([&] { return is_gone && failure.has_value(); });
+    EXPECT_EQ(failure->failure.code, error_code::caller_gone);
+    EXPECT_TRUE(failure->is_request_written);
+    EXPECT_EQ(server->active_requests(), 0U);
+}
+
+TEST_F(http_pair, a_call_cancelled_at_once_has_written_nothing) {
+    serve(echo);
+    std::optional<http_failure> failure;
+    const auto id =
+        client.call(peer, {}, {}, [&](const auto& answer) { failure = answer.error(); });
+    client.cancel(id);
+    run_until([&] { return failure.has_value(); });
+    EXPECT_FALSE(failure->is_request_written);
+}
+
+TEST_F(http_pair, a_long_body_is_refused_with_its_type) {
+    http_server_limits limits;
+    limits.max_body_bytes = 1000;
+    serve(echo, limits);
+    const auto answer = call({"POST", "/", {}, std::string(100000, 'x')});
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->status, 413U);
+    EXPECT_NE(answer->body.find("too_large"), std::string::npos);
+}
+
+TEST_F(http_pair, bodies_over_the_memory_bound_are_refused) {
+    http_server_limits limits;
+    limits.max_total_body_bytes = 1500;
+    std::optional<http_responder> held;
+    serve([&](const auto&, const http_responder& responder) { held = responder; }, limits);
+    client.call(peer, {"POST", "/", {}, std::string(1000, 'x')}, {}, [](const auto&) {});
+    run_until([&] { return held.has_value(); });
+    const auto answer = call({"POST", "/", {}, std::string(1000, 'x')});
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->status, 503U);
+    EXPECT_NE(answer->body.find("overloaded"), std::string::npos);
+}
+
+TEST_F(http_pair, a_slow_body_and_malformed_text_get_typed_refusals) {
+    http_server_limits limits;
+    limits.read_timeout = std::chrono::milliseconds{20};
+    serve(echo, limits);
+    const auto raw = [&](const std::string& text) {
+        asio::ip::tcp::socket socket{context};
+        socket.connect({asio::ip::make_address("127.0.0.1"), peer.port});
+        asio::write(socket, asio::buffer(text));
+        std::string answer(4096, '\0');
+        bool is_over = false;
+        socket.async_read_some(asio::buffer(answer), [&](const auto&, std::size_t count) {
+            answer.resize(count);
+            is_over = true;
+        });
+        run_until([&] { return is_over; });
+        return answer;
+    };
+    EXPECT_NE(raw("POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nab").find("408"), std::string::npos);
+    EXPECT_NE(raw("no http at all\r\n\r\n").find("400"), std::string::npos);
+}
+
+TEST_F(http_pair, a_paused_stream_is_not_read) {
+    constexpr std::size_t part_bytes = 1U << 20U;
+    constexpr int parts = 16;
+    std::optional<http_responder> open;
+    serve([&](const auto&, const http_responder& responder) {
+        responder.start(200, {});
+        open = responder;
+    });
+    std::size_t received = 0;
+    bool is_over = false;
+    bool is_started = false;
+    const auto id = client.stream(peer, {}, {},
+                                  {[&](unsigned, const auto&) { is_started = true; },
+                                   [&](std::string_view text) { received += text.size(); },
+                                   [&](const http_failure*) { is_over = true; }});
+    run_until([&] { return is_started; });
+    client.pause(id);
+    for (int part = 0; part < parts; ++part) {
+        open->write(std::string(part_bytes, 'x'));
+    }
+    while (context.poll_one() > 0) {
+    }
+    EXPECT_GT(open->pending_bytes(), part_bytes);
+    client.resume(id);
+    open->finish();
+    run_until([&] { return is_over; });
+    EXPECT_EQ(received, part_bytes * parts);
+}
+
+TEST_F(http_pair, a_stopping_server_ends_what_it_has_and_takes_nothing_new) {
+    std::optional<http_responder> held;
+    serve([&](const auto&, const http_responder& responder) { held = responder; });
+    std::optional<http_response> answer;
+    client.call(peer, {}, {}, [&](const auto& received) { answer = received.value(); });
+    run_until([&] { return held.has_value(); });
+    server->stop_accepting();
+    held->send({200, {}, "late"});
+    run_until([&] { return answer.has_value(); });
+    EXPECT_EQ(answer->body, "late");
+    EXPECT_EQ(find_header(answer->headers, "connection"), "close");
+    EXPECT_FALSE(call({}));
+}
+
+TEST(http_types, targets_are_taken_apart) {
+    EXPECT_EQ(target_path("/a/b?c=d"), "/a/b");
+    EXPECT_EQ(query_parameter("/a?x=1&after=b%2Fc", "after"), "b/c");
+    EXPECT_EQ(query_parameter("/a?x=1", "y"), "");
+    EXPECT_EQ(percent_decode(percent_encode("a b/%ü")), "a b/%ü");
+    EXPECT_EQ(percent_decode("%zz"), "%zz");
+}
+
+} // namespace
+} // namespace magnolia
