Frames and connections between entries, and limits of one entry

Entries had no way to talk, and nothing enforced a contract. Frames are bounded msgpack arrays, checked for depth before the recursive reader of the library sees them; connections open on demand, name the member that is meant, and are bounded in number and unsent bytes.

--- a/include/magnolia/schema.h
+++ b/include/magnolia/schema.h
@@ -473,6 +473,8 @@
     std::uint64_t boot{0};
     /// Release of the sender's protocol.
     std::uint32_t release{0};
+    /// Name of the member that is meant; empty from the accepting side.
+    std::string to{};
 
     bool operator==(const hello_message&) const = default;
 };
@@ -480,8 +482,114 @@
 void to_json(nlohmann::json& out, const hello_message& value);
 void read(const nlohmann::json& in, schema_reader& reader, hello_message& value);
 
+/// What is known of a member.
+struct member_change {
+    /// Name of the entry.
+    std::string name{};
+    /// Availability zone.
+    std::string zone{};
+    /// IP number.
+    std::string address{};
+    /// Port of its peer listener.
+    std::uint16_t port{0};
+    /// Raised by the member itself; a later one overrules.
+    std::uint64_t incarnation{0};
+    /// State in this incarnation.
+    host_state state{host_state::live};
+
+    bool operator==(const member_change&) const = default;
+};
+
+void to_json(nlohmann::json& out, const member_change& value);
+void read(const nlohmann::json& in, schema_reader& reader, member_change& value);
+
+/// Content of a table of contracts in short.
+struct config_digest {
+    /// Contracts in the table, retired ones included.
+    std::uint64_t count{0};
+    /// Exclusive or of the hashes of all names with versions.
+    std::uint64_t hash{0};
+
+    bool operator==(const config_digest&) const = default;
+};
+
+void to_json(nlohmann::json& out, const config_digest& value);
+void read(const nlohmann::json& in, schema_reader& reader, config_digest& value);
+
+/// Asks a member whether it is live.
+struct ping_message {
+    /// Comes back in the answer.
+    std::uint32_t number{0};
+    /// News of members.
+    std::vector<member_change> changes{};
+    /// Hash of the sender's list of members.
+    std::uint64_t members_hash{0};
+    /// Digest of the sender's contracts.
+    config_digest config{};
+
+    bool operator==(const ping_message&) const = default;
+};
+
+void to_json(nlohmann::json& out, const ping_message& value);
+void read(const nlohmann::json& in, schema_reader& reader, ping_message& value);
+
+/// Answer to a ping, also on behalf of another member.
+struct ack_message {
+    /// Number of the ping.
+    std::uint32_t number{0};
+    /// Member that is live.
+    std::string subject{};
+    /// News of members.
+    std::vector<member_change> changes{};
+    /// Hash of the sender's list of members.
+    std::uint64_t members_hash{0};
+    /// Digest of the sender's contracts.
+    config_digest config{};
+
+    bool operator==(const ack_message&) const = default;
+};
+
+void to_json(nlohmann::json& out, const ack_message& value);
+void read(const nlohmann::json& in, schema_reader& reader, ack_message& value);
+
+/// Asks a member to ping another one.
+struct ping_request_message {
+    /// Comes back in the answer.
+    std::uint32_t number{0};
+    /// Member to ping.
+    std::string subject{};
+
+    bool operator==(const ping_request_message&) const = default;
+};
+
+void to_json(nlohmann::json& out, const ping_request_message& value);
+void read(const nlohmann::json& in, schema_reader& reader, ping_request_message& value);
+
+/// Asks for the whole list of members.
+struct member_list_request {
+    /// The sender itself.
+    std::vector<member_change> changes{};
+
+    bool operator==(const member_list_request&) const = default;
+};
+
+void to_json(nlohmann::json& out, const member_list_request& value);
+void read(const nlohmann::json& in, schema_reader& reader, member_list_request& value);
+
+/// Part of the list of members.
+struct member_list_message {
+    /// Members as the sender sees them.
+    std::vector<member_change> members{};
+
+    bool operator==(const member_list_message&) const = default;
+};
+
+void to_json(nlohmann::json& out, const member_list_message& value);
+void read(const nlohmann::json& in, schema_reader& reader, member_list_message& value);
+
 /// Any message between two processes of the system.
-using peer_message = std::variant<hello_message>;
+using peer_message = std::variant<hello_message, ping_message, ack_message, ping_request_message,
+                                  member_list_request, member_list_message>;
 
 /// Number of the message's type in a frame; numbers are never used again.
 [[nodiscard]] std::uint16_t message_number(const peer_message& message);
--- a/src/limiter.h
+++ b/src/limiter.h
@@ -23,6 +23,15 @@
     std::uint32_t generated_tokens = 0;
 };
 
+/// The local share is short and more was asked for. Ask again when take_changed() names the
+/// workspace, at the latest at `until`, when the answer is final.
+struct limit_pending {
+    time_point until{};
+};
+
+/// Outcome of a question for admission.
+using limit_decision = std::variant<limit_ticket, limit_pending, error>;
+
 /// A member of the fleet as the limiter needs it.
 struct limit_member {
     std::string name;
@@ -35,18 +44,25 @@
 class limiter {
 public:
     /// @param self  name of this entry. @param zone  its availability zone.
-    limiter(std::string self, std::string zone);
+    /// @param boot  random number of the process's start.
+    limiter(std::string self, std::string zone, std::uint64_t boot = 0);
     ~limiter();
 
-    /// Takes a newer version of a contract.
+    /// Takes a newer version of a contract; an older one is ignored.
     void put_contract(const contract& value, std::uint64_t version, time_point now);
 
     /// Members as this entry sees them, itself included, and whether the own zone is cut off from
     /// the others.
     void set_members(const std::vector<limit_member>& members, bool is_cut_off, time_point now);
 
-    /// Takes one request's worth from the local share.
-    /// Errors: limit_* with retry_after, cut_off, workspace_unknown.
+    /// Takes one request's worth from the local share, or says how long to wait for a larger one.
+    /// @param since  when the request was first asked for; bounds its wait.
+    /// Errors: limit_* with retry_after, cut_off, workspace_unknown, workspace_retired, too_large.
+    [[nodiscard]] limit_decision decide(std::string_view workspace, std::uint32_t prompt_tokens,
+                                        std::uint32_t max_generated_tokens, time_point since,
+                                        time_point now);
+
+    /// As decide() without a wait: a pending request is refused with a short retry_after.
     [[nodiscard]] result<limit_ticket> admit(std::string_view workspace,
                                              std::uint32_t prompt_tokens,
                                              std::uint32_t max_generated_tokens, time_point now);
@@ -60,6 +76,9 @@
     /// Messages due now: demand to keepers, grants to entries, loans between zones.
     [[nodiscard]] std::vector<outgoing_message> poll(time_point now);
 
+    /// Workspaces whose share has grown since the last call.
+    [[nodiscard]] std::vector<std::string> take_changed();
+
 private:
     class state;
     std::unique_ptr<state> state_;
--- /dev/null
+++ b/src/peer_links.cpp
@@ -0,0 +1,437 @@
+#include "peer_links.h"
+
+#include "peer_codec.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/intrusive/list.hpp>
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <netinet/tcp.h>
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <random>
+
+namespace magnolia {
+namespace {
+
+namespace asio = boost::asio;
+namespace intrusive = boost::intrusive;
+using asio::ip::tcp;
+using io_error = boost::system::error_code;
+
+constexpr std::size_t read_chunk_bytes = 16384;
+constexpr std::chrono::milliseconds sweep_period{500};
+/// Longest time for which sent bytes may stay unacknowledged before the connection breaks.
+constexpr int unacknowledged_ms = 5000;
+using user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+/// Messages from other duties that have not been taken up.
+constexpr std::size_t command_slots = 8192;
+
+/// Counters that the owner's thread writes and any thread reads.
+struct shared_counters {
+    std::atomic<std::uint64_t> bytes_in{0};
+    std::atomic<std::uint64_t> bytes_out{0};
+    std::atomic<std::uint64_t> frames_in{0};
+    std::atomic<std::uint64_t> frames_out{0};
+    std::atomic<std::uint64_t> dropped{0};
+    std::atomic<std::uint64_t> invalid{0};
+    std::atomic<std::uint64_t> open{0};
+};
+
+/// One connection, in the list of all in the order of their last use.
+struct link : boost::intrusive_ref_counter<link, boost::thread_unsafe_counter>,
+              intrusive::list_base_hook<intrusive::link_mode<intrusive::auto_unlink>> {
+    explicit link(tcp::socket opened) : socket{std::move(opened)} {}
+
+    tcp::socket socket;
+    /// Member at the other end; empty until its hello.
+    std::string member;
+    hello_message hello;
+    frame_splitter splitter;
+    std::array<std::uint8_t, read_chunk_bytes> chunk{};
+    /// Frames being written, and those that wait.
+    std::string writing;
+    std::string waiting;
+    std::size_t waiting_frames = 0;
+    time_point used{};
+    time_point opened_at{};
+    bool is_outgoing = false;
+    bool is_connected = false;
+    bool is_closed = false;
+};
+
+using link_ptr = boost::intrusive_ptr<link>;
+using link_list = intrusive::list<link, intrusive::constant_time_size<false>>;
+
+/// When a member may be dialled again.
+struct dial_state {
+    time_point not_before{};
+    std::chrono::milliseconds backoff{0};
+};
+
+/// A message to send, or the new addresses.
+using link_command = std::variant<std::pair<std::string, peer_message>, std::vector<peer_address>>;
+
+} // namespace
+
+class peer_links::state {
+public:
+    state(duty& owner, hello_message self, std::uint64_t seed,
+          std::function<void(peer_delivery)> deliver, link_options options)
+        : context_{owner.context()}, self_{std::move(self)}, random_{seed},
+          deliver_{std::move(deliver)}, options_{options}, acceptor_{context_}, timer_{context_},
+          commands_{owner, command_slots,
+                    [this](link_command command) { run(std::move(command)); }} {
+        schedule_sweep();
+    }
+
+    ~state() { close_all(); }
+    state(const state&) = delete;
+    state& operator=(const state&) = delete;
+
+    result<std::uint16_t> listen(const endpoint& where) {
+        io_error failure;
+        const auto address = asio::ip::make_address(where.address, failure);
+        if (failure) {
+            return fail(error_code::connection, where.address);
+        }
+        const tcp::endpoint local{address, where.port};
+        acceptor_.open(local.protocol(), failure);
+        if (!failure) {
+            acceptor_.set_option(tcp::acceptor::reuse_address{true}, failure);
+            acceptor_.bind(local, failure);
+        }
+        if (!failure) {
+            acceptor_.listen(asio::socket_base::max_listen_connections, failure);
+        }
+        if (failure) {
+            return fail(error_code::connection, where.address + ":" + std::to_string(where.port));
+        }
+        accept();
+        return acceptor_.local_endpoint().port();
+    }
+
+    result<void> push(link_command command) { return commands_.push(std::move(command)); }
+
+    const shared_counters& counters() const { return counters_; }
+
+private:
+    void run(link_command command) {
+        if (auto* addresses = std::get_if<std::vector<peer_address>>(&command)) {
+            addresses_.clear();
+            for (auto& address : *addresses) {
+                auto name = address.member;
+                addresses_.insert_or_assign(std::move(name), std::move(address));
+            }
+            std::erase_if(dials_,
+                          [&](const auto& item) { return !addresses_.contains(item.first); });
+            return;
+        }
+        const auto& [member, message] = std::get<0>(command);
+        send(member, message);
+    }
+
+    void send(const std::string& member, const peer_message& message) {
+        const auto target = link_to(member);
+        if (!target || target->waiting.size() > options_.max_unsent_bytes) {
+            ++counters_.dropped;
+            return;
+        }
+        if (!append_frame(message, target->waiting)) {
+            ++counters_.dropped;
+            return;
+        }
+        ++target->waiting_frames;
+        write(target);
+    }
+
+    link_ptr link_to(const std::string& member) {
+        if (const auto found = by_member_.find(member); found != by_member_.end()) {
+            return found->second;
+        }
+        const auto address = addresses_.find(member);
+        const auto now = steady_now();
+        if (address == addresses_.end() || now < dials_[member].not_before) {
+            return nullptr;
+        }
+        return dial(address->second, now);
+    }
+
+    link_ptr dial(const peer_address& to, time_point now) {
+        io_error failure;
+        const auto address = asio::ip::make_address(to.address, failure);
+        if (failure) {
+            return nullptr;
+        }
+        auto opened = add(tcp::socket{context_}, now);
+        opened->is_outgoing = true;
+        opened->member = to.member;
+        by_member_[to.member] = opened;
+        append_hello(*opened, to.member);
+        opened->socket.async_connect({address, to.port}, [this, opened](const io_error& error) {
+            on_connected(opened, error);
+        });
+        return opened;
+    }
+
+    void on_connected(const link_ptr& opened, const io_error& error) {
+        if (error || opened->is_closed) {
+            delay_dial(opened->member);
+            close(opened);
+            return;
+        }
+        opened->is_connected = true;
+        set_options(*opened);
+        write(opened);
+        read(opened);
+    }
+
+    /// Full jitter over an interval that doubles with each failure in a row.
+    void delay_dial(const std::string& member) {
+        auto& dial = dials_[member];
+        dial.backoff =
+            std::clamp(dial.backoff * 2, options_.first_backoff, options_.longest_backoff);
+        std::uniform_int_distribution<std::int64_t> jitter{dial.backoff.count() / 2,
+                                                           dial.backoff.count()};
+        dial.not_before = steady_now() + std::chrono::milliseconds{jitter(random_)};
+    }
+
+    void accept() {
+        acceptor_.async_accept([this](const io_error& error, tcp::socket socket) {
+            if (error == asio::error::operation_aborted) {
+                return;
+            }
+            if (!error) {
+                on_accepted(std::move(socket));
+            }
+            accept();
+        });
+    }
+
+    void on_accepted(tcp::socket socket) {
+        const auto opened = add(std::move(socket), steady_now());
+        opened->is_connected = true;
+        set_options(*opened);
+        append_hello(*opened, {});
+        write(opened);
+        read(opened);
+    }
+
+    static void set_options(link& opened) {
+        io_error ignored;
+        opened.socket.set_option(tcp::no_delay{true}, ignored);
+        opened.socket.set_option(user_timeout{unacknowledged_ms}, ignored);
+    }
+
+    void append_hello(link& opened, const std::string& to) {
+        auto hello = self_;
+        hello.to = to;
+        if (append_frame(hello, opened.waiting)) {
+            ++opened.waiting_frames;
+        }
+    }
+
+    link_ptr add(tcp::socket socket, time_point now) {
+        while (held_.size() >= options_.max_links) {
+            close(link_ptr{&order_.front()});
+        }
+        const link_ptr opened{new link{std::move(socket)}};
+        opened->used = now;
+        opened->opened_at = now;
+        order_.push_back(*opened);
+        held_.emplace(opened.get(), opened);
+        counters_.open = held_.size();
+        return opened;
+    }
+
+    void touch(link& used) {
+        used.used = steady_now();
+        order_.erase(order_.iterator_to(used));
+        order_.push_back(used);
+    }
+
+    void write(const link_ptr& target) {
+        if (!target->is_connected || target->is_closed || !target->writing.empty() ||
+            target->waiting.empty()) {
+            return;
+        }
+        target->writing.swap(target->waiting);
+        counters_.frames_out += std::exchange(target->waiting_frames, 0);
+        touch(*target);
+        asio::async_write(target->socket, asio::buffer(target->writing),
+                          [this, target](const io_error& error, std::size_t bytes) {
+                              on_written(target, error, bytes);
+                          });
+    }
+
+    void on_written(const link_ptr& target, const io_error& error, std::size_t bytes) {
+        counters_.bytes_out += bytes;
+        target->writing.clear();
+        if (error) {
+            close(target);
+            return;
+        }
+        write(target);
+    }
+
+    void read(const link_ptr& source) {
+        source->socket.async_read_some(asio::buffer(source->chunk),
+                                       [this, source](const io_error& error, std::size_t bytes) {
+                                           if (error || source->is_closed) {
+                                               close(source);
+                                               return;
+                                           }
+                                           on_read(source, bytes);
+                                       });
+    }
+
+    void on_read(const link_ptr& source, std::size_t bytes) {
+        counters_.bytes_in += bytes;
+        touch(*source);
+        source->splitter.append(std::span{source->chunk}.first(bytes));
+        auto frame = source->splitter.next();
+        while (frame && *frame && !source->is_closed) {
+            on_frame(source, std::move(**frame));
+            frame = source->splitter.next();
+        }
+        if (!frame) {
+            ++counters_.invalid;
+            close(source);
+        }
+        if (!source->is_closed) {
+            read(source);
+        }
+    }
+
+    void on_frame(const link_ptr& source, received_frame frame) {
+        ++counters_.frames_in;
+        if (!frame.message) {
+            return;
+        }
+        if (auto* hello = std::get_if<hello_message>(&*frame.message)) {
+            on_hello(source, std::move(*hello));
+            return;
+        }
+        if (source->hello.name.empty()) {
+            ++counters_.invalid;
+            close(source);
+            return;
+        }
+        deliver_({source->hello.name, source->hello.zone, source->hello.boot,
+                  std::move(*frame.message)});
+    }
+
+    void on_hello(const link_ptr& source, hello_message hello) {
+        const bool is_other = source->is_outgoing && hello.name != source->member;
+        const bool is_for_other = !hello.to.empty() && hello.to != self_.name;
+        if (hello.name.empty() || is_other || is_for_other) {
+            if (source->is_outgoing) {
+                delay_dial(source->member);
+            }
+            close(source);
+            return;
+        }
+        if (source->is_outgoing) {
+            dials_.erase(source->member);
+        }
+        source->member = hello.name;
+        source->hello = std::move(hello);
+        by_member_.try_emplace(source->member, source);
+    }
+
+    void close(const link_ptr& closed) {
+        if (std::exchange(closed->is_closed, true)) {
+            return;
+        }
+        io_error ignored;
+        closed->socket.close(ignored);
+        counters_.dropped += closed->waiting_frames;
+        const auto known = by_member_.find(closed->member);
+        if (known != by_member_.end() && known->second == closed) {
+            by_member_.erase(known);
+        }
+        closed->unlink();
+        held_.erase(closed.get());
+        counters_.open = held_.size();
+    }
+
+    void close_all() {
+        while (!order_.empty()) {
+            close(link_ptr{&order_.front()});
+        }
+    }
+
+    void schedule_sweep() {
+        timer_.expires_after(sweep_period);
+        timer_.async_wait([this](const io_error& error) {
+            if (!error) {
+                sweep(steady_now());
+                schedule_sweep();
+            }
+        });
+    }
+
+    /// Closes idle connections and those that were not opened or named in time.
+    void sweep(time_point now) {
+        std::vector<link_ptr> ended;
+        for (auto& each : order_) {
+            const bool is_unnamed = each.hello.name.empty();
+            if (now - each.used > options_.idle_timeout ||
+                (is_unnamed && now - each.opened_at > options_.connect_timeout)) {
+                ended.emplace_back(&each);
+            }
+        }
+        for (const auto& each : ended) {
+            if (each->is_outgoing && each->hello.name.empty()) {
+                delay_dial(each->member);
+            }
+            close(each);
+        }
+    }
+
+    asio::io_context& context_;
+    hello_message self_;
+    std::mt19937_64 random_;
+    std::function<void(peer_delivery)> deliver_;
+    link_options options_;
+    tcp::acceptor acceptor_;
+    asio::steady_timer timer_;
+    shared_counters counters_;
+    std::map<std::string, peer_address> addresses_;
+    std::map<std::string, dial_state> dials_;
+    std::map<std::string, link_ptr> by_member_;
+    std::map<link*, link_ptr> held_;
+    /// Least recently used first.
+    link_list order_;
+    inbox<link_command> commands_;
+};
+
+peer_links::peer_links(duty& owner, hello_message self, std::uint64_t seed,
+                       std::function<void(peer_delivery)> deliver, link_options options)
+    : state_{std::make_unique<state>(owner, std::move(self), seed, std::move(deliver), options)} {}
+
+peer_links::~peer_links() = default;
+
+result<std::uint16_t> peer_links::listen(const endpoint& where) {
+    return state_->listen(where);
+}
+
+result<void> peer_links::set_members(std::vector<peer_address> members) {
+    return state_->push(std::move(members));
+}
+
+result<void> peer_links::send(std::string member, peer_message message) {
+    return state_->push(std::pair{std::move(member), std::move(message)});
+}
+
+link_counters peer_links::counters() const {
+    const auto& shared = state_->counters();
+    return {shared.bytes_in, shared.bytes_out, shared.frames_in, shared.frames_out,
+            shared.dropped,  shared.invalid,   shared.open};
+}
+
+} // namespace magnolia
