Process frame: command line, logs, metrics, events, planned stop

Every program needs the same start, stop and records, and none had them. run_program() reads the common options, reports all faults of the settings at once and runs a body that ends at the first SIGTERM or SIGINT; a second signal ends the process.

--- a/include/magnolia/config.h
+++ b/include/magnolia/config.h
@@ -4,9 +4,13 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <string_view>
 
 namespace magnolia::config {
 
+/// Release of the programs, as --version shows it.
+inline constexpr std::string_view program_release = "0.1.0";
+
 /// Release of the protocol between processes; frames of other releases are read as far as they are
 /// known.
 inline constexpr std::uint32_t protocol_release = 1;
@@ -26,4 +30,16 @@
 /// Bytes of text that stand for one token until an engine has counted.
 inline constexpr std::size_t estimated_bytes_per_token = 4;
 
+/// Longest sentence of a log line, bytes.
+inline constexpr std::size_t max_log_bytes = 512;
+
+/// Log lines per second of one process; further ones are counted and dropped.
+inline constexpr std::uint32_t log_lines_per_second = 500;
+
+/// Label combinations over all metrics of one process; further ones are counted and not kept.
+inline constexpr std::size_t max_metric_series = 4000;
+
+/// Events that wait for magnolia-timeline in one process; further ones are counted and dropped.
+inline constexpr std::size_t event_slots = 8192;
+
 } // namespace magnolia::config
--- /dev/null
+++ b/src/event_log.cpp
@@ -0,0 +1,206 @@
+#include "event_log.h"
+
+#include "duty.h"
+#include "log.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <nlohmann/json.hpp>
+
+#include <future>
+#include <random>
+
+namespace magnolia {
+namespace {
+
+using boost::asio::ip::tcp;
+using io_error = boost::system::error_code;
+
+constexpr std::chrono::milliseconds flush_interval{50};
+constexpr std::chrono::milliseconds least_backoff{200};
+constexpr std::chrono::milliseconds most_backoff{10'000};
+constexpr std::chrono::milliseconds write_timeout{5'000};
+constexpr std::chrono::milliseconds stop_wait{300};
+constexpr std::size_t batch_events = 512;
+
+std::int64_t wall_us() {
+    using namespace std::chrono;
+    return duration_cast<microseconds>(system_clock::now().time_since_epoch()).count();
+}
+
+} // namespace
+
+event_log::event_log(std::string host, std::string zone, std::uint64_t boot, std::size_t slots)
+    : host_{std::move(host)}, zone_{std::move(zone)}, boot_{boot}, ring_{slots} {}
+
+std::uint64_t event_log::emit(event_kind kind, event_fields fields) {
+    timeline_event event{.host = host_,
+                         .zone = zone_,
+                         .boot = boot_,
+                         .kind = std::string{to_string(kind)},
+                         .request = std::move(fields.request),
+                         .workspace = std::move(fields.workspace),
+                         .subject = std::move(fields.subject),
+                         .detail = std::move(fields.detail),
+                         .cause_host = std::move(fields.cause.host),
+                         .cause_sequence = fields.cause.sequence};
+    const std::scoped_lock lock{mutex_};
+    event.sequence = ++last_sequence_;
+    event.wall_us = wall_us();
+    if (!ring_.push(std::move(event))) {
+        count_lost(1);
+    }
+    return last_sequence_;
+}
+
+std::uint64_t event_log::emit(event_kind kind, const request_id& request, event_fields fields) {
+    fields.request = to_string(request);
+    return emit(kind, std::move(fields));
+}
+
+class event_sender::connection {
+public:
+    connection(event_log& log, const endpoint& collector, metrics_registry& metrics)
+        : log_{log}, target_{boost::asio::ip::make_address(collector.address), collector.port},
+          lost_{metrics.make_gauge("magnolia_events_lost",
+                                   "Time line events that did not reach the collector.")} {
+        duty_.start();
+        boost::asio::post(duty_.context(), [this] { connect(); });
+    }
+
+    ~connection() {
+        auto done = finished_.get_future();
+        boost::asio::post(duty_.context(), [this] {
+            is_stopping_ = true;
+            if (!is_connected_) {
+                finish();
+            } else if (!is_writing_) {
+                flush();
+            }
+        });
+        done.wait_for(stop_wait);
+        duty_.stop();
+    }
+
+    connection(const connection&) = delete;
+    connection& operator=(const connection&) = delete;
+
+private:
+    void finish() {
+        if (!std::exchange(is_finished_, true)) {
+            finished_.set_value();
+        }
+    }
+
+    void connect() {
+        socket_ = tcp::socket{duty_.context()};
+        socket_.async_connect(target_, [this](io_error failure) {
+            if (failure) {
+                retry();
+                return;
+            }
+            is_connected_ = true;
+            backoff_ = least_backoff;
+            flush();
+        });
+    }
+
+    void retry() {
+        is_connected_ = false;
+        in_flight_ = 0;
+        lost_.set(static_cast<double>(log_.lost()));
+        if (is_stopping_) {
+            finish();
+            return;
+        }
+        std::uniform_int_distribution<std::int64_t> spread{backoff_.count() / 2, backoff_.count()};
+        timer_.expires_after(std::chrono::milliseconds{spread(random_)});
+        backoff_ = std::min(backoff_ * 2, most_backoff);
+        timer_.async_wait([this](io_error failure) {
+            if (!failure) {
+                connect();
+            }
+        });
+    }
+
+    void fill_batch() {
+        batch_.clear();
+        in_flight_ = 0;
+        while (in_flight_ < batch_events) {
+            const auto event = log_.take();
+            if (!event) {
+                return;
+            }
+            batch_ += nlohmann::json(*event).dump(-1, ' ', false,
+                                                  nlohmann::json::error_handler_t::replace);
+            batch_ += '\n';
+            ++in_flight_;
+        }
+    }
+
+    void flush() {
+        lost_.set(static_cast<double>(log_.lost()));
+        fill_batch();
+        if (batch_.empty()) {
+            is_stopping_ ? finish() : wait_to_flush();
+            return;
+        }
+        is_writing_ = true;
+        watchdog_.expires_after(write_timeout);
+        watchdog_.async_wait([this](io_error failure) {
+            if (!failure && is_writing_) {
+                io_error ignored;
+                socket_.close(ignored);
+            }
+        });
+        boost::asio::async_write(socket_, boost::asio::buffer(batch_),
+                                 [this](io_error failure, std::size_t) { on_written(failure); });
+    }
+
+    void on_written(io_error failure) {
+        is_writing_ = false;
+        watchdog_.cancel();
+        if (failure) {
+            log_.count_lost(in_flight_);
+            logger_.warn("The connection to the time line broke.");
+            retry();
+            return;
+        }
+        in_flight_ == batch_events || is_stopping_ ? flush() : wait_to_flush();
+    }
+
+    void wait_to_flush() {
+        timer_.expires_after(flush_interval);
+        timer_.async_wait([this](io_error failure) {
+            if (!failure && !is_writing_ && is_connected_) {
+                flush();
+            }
+        });
+    }
+
+    event_log& log_;
+    tcp::endpoint target_;
+    gauge lost_;
+    logger logger_{"events"};
+    duty duty_{"events"};
+    tcp::socket socket_{duty_.context()};
+    boost::asio::steady_timer timer_{duty_.context()};
+    boost::asio::steady_timer watchdog_{duty_.context()};
+    std::minstd_rand random_{std::random_device{}()};
+    std::chrono::milliseconds backoff_ = least_backoff;
+    std::string batch_;
+    std::size_t in_flight_ = 0;
+    bool is_connected_ = false;
+    bool is_writing_ = false;
+    bool is_stopping_ = false;
+    bool is_finished_ = false;
+    std::promise<void> finished_;
+};
+
+event_sender::event_sender(event_log& log, const endpoint& collector, metrics_registry& metrics)
+    : connection_{std::make_unique<connection>(log, collector, metrics)} {}
+
+event_sender::~event_sender() = default;
+
+} // namespace magnolia
--- /dev/null
+++ b/src/log.cpp
@@ -0,0 +1,121 @@
+#include "log.h"
+
+#include <magnolia/config.h>
+
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+
+#include <algorithm>
+#include <memory>
+#include <mutex>
+#include <utility>
+
+namespace magnolia {
+namespace {
+
+log4cplus::LogLevel library_level(log_level level) {
+    switch (level) {
+    case log_level::debug:
+        return log4cplus::DEBUG_LOG_LEVEL;
+    case log_level::info:
+        return log4cplus::INFO_LOG_LEVEL;
+    case log_level::warn:
+        return log4cplus::WARN_LOG_LEVEL;
+    case log_level::error:
+        return log4cplus::ERROR_LOG_LEVEL;
+    }
+    return log4cplus::INFO_LOG_LEVEL;
+}
+
+std::string line_pattern(std::string_view host) {
+    std::string name{host};
+    std::ranges::replace(name, '%', '_');
+    return "%d{%Y-%m-%dT%H:%M:%S.%q}Z %-5p [%-10c] host=" + name + " %m%n";
+}
+
+struct budget_guard {
+    std::mutex mutex;
+    log_budget budget{config::log_lines_per_second};
+};
+
+budget_guard& process_budget() {
+    static budget_guard guard;
+    return guard;
+}
+
+} // namespace
+
+log_level log_level_of(std::string_view name) {
+    if (name == "debug") {
+        return log_level::debug;
+    }
+    if (name == "warn") {
+        return log_level::warn;
+    }
+    return name == "error" ? log_level::error : log_level::info;
+}
+
+void open_log(std::string_view host, log_level least) {
+    static log4cplus::Initializer initializer;
+    constexpr bool to_stderr = true;
+    constexpr bool flush_each_line = true;
+    log4cplus::SharedAppenderPtr appender{
+        new log4cplus::ConsoleAppender{to_stderr, flush_each_line}};
+    appender->setLayout(std::make_unique<log4cplus::PatternLayout>(line_pattern(host)));
+    auto root = log4cplus::Logger::getRoot();
+    root.removeAllAppenders();
+    root.addAppender(appender);
+    root.setLogLevel(library_level(least));
+}
+
+bool log_budget::take(time_point now) {
+    if (now - window_start_ >= std::chrono::seconds{1}) {
+        window_start_ = now;
+        used_ = 0;
+    }
+    if (used_ >= capacity_) {
+        ++dropped_;
+        return false;
+    }
+    ++used_;
+    return true;
+}
+
+std::uint64_t log_budget::take_dropped() {
+    return std::exchange(dropped_, 0);
+}
+
+std::string one_line(std::string_view sentence) {
+    std::string line{sentence.substr(0, config::max_log_bytes)};
+    std::ranges::replace_if(
+        line, [](unsigned char letter) { return letter < 0x20 || letter == 0x7F; }, ' ');
+    if (line.size() < sentence.size()) {
+        line += "…";
+    }
+    return line;
+}
+
+void logger::write(log_level level, std::string_view request, std::string_view sentence) const {
+    const auto target = log4cplus::Logger::getInstance(part_);
+    if (!target.isEnabledFor(library_level(level))) {
+        return;
+    }
+    std::uint64_t dropped = 0;
+    {
+        auto& guard = process_budget();
+        const std::scoped_lock lock{guard.mutex};
+        if (!guard.budget.take(steady_now())) {
+            return;
+        }
+        dropped = guard.budget.take_dropped();
+    }
+    auto line = "req=" + std::string{request} + " " + one_line(sentence);
+    if (dropped > 0) {
+        line += " (" + std::to_string(dropped) + " lines dropped before this one)";
+    }
+    target.log(library_level(level), line);
+}
+
+} // namespace magnolia
--- /dev/null
+++ b/src/log.h
@@ -0,0 +1,75 @@
+/// Log lines to stderr: `time level [part      ] host=… req=… sentence`.
+#pragma once
+
+#include <magnolia/types.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace magnolia {
+
+/// Weight of a log line.
+enum class log_level : std::uint8_t { debug, info, warn, error };
+
+/// Level by its name in the settings; info for an unknown name.
+[[nodiscard]] log_level log_level_of(std::string_view name);
+
+/// Opens the log of this process; call once, before the first line.
+/// @param host   name of the process, which stands in every line.
+/// @param least  lines below this level are not written.
+void open_log(std::string_view host, log_level least);
+
+/// Limits lines to a rate and counts the ones it refuses.
+class log_budget {
+public:
+    /// @param lines_per_second  also the burst.
+    explicit log_budget(std::uint32_t lines_per_second) : capacity_{lines_per_second} {}
+
+    /// Whether a line may be written at `now`.
+    [[nodiscard]] bool take(time_point now);
+    /// Lines refused since the last call.
+    [[nodiscard]] std::uint64_t take_dropped();
+
+private:
+    std::uint32_t capacity_;
+    std::uint32_t used_ = 0;
+    time_point window_start_{};
+    std::uint64_t dropped_ = 0;
+};
+
+/// Sentence as it stands in a line: control characters replaced, cut to config::max_log_bytes.
+[[nodiscard]] std::string one_line(std::string_view sentence);
+
+/// Writes the lines of one part of a program. Cheap to copy; safe from any thread.
+class logger {
+public:
+    /// @param part  fixed prefix; at most 10 characters line up.
+    explicit logger(std::string part) : part_{std::move(part)} {}
+
+    void debug(std::string_view sentence) const { write(log_level::debug, "-", sentence); }
+    void info(std::string_view sentence) const { write(log_level::info, "-", sentence); }
+    void warn(std::string_view sentence) const { write(log_level::warn, "-", sentence); }
+    void error(std::string_view sentence) const { write(log_level::error, "-", sentence); }
+
+    /// Lines about one request.
+    void debug(const request_id& id, std::string_view sentence) const {
+        write(log_level::debug, to_string(id), sentence);
+    }
+    void info(const request_id& id, std::string_view sentence) const {
+        write(log_level::info, to_string(id), sentence);
+    }
+    void warn(const request_id& id, std::string_view sentence) const {
+        write(log_level::warn, to_string(id), sentence);
+    }
+    void error(const request_id& id, std::string_view sentence) const {
+        write(log_level::error, to_string(id), sentence);
+    }
+
+private:
+    void write(log_level level, std::string_view request, std::string_view sentence) const;
+
+    std::string part_;
+};
+
+} // namespace magnolia
--- /dev/null
+++ b/src/process.cpp
@@ -0,0 +1,248 @@
+#include "process.h"
+
+#include "duty.h"
+
+#include <magnolia/config.h>
+
+#include <boost/asio/signal_set.hpp>
+#include <cxxopts.hpp>
+
+#include <condition_variable>
+#include <csignal>
+#include <iostream>
+#include <random>
+
+namespace magnolia {
+namespace {
+
+std::uint64_t random_boot() {
+    std::random_device device;
+    return (std::uint64_t{device()} << 32U) | device();
+}
+
+cxxopts::Options common_options(const program_info& info) {
+    cxxopts::Options options{info.name, info.summary};
+    auto add = options.add_options();
+    add("settings", "YAML file with the settings", cxxopts::value<std::string>(), "FILE");
+    add("check-settings", "check the file, report every error, and exit");
+    add("print-settings", "print the settings with all defaults, and exit");
+    add("version", "print the version, and exit");
+    add("help", "print this help, and exit");
+    return options;
+}
+
+constexpr std::string_view exit_code_help = R"(
+Exit codes: 0 planned stop, 1 failure, 2 wrong command line, 3 wrong settings,
+4 planned stop cut short by a second signal.
+SIGTERM and SIGINT begin the planned stop; a second one ends the process at once.
+)";
+
+command_line usage_fault(const program_info& info, const std::string& fault) {
+    std::cerr << info.name << ": " << fault << "; see --help\n";
+    return {.code = exit_code::usage};
+}
+
+command_line::action action_of(const cxxopts::ParseResult& parsed) {
+    if (parsed.count("check-settings") > 0) {
+        return command_line::action::check_settings;
+    }
+    return parsed.count("print-settings") > 0 ? command_line::action::print_settings
+                                              : command_line::action::run;
+}
+
+} // namespace
+
+class process::state {
+public:
+    explicit state(const process_settings& from) : settings{from} {
+        std::signal(SIGPIPE, SIG_IGN);
+        wait_for_signal();
+        duty_.start();
+    }
+
+    ~state() {
+        events.emit(event_kind::process_stopped);
+        sender_.reset();
+        duty_.stop();
+    }
+
+    state(const state&) = delete;
+    state& operator=(const state&) = delete;
+
+    result<void> open() {
+        if (settings.timeline.port != 0) {
+            sender_.emplace(events, settings.timeline, metrics);
+        }
+        return {};
+    }
+
+    void set_ready(bool is_ready) {
+        is_ready_.store(is_ready);
+        if (is_ready && !was_ready_.exchange(true)) {
+            events.emit(event_kind::process_started);
+            logger_.info("Ready.");
+        }
+    }
+
+    void on_stop(std::function<void()> begin) {
+        const std::scoped_lock lock{mutex_};
+        on_stop_ = std::move(begin);
+    }
+
+    void request_stop() {
+        boost::asio::post(duty_.context(), [this] { begin_stop(); });
+    }
+
+    bool is_stopping() const { return is_stopping_.load(); }
+
+    void wait_for_stop() {
+        std::unique_lock lock{mutex_};
+        stop_began_.wait(lock, [this] { return is_stopping(); });
+    }
+
+    process_settings settings;
+    std::uint64_t boot = random_boot();
+    metrics_registry metrics;
+    event_log events{settings.name, settings.zone, boot, config::event_slots};
+
+private:
+    void wait_for_signal() {
+        signals_.async_wait([this](const boost::system::error_code& failure, int number) {
+            if (failure) {
+                return;
+            }
+            if (is_stopping()) {
+                logger_.warn("A second signal came. Ending at once.");
+                std::_Exit(static_cast<int>(exit_code::forced));
+            }
+            logger_.info("Signal " + std::to_string(number) + " came. The planned stop begins.");
+            begin_stop();
+            wait_for_signal();
+        });
+    }
+
+    void begin_stop() {
+        std::function<void()> begin;
+        {
+            const std::scoped_lock lock{mutex_};
+            if (is_stopping_.exchange(true)) {
+                return;
+            }
+            begin = on_stop_;
+        }
+        is_ready_.store(false);
+        events.emit(event_kind::process_stopping);
+        if (begin) {
+            begin();
+        }
+        stop_began_.notify_all();
+    }
+
+    logger logger_{"process"};
+    duty duty_{"process"};
+    boost::asio::signal_set signals_{duty_.context(), SIGTERM, SIGINT};
+    std::optional<event_sender> sender_;
+    std::mutex mutex_;
+    std::condition_variable stop_began_;
+    std::function<void()> on_stop_;
+    std::atomic<bool> is_ready_{false};
+    std::atomic<bool> was_ready_{false};
+    std::atomic<bool> is_stopping_{false};
+};
+
+process::process(const process_settings& settings) : state_{std::make_unique<state>(settings)} {}
+
+process::~process() = default;
+
+const process_settings& process::settings() const {
+    return state_->settings;
+}
+
+metrics_registry& process::metrics() {
+    return state_->metrics;
+}
+
+event_log& process::events() {
+    return state_->events;
+}
+
+std::uint64_t process::boot() const {
+    return state_->boot;
+}
+
+result<void> process::open() {
+    return state_->open();
+}
+
+void process::set_ready(bool is_ready) {
+    state_->set_ready(is_ready);
+}
+
+void process::on_stop(std::function<void()> begin) {
+    state_->on_stop(std::move(begin));
+}
+
+void process::request_stop() {
+    state_->request_stop();
+}
+
+bool process::is_stopping() const {
+    return state_->is_stopping();
+}
+
+void process::wait_for_stop() {
+    state_->wait_for_stop();
+}
+
+command_line parse_command_line(int argc, const char* const* argv, const program_info& info) {
+    auto options = common_options(info);
+    try {
+        const auto parsed = options.parse(argc, argv);
+        if (parsed.count("help") > 0) {
+            std::cout << options.help() << exit_code_help;
+            return {};
+        }
+        if (parsed.count("version") > 0) {
+            std::cout << info.name << ' ' << config::program_release << '\n';
+            return {};
+        }
+        if (!parsed.unmatched().empty()) {
+            return usage_fault(info, "unknown argument " + parsed.unmatched().front());
+        }
+        if (parsed.count("settings") == 0) {
+            return usage_fault(info, "--settings FILE is needed");
+        }
+        return {.what = action_of(parsed), .settings_file = parsed["settings"].as<std::string>()};
+    } catch (const cxxopts::exceptions::exception& fault) {
+        return usage_fault(info, fault.what());
+    }
+}
+
+void print_failure(const program_info& info, const error& failure) {
+    std::cerr << info.name << ": " << to_string(failure.code) << '\n' << failure.subject;
+    if (!failure.subject.ends_with('\n')) {
+        std::cerr << '\n';
+    }
+}
+
+void print_document(const nlohmann::json& document) {
+    std::cout << print_yaml(document) << '\n';
+}
+
+exit_code run_process(const program_info& info, const process_settings& settings,
+                      const std::function<result<void>(process&)>& body) {
+    open_log(settings.name, log_level_of(settings.log_level));
+    const logger log{"process"};
+    log.info(info.name + " " + std::string{config::program_release} + " starts in zone " +
+             settings.zone + ".");
+    process running{settings};
+    const auto ended = running.open().and_then([&] { return body(running); });
+    if (!ended) {
+        log.error("Ended by a failure: " + to_string(ended.error()) + ".");
+        return exit_code::failed;
+    }
+    log.info("The planned stop is complete.");
+    return exit_code::ok;
+}
+
+} // namespace magnolia
--- /dev/null
+++ b/tests/process_test.cpp
@@ -0,0 +1,71 @@
+#include "process.h"
+
+#include <gtest/gtest.h>
+
+#include <array>
+#include <csignal>
+#include <fstream>
+
+namespace magnolia {
+namespace {
+
+const program_info info{"magnolia-test", "A program for tests."};
+
+int run(std::initializer_list<const char*> arguments, const std::string& settings,
+        const std::function<result<void>(process&, const entry_settings&)>& body) {
+    const auto file = std::filesystem::path{testing::TempDir()} / "process_test.yaml";
+    std::ofstream{file} << settings;
+    const auto path = file.string();
+    std::vector<const char*> argv{"magnolia-test", "--settings", path.c_str()};
+    argv.insert(argv.end(), arguments);
+    return run_program<entry_settings>(static_cast<int>(argv.size()), argv.data(), info, body);
+}
+
+constexpr const char* good = "process: {name: a, zone: z, log_level: error}\n"
+                             "listen: {}\npeer_listen: {}\n";
+
+result<void> never(process& /*running*/, const entry_settings& /*settings*/) {
+    ADD_FAILURE() << "the body must not run";
+    return {};
+}
+
+TEST(process, a_wrong_command_line_is_refused) {
+    EXPECT_EQ(run({"--unheard"}, good, never), static_cast<int>(exit_code::usage));
+    EXPECT_EQ(run({"stray"}, good, never), static_cast<int>(exit_code::usage));
+    const std::array only_name{"magnolia-test"};
+    EXPECT_EQ(parse_command_line(1, only_name.data(), info).code, exit_code::usage);
+}
+
+TEST(process, wrong_settings_are_refused_before_the_body_runs) {
+    EXPECT_EQ(run({}, "listen: {port: 70000}\n", never), static_cast<int>(exit_code::settings));
+}
+
+TEST(process, checking_and_printing_do_not_run_the_body) {
+    EXPECT_EQ(run({"--check-settings"}, good, never), 0);
+    testing::internal::CaptureStdout();
+    EXPECT_EQ(run({"--print-settings"}, good, never), 0);
+    EXPECT_NE(testing::internal::GetCapturedStdout().find("max_requests: 2000"), std::string::npos);
+}
+
+TEST(process, a_signal_begins_the_planned_stop) {
+    bool was_told = false;
+    const auto code = run({}, good, [&](process& running, const entry_settings& /*settings*/) {
+        running.on_stop([&] { was_told = true; });
+        running.set_ready(true);
+        std::raise(SIGTERM);
+        running.wait_for_stop();
+        return result<void>{};
+    });
+    EXPECT_EQ(code, 0);
+    EXPECT_TRUE(was_told);
+}
+
+TEST(process, a_failure_of_the_body_gives_its_exit_code) {
+    const auto code = run({}, good, [](process& /*running*/, const entry_settings& /*settings*/) {
+        return result<void>{fail(error_code::connection, "127.0.0.1:1")};
+    });
+    EXPECT_EQ(code, static_cast<int>(exit_code::failed));
+}
+
+} // namespace
+} // namespace magnolia
