Routing: cost model, accounts, policies, admission

Requests need an engine chosen and an in-time answer predicted before they run; nothing did either. Adds the router: a cost model learnt from answers, per-engine accounts that join lagging reports with own work in flight, engines kept for short prompts, prefix affinity by what was sent and by rendezvous, breakers, ejection of late engines, retry budget in tokens, and groups within one zone.

--- /dev/null
+++ b/src/breaker.cpp
@@ -0,0 +1,38 @@
+#include "breaker.h"
+
+#include <algorithm>
+
+namespace magnolia {
+namespace {
+
+constexpr duration first_pause = std::chrono::seconds{1};
+constexpr unsigned max_doublings = 5;
+/// Time after which a probe without an answer no longer blocks the next one.
+constexpr duration probe_timeout = std::chrono::seconds{10};
+
+} // namespace
+
+bool breaker::allows(time_point now) const {
+    return is_closed() || now >= open_until_;
+}
+
+void breaker::on_sent(time_point now) {
+    if (!is_closed()) {
+        open_until_ = now + probe_timeout;
+    }
+}
+
+void breaker::on_success() {
+    failures_ = 0;
+    open_until_ = {};
+}
+
+void breaker::on_failure(time_point now) {
+    ++failures_;
+    if (!is_closed()) {
+        const auto doublings = std::min(failures_ - failures_to_open, max_doublings);
+        open_until_ = now + first_pause * (1U << doublings);
+    }
+}
+
+} // namespace magnolia
--- /dev/null
+++ b/src/cost_model.cpp
@@ -0,0 +1,84 @@
+#include "cost_model.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace magnolia {
+namespace {
+
+// Prior belief: an ordinary accelerator server. It weighs as much as a few observations.
+constexpr double prior_per_token = 1.0 / 10'000;
+constexpr double prior_per_square = 2.0e-10;
+constexpr double prior_weight = 2.0;
+/// Share of the old sums that an observation keeps.
+constexpr double memory = 0.98;
+/// Largest learnt factor over or under the prior.
+constexpr double learnt_range = 50;
+/// Weight of a sample above the prediction: queueing that nobody saw only ever adds time.
+constexpr double slow_sample_weight = 0.35;
+constexpr double step_gain = 0.05;
+constexpr double share_gain = 0.02;
+constexpr double shortest_prefill = 16;
+/// Scales that bring both features near one.
+constexpr double token_scale = 1.0e4;
+constexpr double square_scale = 1.0e10;
+
+} // namespace
+
+double cost_model::expected_generated(std::uint32_t limit) const {
+    const double share = std::clamp(used_share_ + 3 * used_deviation_, 0.05, 1.0);
+    return share * limit;
+}
+
+void cost_model::observe_prefill(double first, double last, double seconds) {
+    if (last - first < shortest_prefill || seconds <= 0) {
+        return;
+    }
+    const double predicted = prefill_seconds(first, last);
+    const double bounded = std::clamp(seconds, predicted / 4, predicted * 4);
+    const double weight = (bounded > predicted ? slow_sample_weight : 1.0) / (bounded * bounded);
+    const double x1 = (last - first) / token_scale;
+    const double x2 = (last * last - first * first) / square_scale;
+    sum_11_ = memory * sum_11_ + weight * x1 * x1;
+    sum_12_ = memory * sum_12_ + weight * x1 * x2;
+    sum_22_ = memory * sum_22_ + weight * x2 * x2;
+    sum_1t_ = memory * sum_1t_ + weight * x1 * bounded;
+    sum_2t_ = memory * sum_2t_ + weight * x2 * bounded;
+    solve();
+}
+
+void cost_model::solve() {
+    // Ridge towards the prior, in relative units like the samples.
+    const double prior_1 = prior_per_token * token_scale;
+    const double prior_2 = prior_per_square * square_scale;
+    const double ridge_1 = prior_weight / (prior_1 * prior_1);
+    const double ridge_2 = prior_weight / (prior_2 * prior_2);
+    const double a = sum_11_ + ridge_1;
+    const double d = sum_22_ + ridge_2;
+    const double t1 = sum_1t_ + ridge_1 * prior_1;
+    const double t2 = sum_2t_ + ridge_2 * prior_2;
+    const double determinant = a * d - sum_12_ * sum_12_;
+    const double first = (t1 * d - t2 * sum_12_) / determinant;
+    const double second = (t2 * a - t1 * sum_12_) / determinant;
+    per_token_ = std::clamp(first / token_scale, prior_per_token / learnt_range,
+                            prior_per_token * learnt_range);
+    per_square_ = std::clamp(second / square_scale, 0.0, prior_per_square * learnt_range);
+}
+
+void cost_model::observe_decode(std::uint32_t tokens, double seconds) {
+    if (tokens == 0 || seconds <= 0) {
+        return;
+    }
+    step_ += step_gain * (std::min(seconds / tokens, 4 * step_) - step_);
+}
+
+void cost_model::observe_generated(std::uint32_t tokens, std::uint32_t limit) {
+    if (limit == 0) {
+        return;
+    }
+    const double share = std::min(1.0, static_cast<double>(tokens) / limit);
+    used_deviation_ += share_gain * (std::abs(share - used_share_) - used_deviation_);
+    used_share_ += share_gain * (share - used_share_);
+}
+
+} // namespace magnolia
--- /dev/null
+++ b/src/engine_table.cpp
@@ -0,0 +1,130 @@
+#include "engine_table.h"
+
+#include <algorithm>
+#include <numeric>
+#include <ranges>
+
+namespace magnolia {
+namespace {
+
+using seconds = std::chrono::duration<double>;
+
+/// Longest prompts of the classes, tokens.
+constexpr std::uint32_t short_limit = 8'192;
+constexpr std::uint32_t medium_limit = 98'304;
+/// Time from the start of an attempt until reports can show it.
+constexpr duration start_delay = std::chrono::milliseconds{10};
+/// Tokens that a waiting prompt of another entry is taken to have if there is no better clue.
+constexpr double typical_short_tokens = 2'500;
+
+std::size_t index_of(urgency_level urgency) {
+    return static_cast<std::size_t>(urgency);
+}
+
+double own_seconds(const engine_record& engine, std::size_t urgency) {
+    return std::accumulate(engine.own.begin(), engine.own.end(), 0.0,
+                           [urgency](double sum, const own_work& work) {
+                               const bool counts = index_of(work.urgency) == urgency;
+                               return counts ? sum + work.remaining : sum;
+                           });
+}
+
+bool shown_by(const own_work& work, time_point reported_at) {
+    const bool has_begun = work.started + start_delay <= reported_at;
+    const bool was_pending = !work.has_first_token || work.first_token_at > reported_at;
+    return has_begun && was_pending;
+}
+
+double tokens_left(const own_work& work) {
+    return work.whole > 0 ? work.tokens * (work.remaining / work.whole) : 0;
+}
+
+/// Splits the tokens of other entries' prompts over the urgencies by what their count tells.
+void split_others(engine_record& engine, double tokens, const cost_model& costs) {
+    const double waiting = std::max(1U, engine.report.waiting_requests);
+    const double short_tokens = std::min(tokens, waiting * typical_short_tokens);
+    const double rest = tokens - short_tokens;
+    const bool is_long = rest > medium_limit;
+    const double rest_seconds = costs.prefill_seconds(0, rest);
+    engine.others[0] = costs.prefill_seconds(0, short_tokens);
+    engine.others[1] = is_long ? 0 : rest_seconds;
+    engine.others[2] = is_long ? rest_seconds : 0;
+}
+
+} // namespace
+
+length_class classify(std::uint32_t tokens) {
+    if (tokens <= short_limit) {
+        return length_class::short_prompt;
+    }
+    return tokens <= medium_limit ? length_class::medium_prompt : length_class::long_prompt;
+}
+
+void advance(engine_record& engine, time_point now) {
+    double time = std::max(0.0, seconds{now - engine.as_of}.count());
+    engine.as_of = std::max(engine.as_of, now);
+    for (std::size_t urgency = 0; urgency < urgency_count && time > 0; ++urgency) {
+        const double work = own_seconds(engine, urgency) + engine.others[urgency];
+        if (work <= 0) {
+            continue;
+        }
+        const double kept = std::max(0.0, 1 - time / work);
+        engine.others[urgency] *= kept;
+        for (auto& own : engine.own) {
+            own.remaining *= index_of(own.urgency) == urgency ? kept : 1;
+        }
+        time -= std::min(time, work);
+    }
+}
+
+void summarize(engine_record& engine) {
+    double sum = 0;
+    for (std::size_t urgency = 0; urgency < urgency_count; ++urgency) {
+        sum += own_seconds(engine, urgency) + engine.others[urgency];
+        engine.ahead[urgency] = sum;
+    }
+    const auto is_unseen = [&engine](const own_work& work) {
+        return !engine.has_report || work.started + start_delay > engine.reported_at;
+    };
+    const auto memory =
+        engine.has_report ? engine.report.free_memory_tokens : engine.info.memory_tokens;
+    std::uint64_t unseen_memory = 0;
+    std::uint32_t unseen = 0;
+    for (const auto& work : engine.own | std::views::filter(is_unseen)) {
+        unseen_memory += work.memory_tokens;
+        ++unseen;
+    }
+    engine.free_memory =
+        static_cast<std::uint32_t>(memory - std::min<std::uint64_t>(memory, unseen_memory));
+    engine.outstanding = unseen + engine.report.running_requests + engine.report.waiting_requests;
+    engine.long_prompts = static_cast<std::uint32_t>(
+        std::ranges::count(engine.own, length_class::long_prompt, &own_work::length));
+    engine.long_prompts += engine.others[2] > 0 ? 1 : 0;
+}
+
+void take_report(engine_record& engine, const engine_load& load, const cost_model& costs,
+                 time_point now) {
+    const auto reported_at = now - load.age;
+    if (engine.has_report && reported_at < engine.reported_at) {
+        return;
+    }
+    engine.report = load;
+    engine.reported_at = reported_at;
+    engine.has_report = true;
+    double own = 0;
+    for (const auto& work : engine.own) {
+        own += shown_by(work, reported_at) ? tokens_left(work) : 0;
+    }
+    const double others = std::max(0.0, load.pending_prefill_tokens - own);
+    split_others(engine, others, costs);
+    // The report is old: what it shows of others has been worked on since.
+    const double kept = others > 0 ? 1.0 : 0.0;
+    double time = seconds{load.age}.count() * kept;
+    for (auto& work : engine.others) {
+        const double done = std::min(work, time);
+        work -= done;
+        time -= done;
+    }
+}
+
+} // namespace magnolia
--- /dev/null
+++ b/src/outlier_ejection.cpp
@@ -0,0 +1,59 @@
+#include "outlier_ejection.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace magnolia {
+namespace {
+
+constexpr double gain = 0.2;
+constexpr double largest_ratio = 20;
+/// Answers before an engine is judged.
+constexpr unsigned least_samples = 8;
+/// An outlier is this many times later than the median engine.
+constexpr double outlier_factor = 2.5;
+/// Share of engines that may be out at once: one in this many.
+constexpr std::size_t ejected_share = 5;
+constexpr duration first_ejection = std::chrono::seconds{10};
+constexpr unsigned max_doublings = 4;
+
+} // namespace
+
+void lateness::observe(double ratio) {
+    const double bounded = std::log(std::clamp(ratio, 1 / largest_ratio, largest_ratio));
+    log_ratio_ += gain * (bounded - log_ratio_);
+    ++samples_;
+    if (is_known() && std::exp(log_ratio_) < 1.5) {
+        ejections_ = 0;
+    }
+}
+
+double lateness::ratio() const {
+    return std::exp(log_ratio_);
+}
+
+bool lateness::is_known() const {
+    return samples_ >= least_samples;
+}
+
+void lateness::reset() {
+    log_ratio_ /= 2;
+    samples_ = 0;
+}
+
+void lateness::eject(time_point now) {
+    ejected_until_ = now + first_ejection * (1U << std::min(ejections_, max_doublings));
+    ++ejections_;
+    reset();
+}
+
+bool is_outlier(const lateness& engine, std::span<double> others, std::size_t ejected) {
+    if (!engine.is_known() || (ejected + 1) * ejected_share > others.size()) {
+        return false;
+    }
+    const auto middle = others.begin() + static_cast<std::ptrdiff_t>(others.size() / 2);
+    std::ranges::nth_element(others, middle);
+    return engine.ratio() > outlier_factor * std::max(1.0, *middle);
+}
+
+} // namespace magnolia
--- /dev/null
+++ b/src/retry_budget.cpp
@@ -0,0 +1,61 @@
+#include "retry_budget.h"
+
+#include <algorithm>
+
+namespace magnolia {
+namespace {
+
+using seconds = std::chrono::duration<double>;
+
+/// Time in which the reserve refills.
+constexpr seconds reserve_period{60};
+/// Largest budget, as a multiple of the reserve.
+constexpr double cap_factor = 4;
+/// Prediction overrun after which an attempt is given company.
+constexpr int overrun_factor = 2;
+constexpr duration smallest_overrun = std::chrono::milliseconds{200};
+
+} // namespace
+
+retry_budget::retry_budget(double fraction, double reserve)
+    : fraction_{fraction}, reserve_{reserve}, tokens_{reserve} {}
+
+void retry_budget::refill(time_point now) {
+    tokens_ = available(now);
+    refilled_ = std::max(refilled_, now);
+}
+
+double retry_budget::available(time_point now) const {
+    if (tokens_ >= reserve_ || now <= refilled_) {
+        return tokens_;
+    }
+    const double gained = reserve_ * (seconds{now - refilled_} / reserve_period);
+    return std::min(reserve_, tokens_ + gained);
+}
+
+void retry_budget::on_first_attempt(std::uint32_t tokens, time_point now) {
+    refill(now);
+    tokens_ = std::min(tokens_ + fraction_ * tokens, cap_factor * reserve_);
+}
+
+bool retry_budget::try_spend(std::uint32_t tokens, time_point now) {
+    refill(now);
+    if (tokens_ < tokens) {
+        return false;
+    }
+    tokens_ -= tokens;
+    return true;
+}
+
+bool should_hedge(const hedge_query& query, retry_budget& budget, time_point now) {
+    if (!query.is_repeatable || query.has_first_token) {
+        return false;
+    }
+    const auto patience = std::max(query.predicted_first_token * overrun_factor,
+                                   query.predicted_first_token + smallest_overrun);
+    const bool is_late = query.elapsed > patience;
+    const bool can_help = query.other_first_token < query.time_left;
+    return is_late && can_help && budget.try_spend(query.prompt_tokens, now);
+}
+
+} // namespace magnolia
--- /dev/null
+++ b/src/route_policies.cpp
@@ -0,0 +1,147 @@
+#include "route_policies.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace magnolia {
+namespace {
+
+/// Share of the time to the deadline that a prompt may wait before it spills to engines that are
+/// kept for shorter ones.
+constexpr double spill_share = 0.4;
+/// Preference among equal engines, seconds: each entry has its own order, so that entries that see
+/// the same idle engines do not all choose the same.
+constexpr double order_span = 0.010;
+
+struct known_prefix {
+    engine_handle engine;
+    double tokens = 0;
+};
+
+/// Engines that were sent a prefix of the prompt, the longest first.
+struct known_prefixes {
+    std::array<known_prefix, 2 * prefix_table::ways> found{};
+    std::size_t count = 0;
+
+    [[nodiscard]] double tokens_on(engine_handle engine) const {
+        const auto end = found.begin() + static_cast<std::ptrdiff_t>(count);
+        const auto place = std::find_if(found.begin(), end, [engine](const known_prefix& item) {
+            return item.engine == engine;
+        });
+        return place == end ? 0 : place->tokens;
+    }
+};
+
+known_prefixes look_up(const prefix_table& table, const route_context& context) {
+    known_prefixes known;
+    const auto hashes = context.query.prefix_hashes;
+    for (std::size_t index = hashes.size(); index-- > 0;) {
+        const double tokens =
+            static_cast<double>(prefix_bytes(index)) * context.model.tokens_per_byte;
+        for (const auto engine : table.find(hashes[index]).engines) {
+            if (!engine.is_valid() || known.tokens_on(engine) > 0) {
+                continue;
+            }
+            if (known.count == known.found.size()) {
+                return known;
+            }
+            known.found[known.count++] = {engine, tokens};
+        }
+    }
+    return known;
+}
+
+void keep_better(candidate& best, const candidate& other) {
+    if (!best.engine.is_valid() || other.score < best.score) {
+        best = other;
+    }
+}
+
+} // namespace
+
+any_route_policy make_policy(route_policy policy) {
+    switch (policy) {
+    case route_policy::round_robin:
+        return round_robin_policy{};
+    case route_policy::least_outstanding:
+        return least_outstanding_policy{};
+    case route_policy::length_aware:
+        break;
+    }
+    return length_aware_policy{};
+}
+
+candidate round_robin_policy::choose(router::state& state, const route_context& context) const {
+    const auto& engines = context.model.engines;
+    for (std::size_t tried = 0; tried < engines.size(); ++tried) {
+        const auto handle = engines[context.model.next++ % engines.size()];
+        const auto& engine = state.at(handle);
+        if (state.is_usable(engine, context.query, context.now) &&
+            engine.info.memory_tokens >= context.memory_tokens) {
+            return state.predict(context, handle, 0);
+        }
+    }
+    return {};
+}
+
+candidate least_outstanding_policy::choose(router::state& state,
+                                           const route_context& context) const {
+    candidate best;
+    for (const auto handle : context.model.engines) {
+        const auto& engine = state.at(handle);
+        if (!state.is_usable(engine, context.query, context.now) ||
+            engine.info.memory_tokens < context.memory_tokens) {
+            continue;
+        }
+        auto item = state.predict(context, handle, 0);
+        item.score = engine.outstanding;
+        keep_better(best, item);
+    }
+    return best;
+}
+
+candidate length_aware_policy::choose(router::state& state, const route_context& context) const {
+    const auto& settings = state.settings_;
+    const bool has_affinity = settings.prefix_affinity && !context.query.prefix_hashes.empty();
+    const auto known = has_affinity ? look_up(state.prefixes_, context) : known_prefixes{};
+    const auto home_prefix = has_affinity ? context.query.prefix_hashes.front() : 0;
+    const double home_gain =
+        has_affinity ? context.model.home_hit_share *
+                           context.model.costs.prefill_seconds(0, context.query.prompt_tokens / 2.0)
+                     : 0;
+    const bool avoids_kept = settings.size_classes && context.length != length_class::short_prompt;
+    candidate preferred;
+    candidate any;
+    candidate home;
+    std::uint64_t home_weight = 0;
+    for (const auto handle : context.model.engines) {
+        const auto& engine = state.at(handle);
+        if (!state.is_usable(engine, context.query, context.now) ||
+            engine.info.memory_tokens < context.memory_tokens) {
+            continue;
+        }
+        auto item = state.predict(context, handle, known.tokens_on(handle));
+        const auto order = rendezvous_weight(state.entry_hash_, engine.name_hash);
+        item.score += order_span * static_cast<double>(order >> 32U) / 4294967296.0;
+        keep_better(any, item);
+        if (avoids_kept && engine.is_kept) {
+            continue;
+        }
+        keep_better(preferred, item);
+        const auto weight =
+            has_affinity && engine.zone == 0 ? rendezvous_weight(home_prefix, engine.name_hash) : 0;
+        if (weight > home_weight) {
+            home_weight = weight;
+            home = item;
+        }
+    }
+    if (home.engine.is_valid() && known.count == 0) {
+        home.score -= home_gain;
+        keep_better(preferred, home);
+    }
+    const bool may_wait = preferred.engine.is_valid() &&
+                          preferred.first_token <= spill_share * context.first_token_in;
+    return may_wait || any.first_token >= preferred.first_token ? preferred : any;
+}
+
+} // namespace magnolia
--- /dev/null
+++ b/src/router.cpp
@@ -0,0 +1,346 @@
+#include "router_p.h"
+
+#include <magnolia/config.h>
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+#include <ranges>
+
+namespace magnolia {
+namespace {
+
+using seconds = std::chrono::duration<double>;
+
+/// Slots of the table of prefixes.
+constexpr std::size_t prefix_slots = std::size_t{1} << 17U;
+/// Share of the old sums that a started prompt keeps.
+constexpr double work_memory = 0.999;
+constexpr double hit_gain = 0.05;
+constexpr double estimate_gain = 0.05;
+/// Overdue factor after which an attempt without a first token counts as late.
+constexpr double overdue_factor = 4;
+
+std::uint64_t hash_of(std::string_view text) {
+    return XXH3_64bits(text.data(), text.size());
+}
+
+double seconds_between(time_point from, time_point until) {
+    return seconds{until - from}.count();
+}
+
+} // namespace
+
+router::state::state(std::string zone, route_policy policy, std::uint64_t seed,
+                     route_settings settings)
+    : zone_{std::move(zone)}, settings_{settings}, policy_{policy}, random_{seed},
+      entry_hash_{random_()}, prefixes_{prefix_slots} {
+    zones_.emplace(zone_, 0);
+}
+
+engine_handle router::state::put_engine(const engine_info& info, time_point now) {
+    const auto [place, is_new] =
+        by_name_.try_emplace(info.name, engine_handle{static_cast<std::uint32_t>(engines_.size())});
+    const auto handle = place->second;
+    if (is_new) {
+        engines_.emplace_back();
+        engines_.back().live_since = now;
+        engines_.back().as_of = now;
+    }
+    auto& engine = at(handle);
+    for (const auto& name : engine.info.models) {
+        std::erase(models_[name].engines, handle);
+    }
+    engine.info = info;
+    engine.name_hash = hash_of(info.name);
+    engine.zone =
+        zones_.try_emplace(info.zone, static_cast<std::uint32_t>(zones_.size())).first->second;
+    for (const auto& name : info.models) {
+        auto& model = models_[name];
+        model.engines.push_back(handle);
+        model.largest_memory = std::max(model.largest_memory, info.memory_tokens);
+        update_kept(model);
+    }
+    summarize(engine);
+    return handle;
+}
+
+engine_handle router::state::find(std::string_view name) const {
+    const auto found = by_name_.find(name);
+    return found == by_name_.end() ? engine_handle{} : found->second;
+}
+
+model_record* router::state::find_model(std::string_view name) {
+    const auto found = models_.find(name);
+    return found == models_.end() ? nullptr : &found->second;
+}
+
+const model_record* router::state::find_model(std::string_view name) const {
+    const auto found = models_.find(name);
+    return found == models_.end() ? nullptr : &found->second;
+}
+
+void router::state::set_state(engine_handle engine, host_state state, time_point now) {
+    auto& record = at(engine);
+    if (state == host_state::live && record.state != host_state::live) {
+        record.live_since = now;
+    }
+    record.state = state;
+}
+
+void router::state::on_load(engine_handle engine, const engine_load& load, time_point now) {
+    auto& record = at(engine);
+    advance(record, now);
+    const auto name = record.info.models.empty() ? std::string_view{} : record.info.models.front();
+    if (auto* const model = find_model(name)) {
+        take_report(record, load, model->costs, now);
+        const double is_busy = load.pending_prefill_tokens > 0 ? 1.0 : 0.0;
+        const double gain = 0.2 / static_cast<double>(model->engines.size());
+        model->busy_share += gain * (is_busy - model->busy_share);
+    }
+    set_state(engine, load.state, now);
+    summarize(record);
+}
+
+void router::state::start(attempt_id id, std::span<const group_member> members,
+                          urgency_level urgency, const route_query& query, time_point now) {
+    auto* const model = find_model(query.model);
+    if (model == nullptr) {
+        return;
+    }
+    attempt_record attempt;
+    attempt.model = model;
+    attempt.prompt_tokens = query.prompt_tokens;
+    attempt.max_generated_tokens = query.max_generated_tokens;
+    attempt.prefix_hashes.assign(query.prefix_hashes.begin(), query.prefix_hashes.end());
+    attempt.started = now;
+    const auto length = classify(query.prompt_tokens);
+    for (const auto& member : members) {
+        auto& engine = at(member.engine);
+        advance(engine, now);
+        const bool is_last = &member == &members.back();
+        const double last = member.first_token + member.token_count;
+        const double work = model->costs.prefill_seconds(member.first_token, last);
+        attempt.is_alone = members.size() == 1 && engine.ahead[urgency_count - 1] < 0.001;
+        attempt.predicted = engine.ahead[static_cast<std::size_t>(urgency)] + work;
+        engine.own.push_back(
+            {.id = id,
+             .urgency = urgency,
+             .length = length,
+             .started = now,
+             .tokens = static_cast<double>(member.token_count),
+             .whole = work,
+             .remaining = work,
+             .memory_tokens = member.token_count + (is_last ? query.max_generated_tokens : 0)});
+        engine.failures.on_sent(now);
+        summarize(engine);
+        attempt.engines.push_back(member.engine);
+    }
+    for (auto& work : model->work) {
+        work *= work_memory;
+    }
+    model->work[static_cast<std::size_t>(length)] +=
+        model->costs.prefill_seconds(0, query.prompt_tokens);
+    update_kept(*model);
+    if (members.size() == 1) {
+        prefixes_.put(query.prefix_hashes, members.front().engine);
+    }
+    attempts_[id.request].insert_or_assign(id.number, std::move(attempt));
+}
+
+void router::state::on_accepted(attempt_id id, std::uint32_t prompt_tokens,
+                                std::uint32_t cached_tokens, time_point now) {
+    const auto request = attempts_.find(id.request);
+    if (request == attempts_.end() || !request->second.contains(id.number)) {
+        return;
+    }
+    auto& attempt = request->second.at(id.number);
+    attempt.has_accepted = true;
+    attempt.accepted = now;
+    attempt.cached_tokens = cached_tokens;
+    if (attempt.prompt_tokens > 0 && prompt_tokens > 0) {
+        const double factor = static_cast<double>(prompt_tokens) / attempt.prompt_tokens;
+        const double bounded = std::clamp(factor, 0.5, 2.0);
+        attempt.model->tokens_per_byte *= 1 + estimate_gain * (bounded - 1);
+    }
+    attempt.prompt_tokens = prompt_tokens;
+    if (attempt.engines.size() != 1) {
+        return;
+    }
+    learn_prefix(attempt);
+    auto& engine = at(attempt.engines.front());
+    advance(engine, now);
+    const auto work = std::ranges::find(engine.own, id, &own_work::id);
+    if (work != engine.own.end()) {
+        const double before = work->whole;
+        work->tokens = prompt_tokens - cached_tokens;
+        work->whole = attempt.model->costs.prefill_seconds(cached_tokens, prompt_tokens);
+        work->remaining = std::clamp(work->remaining + work->whole - before, 0.0, work->whole);
+        attempt.predicted += work->whole - before;
+    }
+    summarize(engine);
+}
+
+void router::state::learn_prefix(const attempt_record& attempt) {
+    if (attempt.expected_cached == 0) {
+        return;
+    }
+    const double share =
+        std::min(1.0, static_cast<double>(attempt.cached_tokens) / attempt.expected_cached);
+    attempt.model->home_hit_share += hit_gain * (share - attempt.model->home_hit_share);
+}
+
+void router::state::on_first_token(attempt_id id, time_point now) {
+    const auto request = attempts_.find(id.request);
+    if (request == attempts_.end() || !request->second.contains(id.number)) {
+        return;
+    }
+    auto& attempt = request->second.at(id.number);
+    if (attempt.has_first_token) {
+        return;
+    }
+    attempt.has_first_token = true;
+    attempt.first_token = now;
+    const double took = seconds_between(attempt.started, now);
+    for (const auto handle : attempt.engines) {
+        auto& engine = at(handle);
+        advance(engine, now);
+        const auto work = std::ranges::find(engine.own, id, &own_work::id);
+        if (work != engine.own.end()) {
+            work->has_first_token = true;
+            work->first_token_at = now;
+            work->remaining = 0;
+        }
+        engine.failures.on_success();
+        summarize(engine);
+    }
+    if (attempt.engines.size() != 1) {
+        return;
+    }
+    auto& engine = at(attempt.engines.front());
+    engine.late.observe((took + 0.05) / (attempt.predicted + 0.05));
+    judge(engine, *attempt.model, now);
+    if (attempt.is_alone && attempt.has_accepted) {
+        const double prefill = seconds_between(attempt.accepted, now);
+        attempt.model->costs.observe_prefill(attempt.cached_tokens, attempt.prompt_tokens, prefill);
+    }
+}
+
+void router::state::on_ended(attempt_id id, bool succeeded, std::uint32_t generated_tokens,
+                             time_point now) {
+    const auto request = attempts_.find(id.request);
+    if (request == attempts_.end()) {
+        return;
+    }
+    const auto found = request->second.find(id.number);
+    if (found == request->second.end()) {
+        return;
+    }
+    const auto attempt = std::move(found->second);
+    request->second.erase(found);
+    if (request->second.empty()) {
+        attempts_.erase(request);
+    }
+    for (const auto handle : attempt.engines) {
+        auto& engine = at(handle);
+        advance(engine, now);
+        std::erase_if(engine.own, [id](const own_work& work) { return work.id == id; });
+        summarize(engine);
+    }
+    auto& engine = at(attempt.engines.back());
+    if (!succeeded) {
+        const bool is_overdue =
+            seconds_between(attempt.started, now) > overdue_factor * attempt.predicted + 1;
+        if (!attempt.has_first_token && is_overdue) {
+            engine.late.observe(seconds_between(attempt.started, now) / attempt.predicted);
+            judge(engine, *attempt.model, now);
+        }
+        engine.failures.on_failure(now);
+        return;
+    }
+    engine.failures.on_success();
+    attempt.model->costs.observe_generated(generated_tokens, attempt.max_generated_tokens);
+    if (attempt.has_first_token && generated_tokens > 1) {
+        attempt.model->costs.observe_decode(generated_tokens - 1,
+                                            seconds_between(attempt.first_token, now));
+    }
+}
+
+void router::state::judge(engine_record& engine, const model_record& model, time_point now) {
+    std::vector<double> ratios;
+    std::size_t ejected = 0;
+    for (const auto handle : model.engines) {
+        const auto& other = at(handle).late;
+        ejected += other.is_ejected(now) ? 1 : 0;
+        ratios.push_back(other.ratio());
+    }
+    if (!engine.late.is_ejected(now) && is_outlier(engine.late, ratios, ejected)) {
+        engine.late.eject(now);
+        engine.live_since = engine.late.ejected_until();
+    }
+}
+
+router::router(std::string zone, route_policy policy, std::uint64_t seed, route_settings settings)
+    : state_{std::make_unique<state>(std::move(zone), policy, seed, settings)} {}
+router::~router() = default;
+router::router(router&&) noexcept = default;
+router& router::operator=(router&&) noexcept = default;
+
+engine_handle router::put_engine(const engine_info& info, time_point now) {
+    return state_->put_engine(info, now);
+}
+
+engine_handle router::find(std::string_view name) const {
+    return state_->find(name);
+}
+
+const engine_info& router::info(engine_handle engine) const {
+    return state_->at(engine).info;
+}
+
+void router::set_state(engine_handle engine, host_state state, time_point now) {
+    state_->set_state(engine, state, now);
+}
+
+void router::on_load(engine_handle engine, const engine_load& load, time_point now) {
+    state_->on_load(engine, load, now);
+}
+
+route_decision router::decide(const route_query& query, time_point now) {
+    return state_->decide(query, now);
+}
+
+void router::on_started(attempt_id id, engine_handle engine, const route_query& query,
+                        time_point now) {
+    const group_member whole{engine, 0, query.prompt_tokens};
+    state_->start(id, {&whole, 1}, state_->engine_urgency(query), query, now);
+}
+
+void router::on_group_started(attempt_id id, const group_route& group, const route_query& query,
+                              time_point now) {
+    state_->start(id, group.members, group.engine_urgency, query, now);
+}
+
+void router::on_accepted(attempt_id id, std::uint32_t prompt_tokens, std::uint32_t cached_tokens,
+                         time_point now) {
+    state_->on_accepted(id, prompt_tokens, cached_tokens, now);
+}
+
+void router::on_first_token(attempt_id id, time_point now) {
+    state_->on_first_token(id, now);
+}
+
+void router::on_ended(attempt_id id, bool succeeded, std::uint32_t generated_tokens,
+                      time_point now) {
+    state_->on_ended(id, succeeded, generated_tokens, now);
+}
+
+std::uint32_t router::estimate_tokens(std::string_view model, std::size_t bytes) const {
+    const auto* const found = state_->find_model(model);
+    const double share =
+        found == nullptr ? 1.0 / config::estimated_bytes_per_token : found->tokens_per_byte;
+    return static_cast<std::uint32_t>(std::ceil(static_cast<double>(bytes) * share));
+}
+
+} // namespace magnolia
--- a/src/router.h
+++ b/src/router.h
@@ -39,6 +39,8 @@
 /// One engine serves the whole prompt.
 struct single_route {
     engine_handle engine;
+    /// Urgency to give to the engine: it follows from the prompt's length and the contract.
+    urgency_level engine_urgency = urgency_level::standard;
     duration predicted_first_token{0};
     duration predicted_finish{0};
 };
@@ -53,6 +55,7 @@
 /// Several engines hold the prompt together; the last one generates.
 struct group_route {
     std::vector<group_member> members;
+    urgency_level engine_urgency = urgency_level::background;
     duration predicted_first_token{0};
     duration predicted_finish{0};
 };
@@ -68,13 +71,24 @@
 /// How the router chooses.
 enum class route_policy : std::uint8_t { round_robin, least_outstanding, length_aware };
 
+/// Parts of the length_aware policy, each of which can be turned off for comparison.
+struct route_settings {
+    bool prefix_affinity = true;
+    /// Priorities by length and engines kept for short prompts.
+    bool size_classes = true;
+    /// Corrects load reports by own work that they do not show yet.
+    bool in_flight_correction = true;
+    /// Refuses what is predicted to miss its deadline.
+    bool admission = true;
+};
+
 /// Decisions over the engines that one entry knows. Not thread-safe; owned by the duty of
 /// decisions.
 class router {
 public:
     /// @param zone  availability zone of this entry; its engines go first.
     /// @param seed  seed of the random choices.
-    router(std::string zone, route_policy policy, std::uint64_t seed);
+    router(std::string zone, route_policy policy, std::uint64_t seed, route_settings settings = {});
     ~router();
     router(router&&) noexcept;
     router& operator=(router&&) noexcept;
@@ -92,6 +106,9 @@
 
     /// Accounts for an attempt from its start to its end.
     void on_started(attempt_id id, engine_handle engine, const route_query& query, time_point now);
+    /// Accounts for a group as for one attempt; on_ended ends it on all members.
+    void on_group_started(attempt_id id, const group_route& group, const route_query& query,
+                          time_point now);
     void on_accepted(attempt_id id, std::uint32_t prompt_tokens, std::uint32_t cached_tokens,
                      time_point now);
     void on_first_token(attempt_id id, time_point now);
@@ -100,8 +117,9 @@
     /// Estimated tokens of a text for a model, corrected by what its engines counted.
     [[nodiscard]] std::uint32_t estimate_tokens(std::string_view model, std::size_t bytes) const;
 
-private:
     class state;
+
+private:
     std::unique_ptr<state> state_;
 };
 
--- /dev/null
+++ b/src/router_p.h
@@ -0,0 +1,152 @@
+/// State of the router: engines, models, own attempts.
+#pragma once
+
+#include "engine_table.h"
+#include "prefix_affinity.h"
+#include "router.h"
+
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <unordered_map>
+
+namespace magnolia {
+
+/// What is known of a model over all engines.
+struct model_record {
+    cost_model costs;
+    std::vector<engine_handle> engines;
+    /// Tokens per byte of text.
+    double tokens_per_byte = 0.25;
+    /// Decayed work of the prompts that were started, seconds by length class.
+    std::array<double, 3> work{};
+    /// Share of a home engine's prefix that its cache held when nothing was known.
+    double home_hit_share = 0.3;
+    std::uint32_t largest_memory = 0;
+    /// Position of the round robin.
+    std::size_t next = 0;
+    /// Share of the engines that have prefill work.
+    double busy_share = 0;
+    /// Engines kept for short prompts, and out of how many.
+    std::size_t kept = 0;
+    std::size_t kept_of = 0;
+};
+
+/// An own attempt from its start to its end.
+struct attempt_record {
+    std::vector<engine_handle> engines;
+    model_record* model = nullptr;
+    std::uint32_t prompt_tokens = 0;
+    std::uint32_t max_generated_tokens = 0;
+    /// Cached tokens that the decision counted on.
+    std::uint32_t expected_cached = 0;
+    std::uint32_t cached_tokens = 0;
+    std::vector<std::uint64_t> prefix_hashes;
+    time_point started{};
+    time_point accepted{};
+    time_point first_token{};
+    /// Predicted seconds to the first token.
+    double predicted = 0;
+    bool has_accepted = false;
+    bool has_first_token = false;
+    /// Whether the engine seemed to have nothing else to prefill, so that the time teaches the
+    /// costs.
+    bool is_alone = false;
+};
+
+/// Hash of a string for lookups by view.
+struct string_hash {
+    using is_transparent = void;
+    std::size_t operator()(std::string_view text) const {
+        return std::hash<std::string_view>{}(text);
+    }
+};
+
+template <class T>
+using string_map = std::unordered_map<std::string, T, string_hash, std::equal_to<>>;
+
+/// What a policy decides over.
+struct route_context {
+    const route_query& query;
+    model_record& model;
+    time_point now;
+    /// Class of the prompt and urgency for the engine.
+    length_class length = length_class::short_prompt;
+    urgency_level urgency = urgency_level::standard;
+    /// Seconds until the deadlines.
+    double first_token_in = 0;
+    double finish_in = 0;
+    /// Seconds from the first token to the end.
+    double generation = 0;
+    std::uint32_t memory_tokens = 0;
+};
+
+/// A candidate with its prediction.
+struct candidate {
+    engine_handle engine;
+    double first_token = 0;
+    /// What is minimised: prediction and costs that the caller does not see.
+    double score = 0;
+};
+
+class router::state {
+public:
+    state(std::string zone, route_policy policy, std::uint64_t seed, route_settings settings);
+
+    engine_handle put_engine(const engine_info& info, time_point now);
+    route_decision decide(const route_query& query, time_point now);
+    void start(attempt_id id, std::span<const group_member> members, urgency_level urgency,
+               const route_query& query, time_point now);
+    void on_accepted(attempt_id id, std::uint32_t prompt_tokens, std::uint32_t cached_tokens,
+                     time_point now);
+    void on_first_token(attempt_id id, time_point now);
+    void on_ended(attempt_id id, bool succeeded, std::uint32_t generated_tokens, time_point now);
+    void on_load(engine_handle engine, const engine_load& load, time_point now);
+    void set_state(engine_handle engine, host_state state, time_point now);
+
+    [[nodiscard]] engine_record& at(engine_handle engine) { return engines_[engine.value]; }
+    [[nodiscard]] engine_handle find(std::string_view name) const;
+    [[nodiscard]] model_record* find_model(std::string_view name);
+    [[nodiscard]] const model_record* find_model(std::string_view name) const;
+
+    /// Urgency for the engine of a prompt.
+    [[nodiscard]] urgency_level engine_urgency(const route_query& query) const;
+
+private:
+    friend struct round_robin_policy;
+    friend struct least_outstanding_policy;
+    friend struct length_aware_policy;
+
+    [[nodiscard]] route_context context_of(const route_query& query, model_record& model,
+                                           time_point now) const;
+    [[nodiscard]] bool is_usable(const engine_record& engine, const route_query& query,
+                                 time_point now) const;
+    [[nodiscard]] double wait_seconds(const engine_record& engine, urgency_level urgency,
+                                      time_point now) const;
+    [[nodiscard]] double zone_seconds(const engine_record& engine) const;
+    [[nodiscard]] candidate predict(const route_context& context, engine_handle handle,
+                                    double cached) const;
+    [[nodiscard]] route_decision decide_single(const route_context& context);
+    [[nodiscard]] route_decision decide_group(const route_context& context);
+    [[nodiscard]] std::optional<group_route> plan_group(const route_context& context,
+                                                        std::uint32_t zone) const;
+    [[nodiscard]] route_refused refuse(const route_context& context, double best) const;
+    void update_kept(model_record& model);
+    void judge(engine_record& engine, const model_record& model, time_point now);
+    void learn_prefix(const attempt_record& attempt);
+
+    std::string zone_;
+    route_settings settings_;
+    route_policy policy_;
+    std::mt19937_64 random_;
+    std::uint64_t entry_hash_ = 0;
+    std::vector<engine_record> engines_;
+    string_map<engine_handle> by_name_;
+    string_map<model_record> models_;
+    string_map<std::uint32_t> zones_;
+    std::unordered_map<request_id, std::map<std::uint32_t, attempt_record>> attempts_;
+    prefix_table prefixes_;
+};
+
+} // namespace magnolia
