--- a/src/limiter.h
+++ b/src/limiter.h
@@ -1,6 +1,8 @@
 /// Enforces the limits of contracts over all entries without a call per request.
 #pragma once
 
+#include "outgoing_message.h"
+
 #include <magnolia/error.h>
 #include <magnolia/types.h>
 
@@ -10,12 +12,6 @@
 
 namespace magnolia {
 
-/// A message to another member.
-struct outgoing_message {
-    std::string member;
-    peer_message message;
-};
-
 /// What an admitted request holds of its workspace's limits until it is settled.
 struct limit_ticket {
     std::string workspace;
