--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -16,30 +16,30 @@
 class http_pair : public testing::Test {
 protected:
     void serve(http_handler handler, http_server_limits limits = {}) {
-        server.emplace(context, limits, std::move(handler));
-        ASSERT_TRUE(server->listen(endpoint{}));
-        peer.port = server->port();
+        server_.emplace(context_, limits, std::move(handler));
+        ASSERT_TRUE(server_->listen(endpoint{}));
+        peer_.port = server_->port();
     }
 
     tl::expected<http_response, http_failure> call(http_request request,
                                                    const http_call_limits& limits = {}) {
         std::optional<tl::expected<http_response, http_failure>> answer;
-        client.call(peer, std::move(request), limits,
-                    [&](auto received) { answer = std::move(received); });
+        client_.call(peer_, std::move(request), limits,
+                     [&](auto received) { answer = std::move(received); });
         run_until([&] { return answer.has_value(); });
         return *answer;
     }
 
     template <class Condition>
     void run_until(Condition condition) {
-        while (!condition() && context.run_one() > 0) {
+        while (!condition() && context_.run_one() > 0) {
         }
     }
 
-    asio::io_context context{1};
-    std::optional<http_server> server;
-    http_client client{context};
-    endpoint peer;
+    asio::io_context context_{1};
+    std::optional<http_server> server_;
+    http_client client_{context_};
+    endpoint peer_;
 };
 
 void echo(const http_request& request, const http_responder& responder) {
@@ -65,10 +65,10 @@
     std::string text;
     bool is_whole = false;
     unsigned status = 0;
-    client.stream(peer, {}, {},
-                  {[&](unsigned code, const auto&) { status = code; },
-                   [&](std::string_view part) { text += part; },
-                   [&](const http_failure* failure) { is_whole = failure == nullptr; }});
+    client_.stream(peer_, {}, {},
+                   {[&](unsigned code, const auto&) { status = code; },
+                    [&](std::string_view part) { text += part; },
+                    [&](const http_failure* failure) { is_whole = failure == nullptr; }});
     run_until([&] { return status == 200; });
     open->write("first");
     run_until([&] { return text == "first"; });
@@ -92,7 +92,7 @@
 
 TEST_F(http_pair, a_refused_connection_proves_that_nothing_was_written) {
     serve(echo);
-    server->close();
+    server_->close();
     const auto answer = call({"POST", "/", {}, "order"});
     ASSERT_FALSE(answer);
     EXPECT_EQ(answer.error().failure.code, error_code::connection);
@@ -118,21 +118,21 @@
     });
     std::optional<http_failure> failure;
     const auto id =
-        client.call(peer, {}, {}, [&](const auto& answer) { failure = answer.error(); });
+        client_.call(peer_, {}, {}, [&](const auto& answer) { failure = answer.error(); });
     run_until([&] { return is_received; });
-    client.cancel(id);
+    client_.cancel(id);
     run_until([&] { return is_gone && failure.has_value(); });
     EXPECT_EQ(failure->failure.code, error_code::caller_gone);
     EXPECT_TRUE(failure->is_request_written);
-    EXPECT_EQ(server->active_requests(), 0U);
+    EXPECT_EQ(server_->active_requests(), 0U);
 }
 
 TEST_F(http_pair, a_call_cancelled_at_once_has_written_nothing) {
     serve(echo);
     std::optional<http_failure> failure;
     const auto id =
-        client.call(peer, {}, {}, [&](const auto& answer) { failure = answer.error(); });
-    client.cancel(id);
+        client_.call(peer_, {}, {}, [&](const auto& answer) { failure = answer.error(); });
+    client_.cancel(id);
     run_until([&] { return failure.has_value(); });
     EXPECT_FALSE(failure->is_request_written);
 }
@@ -152,7 +152,7 @@
     limits.max_total_body_bytes = 1500;
     std::optional<http_responder> held;
     serve([&](const auto&, const http_responder& responder) { held = responder; }, limits);
-    client.call(peer, {"POST", "/", {}, std::string(1000, 'x')}, {}, [](const auto&) {});
+    client_.call(peer_, {"POST", "/", {}, std::string(1000, 'x')}, {}, [](const auto&) {});
     run_until([&] { return held.has_value(); });
     const auto answer = call({"POST", "/", {}, std::string(1000, 'x')});
     ASSERT_TRUE(answer);
@@ -165,8 +165,8 @@
     limits.read_timeout = std::chrono::milliseconds{20};
     serve(echo, limits);
     const auto raw = [&](const std::string& text) {
-        asio::ip::tcp::socket socket{context};
-        socket.connect({asio::ip::make_address("127.0.0.1"), peer.port});
+        asio::ip::tcp::socket socket{context_};
+        socket.connect({asio::ip::make_address("127.0.0.1"), peer_.port});
         asio::write(socket, asio::buffer(text));
         std::string answer(4096, '\0');
         bool is_over = false;
@@ -192,19 +192,19 @@
     std::size_t received = 0;
     bool is_over = false;
     bool is_started = false;
-    const auto id = client.stream(peer, {}, {},
-                                  {[&](unsigned, const auto&) { is_started = true; },
-                                   [&](std::string_view text) { received += text.size(); },
-                                   [&](const http_failure*) { is_over = true; }});
+    const auto id = client_.stream(peer_, {}, {},
+                                   {[&](unsigned, const auto&) { is_started = true; },
+                                    [&](std::string_view text) { received += text.size(); },
+                                    [&](const http_failure*) { is_over = true; }});
     run_until([&] { return is_started; });
-    client.pause(id);
+    client_.pause(id);
     for (int part = 0; part < parts; ++part) {
         open->write(std::string(part_bytes, 'x'));
     }
-    while (context.poll_one() > 0) {
+    while (context_.poll_one() > 0) {
     }
     EXPECT_GT(open->pending_bytes(), part_bytes);
-    client.resume(id);
+    client_.resume(id);
     open->finish();
     run_until([&] { return is_over; });
     EXPECT_EQ(received, part_bytes * parts);
@@ -214,9 +214,9 @@
     std::optional<http_responder> held;
     serve([&](const auto&, const http_responder& responder) { held = responder; });
     std::optional<http_response> answer;
-    client.call(peer, {}, {}, [&](const auto& received) { answer = received.value(); });
+    client_.call(peer_, {}, {}, [&](const auto& received) { answer = received.value(); });
     run_until([&] { return held.has_value(); });
-    server->stop_accepting();
+    server_->stop_accepting();
     held->send({200, {}, "late"});
     run_until([&] { return answer.has_value(); });
     EXPECT_EQ(answer->body, "late");
