Client and stand-in of plain services

Calls to plain services need the same exact certainty as attempts on engines, and a stand-in that counts what really ran. service_client makes each call once and tells not_run only for an unreachable service or a proven refusal; fake-service runs whatever reaches it and counts executions per key.

Its 7 tests pass; they show that a crash before the run and a lost answer after it look alike and are both told as unknown.

--- a/fakes/engine_server.cpp
+++ b/fakes/engine_server.cpp
@@ -1,5 +1,7 @@
 #include "engine_server.h"
 
+#include "fake_control.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -327,14 +329,8 @@
         responder.send(json_response(200, list.dump()));
         return;
     }
-    const auto number = [&request](std::string_view name, std::uint32_t otherwise) {
-        const auto text = query_parameter(request.target, name);
-        std::from_chars(text.data(), text.data() + text.size(), otherwise);
-        return otherwise;
-    };
-    constexpr std::string_view prefix = "/control/";
-    const auto fault = path.starts_with(prefix) ? path.substr(prefix.size()) : path;
-    const auto applied = apply(number("engine", 0), fault, number("count", 1));
+    const auto order = read_fault(request, "engine");
+    const auto applied = apply(order.target, order.fault, order.count);
     responder.send(applied ? json_response(200, "{}") : error_response(applied.error()));
 }
 
--- /dev/null
+++ b/fakes/fake_control.h
@@ -0,0 +1,19 @@
+/// Fault orders on the control listeners of the stand-ins: POST /control/FAULT?TARGET=I&count=N.
+#pragma once
+
+#include "http_types.h"
+
+#include <cstdint>
+
+namespace magnolia::fakes {
+
+struct fault_order {
+    std::string fault;
+    std::uint32_t target = 0;
+    std::uint32_t count = 1;
+};
+
+/// @param target  name of the query parameter that chooses the back end.
+[[nodiscard]] fault_order read_fault(const http_request& request, std::string_view target);
+
+} // namespace magnolia::fakes
--- /dev/null
+++ b/fakes/service_server.h
@@ -0,0 +1,51 @@
+/// Plain services of one process behind HTTP listeners, with a control listener for faults and
+/// counts.
+#pragma once
+
+#include "http_server.h"
+#include "service_model.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <memory>
+#include <vector>
+
+namespace magnolia::fakes {
+
+struct service_server_settings {
+    std::string address = "127.0.0.1";
+    std::uint32_t services = 1;
+    /// Port of the first service; the others follow. 0 lets the system choose each.
+    std::uint16_t first_port = 0;
+    std::uint16_t control_port = 0;
+};
+
+/// All services. Used on the context's thread.
+class service_server {
+public:
+    service_server(boost::asio::io_context& context, service_server_settings settings);
+    ~service_server();
+
+    /// Opens every listener. Errors: connection.
+    [[nodiscard]] result<void> listen();
+    [[nodiscard]] std::uint16_t port(std::size_t service) const;
+    [[nodiscard]] std::uint16_t control_port() const;
+    [[nodiscard]] service_model& model(std::size_t service);
+    /// Applies a fault by its name: a field of service_faults with a count, drain, undrain, delay
+    /// in ms, crash, restart. Errors: not_found.
+    [[nodiscard]] result<void> apply(std::size_t service, std::string_view fault,
+                                     std::uint32_t count);
+
+private:
+    struct host;
+
+    void handle(host& service, const http_request& request, const http_responder& responder);
+    void handle_control(const http_request& request, const http_responder& responder);
+
+    boost::asio::io_context& context_;
+    service_server_settings settings_;
+    std::vector<std::unique_ptr<host>> hosts_;
+    std::unique_ptr<http_server> control_;
+};
+
+} // namespace magnolia::fakes
--- a/src/engine_client.cpp
+++ b/src/engine_client.cpp
@@ -1,6 +1,6 @@
 #include "engine_client.h"
 
-#include "http_client.h"
+#include "backend_call.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -16,8 +16,6 @@
 constexpr std::size_t max_stream_bytes = std::size_t{512} << 20U;
 /// Longest line of a stream, bytes.
 constexpr std::size_t max_line_bytes = config::max_frame_bytes;
-/// Added to the time left of an attempt before it is given up.
-constexpr std::chrono::milliseconds deadline_grace{1000};
 /// Time after which a refused event is offered again.
 constexpr std::chrono::milliseconds offer_interval{2};
 /// Tries of a cancel whose answer does not come.
@@ -27,24 +25,6 @@
 constexpr std::chrono::milliseconds question_tick{20};
 constexpr unsigned status_ok = 200;
 
-/// What is certain after a call broke without an answer.
-run_certainty certainty_of(const http_failure& failure) {
-    return failure.is_request_written ? run_certainty::unknown : run_certainty::not_run;
-}
-
-error lost(const http_failure& failure) {
-    return {failure.failure.code == error_code::connection ? error_code::backend_lost
-                                                           : failure.failure.code,
-            failure.failure.subject,
-            {}};
-}
-
-std::chrono::milliseconds time_limit(duration left) {
-    return std::max(std::chrono::ceil<std::chrono::milliseconds>(left),
-                    std::chrono::milliseconds{0}) +
-           deadline_grace;
-}
-
 /// One start or part and the stream that answers it.
 struct engine_stream {
     attempt_id id;
--- /dev/null
+++ b/tests/service_client_test.cpp
@@ -0,0 +1,102 @@
+#include "service_client.h"
+#include "service_server.h"
+
+#include <gtest/gtest.h>
+
+namespace magnolia {
+namespace {
+
+/// Bound of a hung test.
+constexpr std::chrono::seconds patience{30};
+
+struct service_client_test : testing::Test {
+    boost::asio::io_context context;
+    fakes::service_server server{context, {}};
+    service_client client{context, {}};
+    std::vector<service_event> events;
+
+    service_client_test() {
+        EXPECT_TRUE(server.listen());
+        client.put_service(service_handle{0}, http_service{{"127.0.0.1", server.port(0)}});
+        client.set_event_sink([this](service_event event) { events.push_back(std::move(event)); });
+    }
+
+    /// Makes one call and waits for its event.
+    service_event call(service_handle service = service_handle{0}) {
+        const std::size_t before = events.size();
+        client.submit({{{7, ++calls_}, 1},
+                       service,
+                       "/order",
+                       std::make_shared<std::string>("part"),
+                       "key-1",
+                       std::chrono::seconds{10}});
+        const auto end = std::chrono::steady_clock::now() + patience;
+        while (events.size() == before && std::chrono::steady_clock::now() < end) {
+            context.run_one_for(std::chrono::milliseconds{100});
+        }
+        return events.back();
+    }
+
+    run_certainty certainty_of_call() { return std::get<service_failed>(call()).certainty; }
+
+    std::uint32_t executions() {
+        const auto& counts = server.model(0).executions();
+        return counts.contains("key-1") ? counts.at("key-1") : 0;
+    }
+
+private:
+    std::uint64_t calls_ = 0;
+};
+
+TEST_F(service_client_test, an_answer_comes_back_whole) {
+    const auto answer = std::get<service_answer>(call());
+    EXPECT_EQ(answer.status, 200U);
+    EXPECT_EQ(answer.body, fakes::service_model::answer("/order", "part", 1));
+    EXPECT_EQ(executions(), 1U);
+}
+
+TEST_F(service_client_test, a_proven_refusal_is_not_run) {
+    ASSERT_TRUE(server.apply(0, "refusals", 1));
+    EXPECT_EQ(certainty_of_call(), run_certainty::not_run);
+    EXPECT_EQ(executions(), 0U);
+}
+
+TEST_F(service_client_test, a_refusal_without_proof_is_unknown) {
+    ASSERT_TRUE(server.apply(0, "vague_refusals", 1));
+    EXPECT_EQ(certainty_of_call(), run_certainty::unknown);
+}
+
+TEST_F(service_client_test, a_draining_service_says_that_it_is_leaving) {
+    ASSERT_TRUE(server.apply(0, "drain", 1));
+    const auto failed = std::get<service_failed>(call());
+    EXPECT_TRUE(failed.leaving);
+    EXPECT_EQ(failed.certainty, run_certainty::not_run);
+}
+
+TEST_F(service_client_test, a_crash_before_and_after_the_run_look_alike) {
+    ASSERT_TRUE(server.apply(0, "crashes_before", 1));
+    EXPECT_EQ(certainty_of_call(), run_certainty::unknown);
+    EXPECT_EQ(executions(), 0U);
+    ASSERT_TRUE(server.apply(0, "lost_answers", 1));
+    EXPECT_EQ(certainty_of_call(), run_certainty::unknown);
+    EXPECT_EQ(executions(), 1U);
+}
+
+TEST_F(service_client_test, a_dead_or_unknown_service_has_not_run) {
+    ASSERT_TRUE(server.apply(0, "crash", 1));
+    EXPECT_EQ(certainty_of_call(), run_certainty::not_run);
+    const auto unknown = std::get<service_failed>(call(service_handle{5}));
+    EXPECT_EQ(unknown.certainty, run_certainty::not_run);
+}
+
+TEST_F(service_client_test, a_cancelled_call_gets_no_event) {
+    ASSERT_TRUE(server.apply(0, "delay", 20));
+    client.submit({{{9, 1}, 1}, service_handle{0}, "/x", nullptr, {}, std::chrono::seconds{5}});
+    client.cancel({{9, 1}, 1});
+    call();
+    EXPECT_EQ(events.size(), 1U);
+    EXPECT_EQ(client.active_calls(), 0U);
+}
+
+} // namespace
+} // namespace magnolia
