--- /dev/null
+++ b/src/platform_client.cpp
@@ -0,0 +1,127 @@
+#include "platform_client.h"
+
+#include "platform_wire.h"
+
+#include <boost/asio/post.hpp>
+
+namespace magnolia {
+namespace {
+
+constexpr std::size_t kept_connections = 64;
+
+std::chrono::milliseconds timeout_of(const platform_call& call, std::chrono::milliseconds base) {
+    const auto* watch = std::get_if<object_watch>(&call);
+    return watch == nullptr ? base : base + watch->wait;
+}
+
+} // namespace
+
+http_platform::http_platform(boost::asio::io_context& context, endpoint address)
+    : client_{context, kept_connections}, address_{std::move(address)} {}
+
+void http_platform::execute(const platform_call& call, std::chrono::milliseconds timeout,
+                            platform_done done) {
+    http_call_limits limits;
+    limits.connect_timeout = timeout;
+    limits.silence_timeout = timeout;
+    limits.total_timeout = timeout;
+    // A page of objects is bounded by the platform, in items and in bytes.
+    limits.max_body_bytes = std::size_t{64} << 20U;
+    client_.call(address_, encode_call(call), limits,
+                 [call, done = std::move(done)](const auto& answer) {
+                     if (answer) {
+                         done(decode_reply(call, *answer));
+                     } else {
+                         done(fail(error_code::platform_down, answer.error().failure.subject));
+                     }
+                 });
+}
+
+platform_client::platform_client(boost::asio::io_context& context, const endpoint& address,
+                                 const platform_budget& budget, std::uint64_t seed)
+    : back_end_{std::in_place_type<http_platform>, context, address}, budget_{budget},
+      schedule_{budget, seed}, timer_{context} {}
+
+platform_client::~platform_client() = default;
+
+void platform_client::execute(platform_call call, call_priority priority, platform_done done) {
+    const auto number = next_number_++;
+    const auto now = steady_now();
+    const auto added = schedule_.add(number, call, priority, now);
+    calls_.emplace(number, pending_call{std::move(call), std::move(done)});
+    if (!added) {
+        finish_later(number, added.error());
+        return;
+    }
+    wake_at(now);
+}
+
+/// Ends a call that was never sent.
+void platform_client::finish_later(std::uint64_t number, const error& failure) {
+    boost::asio::post(timer_.get_executor(),
+                      [this, alive = std::weak_ptr{alive_}, number, failure] {
+                          if (!alive.expired()) {
+                              finish(number, tl::unexpected{failure});
+                          }
+                      });
+}
+
+void platform_client::run(time_point now) {
+    due_ = time_point::max();
+    for (const auto& scheduled : schedule_.poll(now)) {
+        if (scheduled.refusal) {
+            finish_later(scheduled.number, *scheduled.refusal);
+        } else {
+            send(scheduled.number);
+        }
+    }
+    wake_at(schedule_.next_due(now));
+}
+
+void platform_client::send(std::uint64_t number) {
+    const auto& call = calls_.at(number).call;
+    auto answered = [this, alive = std::weak_ptr{alive_},
+                     number](const result<platform_reply>& reply) {
+        if (!alive.expired()) {
+            on_answer(number, reply);
+        }
+    };
+    std::visit(
+        [&](auto& back_end) {
+            back_end.execute(call, timeout_of(call, budget_.timeout), std::move(answered));
+        },
+        back_end_);
+}
+
+void platform_client::on_answer(std::uint64_t number, const result<platform_reply>& reply) {
+    const bool was_up = is_up();
+    const auto now = steady_now();
+    schedule_.on_ended(number, reply ? nullptr : &reply.error(), now);
+    wake_at(now);
+    if (was_up != is_up() && changed_) {
+        changed_(is_up());
+    }
+    finish(number, reply);
+}
+
+void platform_client::finish(std::uint64_t number, const result<platform_reply>& reply) {
+    auto node = calls_.extract(number);
+    if (!node.empty()) {
+        node.mapped().done(reply);
+    }
+}
+
+void platform_client::wake_at(time_point when) {
+    if (when >= due_) {
+        return;
+    }
+    due_ = when;
+    timer_.expires_at(std::chrono::steady_clock::time_point{when.time_since_epoch()});
+    timer_.async_wait([this, alive = std::weak_ptr{alive_}](const auto& failure) {
+        if (!failure && !alive.expired()) {
+            run(steady_now());
+        }
+    });
+}
+
+} // namespace magnolia
--- /dev/null
+++ b/src/platform_client.h
@@ -0,0 +1,82 @@
+/// Executes calls to the platform on a duty: priorities, the process's share of the platform's
+/// rates, timeouts, jittered return after outages.
+#pragma once
+
+#include "http_client.h"
+#include "platform_port.h"
+#include "platform_schedule.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace magnolia {
+
+/// Called once with the reply or the failure. platform_down after a write: the write may have taken
+/// effect, or may still do so; see conditional_write.h.
+using platform_done = std::function<void(const result<platform_reply>& reply)>;
+
+/// The platform over HTTP; the interface of docs/backends/platform.md.
+class http_platform {
+public:
+    http_platform(boost::asio::io_context& context, endpoint address);
+
+    void execute(const platform_call& call, std::chrono::milliseconds timeout, platform_done done);
+
+private:
+    http_client client_;
+    endpoint address_;
+};
+
+/// Back ends that the client can talk to.
+using platform_back_end = std::variant<http_platform>;
+
+/// Client of one process. All members are called on the context's thread; callbacks come on it and
+/// never from inside execute().
+class platform_client {
+public:
+    /// @param seed  seed of the jitter.
+    platform_client(boost::asio::io_context& context, const endpoint& address,
+                    const platform_budget& budget, std::uint64_t seed);
+    ~platform_client();
+    platform_client(const platform_client&) = delete;
+    platform_client& operator=(const platform_client&) = delete;
+
+    /// Queues a call. It fails with platform_busy if the queue of its priority is full, and with
+    /// platform_down if the platform does not answer in time.
+    void execute(platform_call call, call_priority priority, platform_done done);
+
+    /// Whether the platform answered last.
+    [[nodiscard]] bool is_up() const { return schedule_.is_up(); }
+    /// Sets a function that is called when is_up() changes.
+    void on_change(std::function<void(bool is_up)> changed) { changed_ = std::move(changed); }
+
+private:
+    struct pending_call {
+        platform_call call;
+        platform_done done;
+    };
+
+    void run(time_point now);
+    void send(std::uint64_t number);
+    void on_answer(std::uint64_t number, const result<platform_reply>& reply);
+    void finish(std::uint64_t number, const result<platform_reply>& reply);
+    void finish_later(std::uint64_t number, const error& failure);
+    void wake_at(time_point when);
+
+    platform_back_end back_end_;
+    platform_budget budget_;
+    platform_schedule schedule_;
+    std::uint64_t next_number_ = 1;
+    std::map<std::uint64_t, pending_call> calls_;
+    std::function<void(bool)> changed_;
+    boost::asio::steady_timer timer_;
+    /// Time for which the timer is set.
+    time_point due_ = time_point::max();
+    /// Expires with the client, so that late answers find it gone.
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace magnolia
--- /dev/null
+++ b/src/platform_schedule.cpp
@@ -0,0 +1,132 @@
+#include "platform_schedule.h"
+
+#include "platform_wire.h"
+
+#include <algorithm>
+
+namespace magnolia {
+namespace {
+
+/// Calls that may probe a platform that is down, until one is answered.
+constexpr std::size_t probes_in_flight = 1;
+
+/// Seconds' worth of calls that gather while none are made.
+constexpr double burst_seconds = 0.5;
+
+/// A waiting watch counts as one call in each of these spans.
+constexpr auto watch_charge = std::chrono::seconds{1};
+
+constexpr std::uint32_t longest_doubling = 10;
+
+token_bucket bucket(double rate) {
+    const auto burst = std::max(1.0, rate * burst_seconds);
+    return {rate, burst, burst, time_point{}};
+}
+
+double calls_of_watch(const object_watch& call) {
+    return 1 + (std::chrono::duration<double>(call.wait) / watch_charge);
+}
+
+} // namespace
+
+platform_schedule::platform_schedule(const platform_budget& budget, std::uint64_t seed)
+    : budget_{budget}, writes_{bucket(budget.writes_per_second)},
+      reads_{bucket(budget.reads_per_second)}, random_{seed} {}
+
+result<void> platform_schedule::add(std::uint64_t number, const platform_call& call,
+                                    call_priority priority, time_point now) {
+    auto& queue = queues_.at(static_cast<std::size_t>(priority));
+    if (queue.size() >= budget_.max_waiting) {
+        return fail(error_code::platform_busy, "calls wait", budget_.timeout);
+    }
+    const auto* watch = std::get_if<object_watch>(&call);
+    const double cost = watch == nullptr ? 1 : calls_of_watch(*watch);
+    queue.push_back({number, is_write(call), watch != nullptr, cost, now});
+    return {};
+}
+
+std::vector<scheduled_call> platform_schedule::poll(time_point now) {
+    std::vector<scheduled_call> out;
+    refuse_late(out, now);
+    for (auto& queue : queues_) {
+        while (!queue.empty() && may_send(queue.front(), now)) {
+            const auto call = queue.front();
+            queue.pop_front();
+            in_flight_.emplace(call.number, sent_call{call.is_watch, now});
+            plain_in_flight_ += call.is_watch ? 0 : 1;
+            out.push_back({call.number, std::nullopt});
+        }
+    }
+    return out;
+}
+
+/// A call that has waited for the timeout ends without being sent.
+void platform_schedule::refuse_late(std::vector<scheduled_call>& out, time_point now) {
+    const auto code = is_up() ? error_code::platform_busy : error_code::platform_down;
+    for (auto& queue : queues_) {
+        while (!queue.empty() && now - queue.front().added >= budget_.timeout) {
+            out.push_back({queue.front().number, error{code, "not sent", budget_.timeout}});
+            queue.pop_front();
+        }
+    }
+}
+
+bool platform_schedule::may_send(const waiting_call& call, time_point now) {
+    if (now < paused_until_) {
+        return false;
+    }
+    if (!is_up() && in_flight_.size() >= probes_in_flight) {
+        return false;
+    }
+    if (!call.is_watch && plain_in_flight_ >= budget_.max_in_flight) {
+        return false;
+    }
+    auto& bucket = call.is_write ? writes_ : reads_;
+    return bucket.take(std::min(call.cost, bucket.burst()), now);
+}
+
+void platform_schedule::on_ended(std::uint64_t number, const error* failure, time_point now) {
+    const auto found = in_flight_.find(number);
+    if (found == in_flight_.end()) {
+        return;
+    }
+    const auto call = found->second;
+    in_flight_.erase(found);
+    plain_in_flight_ -= call.is_watch ? 0 : 1;
+    if (failure != nullptr && failure->code == error_code::platform_busy) {
+        pause(std::max(failure->retry_after, budget_.first_pause), now);
+        return;
+    }
+    if (failure == nullptr || failure->code != error_code::platform_down) {
+        failures_ = 0;
+        return;
+    }
+    // Calls that were sent before the last pause began tell nothing new.
+    if (call.sent < paused_until_) {
+        return;
+    }
+    ++failures_;
+    const auto doubled = budget_.first_pause * (1U << std::min(failures_ - 1, longest_doubling));
+    pause(std::min(budget_.longest_pause, doubled), now);
+}
+
+void platform_schedule::pause(std::chrono::milliseconds longest, time_point now) {
+    std::uniform_int_distribution<std::int64_t> draw{longest.count() / 2, longest.count()};
+    paused_until_ = std::max(paused_until_, now + std::chrono::milliseconds{draw(random_)});
+}
+
+time_point platform_schedule::next_due(time_point now) const {
+    auto due = time_point::max();
+    for (const auto& queue : queues_) {
+        if (queue.empty()) {
+            continue;
+        }
+        const auto& call = queue.front();
+        const auto& bucket = call.is_write ? writes_ : reads_;
+        const auto fill = now + bucket.wait_for(std::min(call.cost, bucket.burst()), now);
+        due = std::min({due, call.added + budget_.timeout, std::max(paused_until_, fill)});
+    }
+    return due;
+}
+
+} // namespace magnolia
--- /dev/null
+++ b/tests/platform_test.cpp
@@ -0,0 +1,208 @@
+#include "platform_client.h"
+#include "platform_server.h"
+#include "platform_wire.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <optional>
+
+namespace magnolia {
+namespace {
+
+const object_id object_a{"contract", "a/b c"};
+
+TEST(platform_wire, calls_survive_their_encoding) {
+    const std::vector<platform_call> calls{
+        object_get{object_a},
+        object_put{object_a, 7, "value"},
+        object_delete{object_a, 8},
+        object_list{"contract", "x"},
+        object_watch{"contract", 5, std::chrono::milliseconds{9}},
+        host_list{},
+        weight_take{11}};
+    for (const auto& call : calls) {
+        const auto request = encode_call(call);
+        const auto decoded = decode_call(request);
+        ASSERT_TRUE(decoded);
+        EXPECT_EQ(decoded->index(), call.index());
+        const auto again = encode_call(*decoded);
+        EXPECT_EQ(again.target, request.target);
+        EXPECT_EQ(again.method, request.method);
+        EXPECT_EQ(again.body, request.body);
+    }
+}
+
+TEST(platform_wire, failures_keep_their_type) {
+    for (const auto code : {error_code::conflict, error_code::platform_busy, error_code::too_large,
+                            error_code::platform_down}) {
+        const auto decoded =
+            decode_reply(host_list{}, encode_reply(fail(code, "x", std::chrono::milliseconds{5})));
+        ASSERT_FALSE(decoded);
+        EXPECT_EQ(decoded.error().code, code);
+        EXPECT_EQ(decoded.error().retry_after.count(), 5);
+    }
+    EXPECT_EQ(decode_reply(host_list{}, {200, {}, "{"}).error().code, error_code::platform_down);
+}
+
+TEST(object_store, conditional_writes_and_a_deleted_version_never_returns) {
+    object_store store;
+    const auto first = store.put({object_a, 0, "1"});
+    ASSERT_TRUE(first);
+    EXPECT_EQ(store.put({object_a, 0, "2"}).error().code, error_code::conflict);
+    ASSERT_TRUE(store.erase({object_a, first->version}));
+    const auto second = store.put({object_a, 0, "3"});
+    ASSERT_TRUE(second);
+    EXPECT_GT(second->version, first->version);
+    EXPECT_EQ(store.put({object_a, first->version, "4"}).error().code, error_code::conflict);
+}
+
+TEST(object_store, lists_in_pages_and_watches_with_gaps) {
+    object_store store{2, 2};
+    for (const std::string name : {"a", "b", "c"}) {
+        ASSERT_TRUE(store.put({{"k", name}, 0, name}));
+    }
+    const auto page = store.list({"k", ""});
+    EXPECT_EQ(page.items.size(), 2U);
+    EXPECT_TRUE(page.more);
+    EXPECT_FALSE(store.list({"k", "b"}).more);
+    EXPECT_TRUE(store.changes({"k", 0, {}})->gap);
+    EXPECT_EQ(store.changes({"k", 1, {}})->changes.size(), 2U);
+    EXPECT_FALSE(store.changes({"k", 3, {}}));
+    EXPECT_TRUE(store.changes({"k", 99, {}})->gap);
+}
+
+TEST(platform_model, an_answer_may_be_lost_after_the_effect) {
+    platform_model model{1};
+    model.faults().lost_answers = 1;
+    const auto answer = model.execute(object_put{object_a, 0, "1"}, time_point{});
+    EXPECT_EQ(answer.what, platform_answer::form::lost);
+    EXPECT_EQ(model.store().get(object_a).value, "1");
+}
+
+TEST(platform_model, rates_and_the_lag_of_the_host_list) {
+    platform_model model{1};
+    model.faults().reads_per_second = 2;
+    const time_point start{std::chrono::seconds{1}};
+    EXPECT_TRUE(model.execute(host_list{}, start).reply);
+    EXPECT_TRUE(model.execute(host_list{}, start).reply);
+    EXPECT_EQ(model.execute(host_list{}, start).reply.error().code, error_code::platform_busy);
+    model.set_host({"h", "z", "127.0.0.1", 1, "engine", host_state::live}, start);
+    const auto hosts_at = [&](time_point when) {
+        return std::get<host_page>(*model.execute(host_list{}, when).reply).hosts.size();
+    };
+    EXPECT_EQ(hosts_at(start + std::chrono::seconds{29}), 0U);
+    EXPECT_EQ(hosts_at(start + std::chrono::seconds{30}), 1U);
+}
+
+TEST(platform_schedule, claims_go_first_and_the_budget_holds) {
+    platform_budget budget;
+    budget.writes_per_second = 2;
+    platform_schedule schedule{budget, 1};
+    const time_point start{std::chrono::seconds{1}};
+    ASSERT_TRUE(schedule.add(1, object_put{}, call_priority::status, start));
+    ASSERT_TRUE(schedule.add(2, object_put{}, call_priority::claim, start));
+    const auto sent = schedule.poll(start);
+    ASSERT_EQ(sent.size(), 1U);
+    EXPECT_EQ(sent.front().number, 2U);
+    EXPECT_EQ(schedule.next_due(start), start + std::chrono::milliseconds{500});
+    EXPECT_EQ(schedule.poll(start + std::chrono::milliseconds{500}).size(), 1U);
+}
+
+TEST(platform_schedule, an_outage_is_probed_by_one_call_at_growing_pauses) {
+    const platform_budget budget;
+    platform_schedule schedule{budget, 1};
+    time_point now{std::chrono::seconds{1}};
+    const error down{error_code::platform_down, {}, {}};
+    std::uint64_t number = 0;
+    const auto add = [&] {
+        ASSERT_TRUE(schedule.add(++number, object_get{}, call_priority::lease, now));
+    };
+    add();
+    ASSERT_EQ(schedule.poll(now).size(), 1U);
+    schedule.on_ended(number, &down, now);
+    EXPECT_FALSE(schedule.is_up());
+    duration last{0};
+    for (int round = 0; round < 4; ++round) {
+        add();
+        add();
+        EXPECT_TRUE(schedule.poll(now).empty());
+        const auto due = schedule.next_due(now);
+        EXPECT_GT(due - now, last);
+        last = due - now;
+        now = due;
+        const auto probe = schedule.poll(now);
+        ASSERT_EQ(probe.size(), 1U);
+        EXPECT_FALSE(probe.front().refusal);
+        schedule.on_ended(probe.front().number, &down, now);
+    }
+    now += budget.timeout;
+    const auto refused = schedule.poll(now);
+    EXPECT_EQ(refused.size(), 4U);
+    EXPECT_EQ(refused.front().refusal->code, error_code::platform_down);
+}
+
+class platform_pair : public testing::Test {
+protected:
+    void SetUp() override {
+        ASSERT_TRUE(server_.listen(endpoint{}));
+        client_.emplace(context_, endpoint{"127.0.0.1", server_.port()}, budget(), 1);
+    }
+
+    static platform_budget budget() {
+        platform_budget small;
+        small.timeout = std::chrono::milliseconds{100};
+        return small;
+    }
+
+    result<platform_reply> execute(platform_call call) {
+        std::optional<result<platform_reply>> answer;
+        client_->execute(std::move(call), call_priority::claim,
+                         [&](const result<platform_reply>& reply) { answer = reply; });
+        while (!answer && context_.run_one() > 0) {
+        }
+        return *answer;
+    }
+
+    boost::asio::io_context context_{1};
+    platform_server server_{context_, 1};
+    std::optional<platform_client> client_;
+};
+
+TEST_F(platform_pair, objects_over_http) {
+    const auto written = execute(object_put{object_a, 0, "1"});
+    ASSERT_TRUE(written);
+    const auto version = std::get<stored_object>(*written).version;
+    EXPECT_EQ(execute(object_put{object_a, 0, "2"}).error().code, error_code::conflict);
+    const auto read = execute(object_get{object_a});
+    EXPECT_EQ(std::get<stored_object>(*read).value, "1");
+    EXPECT_EQ(std::get<stored_object>(*read).version, version);
+    EXPECT_EQ(std::get<stored_object>(*execute(object_get{{"k", "none"}})).version, 0U);
+    EXPECT_EQ(std::get<object_page>(*execute(object_list{"contract", ""})).items.size(), 1U);
+}
+
+TEST_F(platform_pair, a_watch_waits_for_a_change) {
+    std::optional<result<platform_reply>> page;
+    client_->execute(object_watch{"contract", 0, std::chrono::milliseconds{5000}},
+                     call_priority::configuration,
+                     [&](const result<platform_reply>& reply) { page = reply; });
+    ASSERT_TRUE(execute(object_put{object_a, 0, "1"}));
+    while (!page && context_.run_one() > 0) {
+    }
+    ASSERT_TRUE(*page);
+    EXPECT_EQ(std::get<watch_page>(**page).changes.size(), 1U);
+}
+
+TEST_F(platform_pair, lost_answers_and_outages_are_platform_down) {
+    server_.model().faults().lost_answers = 1;
+    EXPECT_EQ(execute(object_put{object_a, 0, "1"}).error().code, error_code::platform_down);
+    EXPECT_FALSE(client_->is_up());
+    server_.model().faults().lost_answers = 0;
+    EXPECT_EQ(std::get<stored_object>(*execute(object_get{object_a})).value, "1");
+    EXPECT_TRUE(client_->is_up());
+    server_.model().faults().outage = outage_form::hang;
+    EXPECT_EQ(execute(object_get{object_a}).error().code, error_code::platform_down);
+}
+
+} // namespace
+} // namespace magnolia
