--- a/include/magnolia/config.h
+++ b/include/magnolia/config.h
@@ -24,6 +24,22 @@
 /// Longest value of an object in the platform's store, bytes.
 inline constexpr std::size_t max_object_bytes = std::size_t{1} << 20U;
 
+/// Objects that the claims of one span of creation times are spread over. All processes that share a
+/// platform have to agree on it, and on the span.
+inline constexpr std::uint32_t claim_shards = 16;
+
+/// Span of creation times of keys whose claims share objects.
+inline constexpr std::chrono::milliseconds claim_bucket{60000};
+
+/// Furthest that the wall clock of a process may be from the true time.
+inline constexpr std::chrono::milliseconds clock_margin{5000};
+
+/// Longest name of a workspace plus idempotency key, bytes.
+inline constexpr std::size_t max_claim_key_bytes = 512;
+
+/// Bytes of an answer that a claim keeps.
+inline constexpr std::size_t max_claim_answer_bytes = 512;
+
 /// Slots of a ring between two duties.
 inline constexpr std::size_t ring_slots = 4096;
 
--- /dev/null
+++ b/src/claims.cpp
@@ -0,0 +1,117 @@
+#include "claims.h"
+
+#include "claims_p.h"
+
+#include <algorithm>
+
+namespace magnolia {
+namespace {
+
+/// Time for which the content of an object without work stays in memory.
+constexpr auto kept_idle = std::chrono::seconds{30};
+
+} // namespace
+
+class claim_book::state {
+public:
+    state(std::uint64_t origin, const claim_options& options) {
+        context.origin = origin;
+        context.options = options;
+        context.random.seed(origin);
+    }
+
+    claim_shard& shard_of(const claim_key& key) {
+        auto id = claim_object(key, context.options);
+        return shards.try_emplace(id, id).first->second;
+    }
+
+    claim_context context;
+    std::map<object_id, claim_shard> shards;
+    std::map<std::uint64_t, object_id> flights;
+    std::uint64_t next_number = 1;
+};
+
+claim_book::claim_book(std::uint64_t origin, const claim_options& options)
+    : state_{std::make_unique<state>(origin, options)} {}
+
+claim_book::claim_book(std::uint64_t origin, std::chrono::milliseconds retention)
+    : claim_book{origin, claim_options{.retention = retention}} {}
+
+claim_book::~claim_book() = default;
+
+void claim_book::request(const claim_key& key, request_id request, std::uint64_t fingerprint,
+                         duration patience, time_point now, std::int64_t wall_ms) {
+    auto& context = state_->context;
+    if (key.workspace.size() + key.key.size() > config::max_claim_key_bytes) {
+        const error failure{error_code::bad_request, "idempotency key", {}};
+        context.events.emplace_back(claim_failed{request, failure});
+        return;
+    }
+    if (const auto young = check_age(key, context.options, wall_ms); !young) {
+        context.events.emplace_back(claim_failed{request, young.error()});
+        return;
+    }
+    state_->shard_of(key).add({key, request, fingerprint, false, now, now + patience});
+}
+
+void claim_book::look_up(const claim_key& key, request_id request, duration patience,
+                         time_point now) {
+    state_->shard_of(key).add({key, request, 0, true, now, now + patience});
+}
+
+void claim_book::settle(const claim_key& key, request_id request, outcome result, unsigned status,
+                        std::string_view answer, time_point now) {
+    const auto& context = state_->context;
+    if (!context.live.contains(request)) {
+        return;
+    }
+    // A freed key may be claimed again at once; any other outcome waits for a write that it can
+    // share.
+    const auto due = result == outcome::not_run ? now : now + context.options.settle_gather;
+    const std::string kept{answer.substr(0, config::max_claim_answer_bytes)};
+    state_->shard_of(key).settle(key, {request, result, status, kept, due});
+}
+
+void claim_book::on_reply(std::uint64_t number, const result<platform_reply>& reply, time_point now,
+                          std::int64_t wall_ms) {
+    const auto flight = state_->flights.extract(number);
+    if (!flight.empty()) {
+        state_->shards.at(flight.mapped()).on_reply(reply, state_->context, {now, wall_ms});
+    }
+}
+
+std::vector<claim_call> claim_book::poll(time_point now, std::int64_t wall_ms) {
+    std::vector<claim_call> calls;
+    const claim_time at{now, wall_ms};
+    for (auto& [id, shard] : state_->shards) {
+        shard.expire(state_->context, at);
+        if (auto call = shard.next_call(state_->context, at)) {
+            const auto number = state_->next_number++;
+            state_->flights.emplace(number, id);
+            calls.push_back({number, std::move(*call)});
+        }
+    }
+    std::erase_if(state_->shards, [&](const auto& item) {
+        return item.second.is_idle(state_->context) && now - item.second.last_used() > kept_idle;
+    });
+    return calls;
+}
+
+std::vector<claim_event> claim_book::take_events() {
+    return std::exchange(state_->context.events, {});
+}
+
+time_point claim_book::next_due() const {
+    auto due = time_point::max();
+    for (const auto& [id, shard] : state_->shards) {
+        due = std::min(due, shard.next_due(state_->context));
+    }
+    return due;
+}
+
+bool claim_book::has_unsettled() const {
+    return std::ranges::any_of(state_->shards,
+                               [](const auto& item) { return item.second.has_settlements(); });
+}
+
+} // namespace magnolia
--- a/src/claims.h
+++ b/src/claims.h
@@ -4,6 +4,8 @@
 
 #include "platform_port.h"
 
+#include <magnolia/config.h>
+
 #include <memory>
 #include <optional>
 
@@ -26,9 +28,11 @@
     std::uint64_t fingerprint = 0;
     /// Absent while the call is under way.
     std::optional<outcome> result;
-    /// Status and the first bytes of the answer.
+    /// Status and the first bytes of the answer, config::max_claim_answer_bytes at most.
     unsigned status = 0;
     std::string answer;
+    /// Wall clock of the claim, ms since 1970.
+    std::int64_t claimed_ms = 0;
 };
 
 /// The claim is durable and the call may be dispatched, once, by this process.
@@ -49,7 +53,29 @@
     error failure;
 };
 
-using claim_event = std::variant<claim_granted, claim_exists, claim_failed>;
+/// Answer to a lookup.
+struct claim_found {
+    request_id request;
+    /// Absent if the key is not claimed.
+    std::optional<claim_record> record;
+};
+
+using claim_event = std::variant<claim_granted, claim_exists, claim_failed, claim_found>;
+
+/// How claims are laid out in the store and gathered.
+struct claim_options {
+    /// Time for which a key is remembered.
+    std::chrono::milliseconds retention{86400000};
+    /// Fleet-wide; see config.h.
+    std::uint32_t shards = config::claim_shards;
+    std::chrono::milliseconds bucket = config::claim_bucket;
+    std::chrono::milliseconds clock_margin = config::clock_margin;
+    /// Longest wait of an outcome for a write that it can share.
+    std::chrono::milliseconds settle_gather{200};
+    /// First and longest pause after a failed call.
+    std::chrono::milliseconds first_pause{50};
+    std::chrono::milliseconds longest_pause{1000};
+};
 
 /// Call to the platform that the claims want made; the reply comes back with the same number.
 struct claim_call {
@@ -60,20 +86,27 @@
 /// Claims of one entry. Not thread-safe; owned by the duty of decisions.
 class claim_book {
 public:
-    /// @param origin     random number of the process's start; owner of its claims.
-    /// @param retention  time for which a key is remembered.
+    /// @param origin   random number of the process's start; owner of its claims.
+    claim_book(std::uint64_t origin, const claim_options& options);
     claim_book(std::uint64_t origin, std::chrono::milliseconds retention);
     ~claim_book();
 
     /// Asks for a claim. Exactly one claim_event follows, at the latest when `patience` has passed.
+    /// A claim that was not granted never leads to a run; if its write lands late, it is taken
+    /// back.
     void request(const claim_key& key, request_id request, std::uint64_t fingerprint,
                  duration patience, time_point now, std::int64_t wall_ms);
 
-    /// Records the outcome of a granted claim. not_run frees the key for a later retry.
+    /// Records the outcome of a granted claim, as soon as the store can be reached. not_run frees
+    /// the key for a later retry.
     void settle(const claim_key& key, request_id request, outcome result, unsigned status,
                 std::string_view answer, time_point now);
 
-    void on_reply(std::uint64_t number, const result<platform_reply>& reply, time_point now);
+    /// Asks what is recorded for a key. One claim_found or claim_failed follows.
+    void look_up(const claim_key& key, request_id request, duration patience, time_point now);
+
+    void on_reply(std::uint64_t number, const result<platform_reply>& reply, time_point now,
+                  std::int64_t wall_ms);
 
     /// Calls due now.
     [[nodiscard]] std::vector<claim_call> poll(time_point now, std::int64_t wall_ms);
@@ -81,6 +114,8 @@
     [[nodiscard]] std::vector<claim_event> take_events();
     /// Time of the next poll that matters.
     [[nodiscard]] time_point next_due() const;
+    /// Whether outcomes wait to be recorded; a planned stop waits for them.
+    [[nodiscard]] bool has_unsettled() const;
 
 private:
     class state;
--- a/src/platform_client.h
+++ b/src/platform_client.h
@@ -44,8 +44,8 @@
     platform_client(const platform_client&) = delete;
     platform_client& operator=(const platform_client&) = delete;
 
-    /// Queues a call. It fails with platform_busy if the queue of its priority is full, and with
-    /// platform_down if the platform does not answer in time.
+    /// Queues a call. It fails with platform_busy, without effect, if it could not be sent in time,
+    /// and with platform_down if it was sent and not answered.
     void execute(platform_call call, call_priority priority, platform_done done);
 
     /// Whether the platform answered last.
--- a/src/platform_port.h
+++ b/src/platform_port.h
@@ -36,8 +36,8 @@
 };
 
 /// Writes an object if it still has the expected version; 0 means that it must not exist.
-/// Errors: conflict; platform_down if the answer was lost, in which case the write may have taken
-/// effect.
+/// Errors: conflict and platform_busy without effect; platform_down if the answer was lost, in which
+/// case the write may have taken effect or may still do so.
 struct object_put {
     object_id id;
     std::uint64_t expected_version = 0;
@@ -55,6 +55,8 @@
     std::string kind;
     /// Only names after this one.
     std::string after;
+    /// Most objects in the answer; 0 leaves it to the platform.
+    std::uint32_t limit = 0;
 };
 
 /// Waits for changes of a kind after a revision.
--- a/src/platform_schedule.cpp
+++ b/src/platform_schedule.cpp
@@ -62,10 +62,9 @@
 
 /// A call that has waited for the timeout ends without being sent.
 void platform_schedule::refuse_late(std::vector<scheduled_call>& out, time_point now) {
-    const auto code = is_up() ? error_code::platform_busy : error_code::platform_down;
     for (auto& queue : queues_) {
         while (!queue.empty() && now - queue.front().added >= budget_.timeout) {
-            out.push_back({queue.front().number, error{code, "not sent", budget_.timeout}});
+            out.push_back({queue.front().number, error{error_code::platform_busy, "not sent", budget_.timeout}});
             queue.pop_front();
         }
     }
--- a/src/platform_wire.cpp
+++ b/src/platform_wire.cpp
@@ -46,7 +46,11 @@
 
 http_request encode(const object_list& call) {
     const auto path = std::string{object_root} + percent_encode(call.kind);
-    return {"GET", path + "?after=" + percent_encode(call.after), {}, {}};
+    return {"GET",
+            path + "?after=" + percent_encode(call.after) +
+                "&limit=" + std::to_string(call.limit),
+            {},
+            {}};
 }
 
 http_request encode(const object_watch& call) {
@@ -80,7 +84,9 @@
     const auto slash = path.find('/');
     const auto kind = percent_decode(path.substr(0, slash));
     if (slash == std::string_view::npos) {
-        return object_list{kind, query_parameter(request.target, "after")};
+        const auto limit = number_parameter(request.target, "limit").value_or(0);
+        return object_list{kind, query_parameter(request.target, "after"),
+                           static_cast<std::uint32_t>(limit)};
     }
     const object_id id{kind, percent_decode(path.substr(slash + 1))};
     if (request.method == "GET") {
--- /dev/null
+++ b/tests/claims_test.cpp
@@ -0,0 +1,429 @@
+#include "claims.h"
+#include "claims_p.h"
+#include "platform_model.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <set>
+
+namespace magnolia {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::int64_t wall_start = 1'800'000'000'000;
+constexpr auto patience = milliseconds{2000};
+constexpr auto call_timeout = milliseconds{500};
+
+claim_options test_options() {
+    claim_options options;
+    options.shards = 1;
+    return options;
+}
+
+claim_key key_of(int number) {
+    return {"w", "k" + std::to_string(number), wall_start};
+}
+
+/// Calls of several books to one store, with the fate of each drawn from the model's faults; a
+/// write whose answer is lost may also land late.
+class claim_world {
+public:
+    explicit claim_world(std::uint64_t seed, claim_options options = test_options())
+        : model{seed}, random{seed}, options_{options} {
+        model.faults().writes_per_second = 1e6;
+        model.faults().reads_per_second = 1e6;
+    }
+
+    struct process {
+        std::unique_ptr<claim_book> book;
+        std::uint64_t origin = 0;
+        std::uint64_t next_sequence = 1;
+        bool is_paused = false;
+        std::vector<std::pair<claim_call, time_point>> waiting;
+    };
+
+    void start(std::size_t index) {
+        auto& started = processes[index];
+        started = {};
+        started.origin = next_origin++;
+        started.book = std::make_unique<claim_book>(started.origin, options_);
+    }
+
+    request_id request(std::size_t index, const claim_key& key, std::uint64_t fingerprint = 7) {
+        auto& asking = processes[index];
+        const request_id id{asking.origin, asking.next_sequence++};
+        asking.book->request(key, id, fingerprint, patience, now, wall());
+        asked[id] = {key, now + patience, 0};
+        collect(asking);
+        return id;
+    }
+
+    void settle(const request_id& id, outcome result) {
+        for (auto& [index, process] : processes) {
+            if (process.book && process.origin == id.origin) {
+                process.book->settle(asked.at(id).key, id, result, 200, "answer", now);
+            }
+        }
+        live.erase(id);
+        if (result == outcome::not_run) {
+            runs.erase(asked.at(id).key);
+        } else {
+            recorded[asked.at(id).key] = result;
+        }
+    }
+
+    /// Moves the time on and lets every process and call make progress.
+    void step(milliseconds time = milliseconds{10}) {
+        now += time;
+        land_late_writes();
+        for (auto& [index, process] : processes) {
+            if (process.book && !process.is_paused) {
+                advance(process);
+            }
+        }
+    }
+
+    void run(milliseconds time) {
+        for (auto passed = milliseconds{0}; passed < time; passed += milliseconds{10}) {
+            step();
+        }
+    }
+
+    [[nodiscard]] std::int64_t wall() const {
+        return wall_start + wall_shift +
+               std::chrono::duration_cast<milliseconds>(now.time_since_epoch()).count();
+    }
+
+    /// Events of a request, by the name of their type.
+    template <class Event>
+    [[nodiscard]] std::optional<Event> event(const request_id& id) const {
+        const auto found = events.find(id);
+        if (found == events.end() || !std::holds_alternative<Event>(found->second)) {
+            return std::nullopt;
+        }
+        return std::get<Event>(found->second);
+    }
+
+    struct asked_claim {
+        claim_key key;
+        time_point deadline;
+        int events = 0;
+    };
+
+    platform_model model;
+    std::mt19937_64 random;
+    time_point now{};
+    std::int64_t wall_shift = 0;
+    double late_writes = 0;
+    std::map<std::size_t, process> processes;
+    std::map<request_id, asked_claim> asked;
+    std::map<request_id, claim_event> events;
+    /// Runs of each key that no not_run outcome took back.
+    std::map<claim_key, int> runs;
+    std::set<request_id> live;
+    std::map<claim_key, outcome> recorded;
+    std::uint64_t next_origin = 1;
+
+private:
+    void advance(process& process) {
+        std::vector<std::pair<claim_call, time_point>> ended;
+        std::swap(ended, process.waiting);
+        for (auto& [call, due] : ended) {
+            if (due > now) {
+                process.waiting.emplace_back(call, due);
+            } else {
+                process.book->on_reply(call.number, fail(error_code::platform_down), now, wall());
+            }
+        }
+        for (int round = 0; round < 8; ++round) {
+            for (auto& call : process.book->poll(now, wall())) {
+                execute(process, call);
+            }
+        }
+        collect(process);
+    }
+
+    void execute(process& process, const claim_call& call) {
+        std::uniform_real_distribution<double> draw{0, 1};
+        if (is_put(call) && draw(random) < late_writes) {
+            late.emplace_back(
+                call.call, now + milliseconds{std::uniform_int_distribution<int>{0, 3000}(random)});
+            process.waiting.emplace_back(call, now + call_timeout);
+            return;
+        }
+        auto answer = model.execute(call.call, now);
+        if (answer.what == platform_answer::form::reply) {
+            process.book->on_reply(call.number, answer.reply, now, wall());
+        } else {
+            process.waiting.emplace_back(call, now + call_timeout);
+        }
+    }
+
+    static bool is_put(const claim_call& call) {
+        return std::holds_alternative<object_put>(call.call);
+    }
+
+    void land_late_writes() {
+        std::erase_if(late, [this](const auto& item) {
+            if (item.second > now) {
+                return false;
+            }
+            (void)model.store().put(std::get<object_put>(item.first));
+            return true;
+        });
+    }
+
+    void collect(process& process) {
+        for (const auto& event : process.book->take_events()) {
+            const auto id = std::visit([](const auto& value) { return value.request; }, event);
+            events.insert_or_assign(id, event);
+            ++asked.at(id).events;
+            if (std::holds_alternative<claim_granted>(event)) {
+                ++runs[asked.at(id).key];
+                live.insert(id);
+            }
+        }
+    }
+
+    claim_options options_;
+    std::vector<std::pair<platform_call, time_point>> late;
+};
+
+TEST(claims, a_key_is_granted_once_and_its_outcome_is_told) {
+    claim_world world{1};
+    world.start(0);
+    world.start(1);
+    const auto first = world.request(0, key_of(1));
+    const auto second = world.request(1, key_of(1));
+    world.run(milliseconds{200});
+    ASSERT_TRUE(world.event<claim_granted>(first));
+    const auto exists = world.event<claim_exists>(second);
+    ASSERT_TRUE(exists);
+    EXPECT_EQ(exists->record.owner, first);
+    EXPECT_FALSE(exists->record.result);
+    world.settle(first, outcome::done);
+    world.run(milliseconds{500});
+    const auto third = world.request(1, key_of(1));
+    world.run(milliseconds{200});
+    ASSERT_TRUE(world.event<claim_exists>(third));
+    EXPECT_EQ(world.event<claim_exists>(third)->record.result, outcome::done);
+    EXPECT_EQ(world.event<claim_exists>(third)->record.answer, "answer");
+}
+
+TEST(claims, not_run_frees_the_key_and_another_call_under_it_is_refused) {
+    claim_world world{1};
+    world.start(0);
+    const auto first = world.request(0, key_of(1));
+    world.run(milliseconds{100});
+    const auto other = world.request(0, key_of(1), 8);
+    world.run(milliseconds{100});
+    EXPECT_EQ(world.event<claim_failed>(other)->failure.code, error_code::key_reused);
+    world.settle(first, outcome::not_run);
+    world.run(milliseconds{100});
+    const auto again = world.request(0, key_of(1), 8);
+    world.run(milliseconds{100});
+    EXPECT_TRUE(world.event<claim_granted>(again));
+}
+
+TEST(claims, a_lost_answer_is_read_back) {
+    claim_world world{1};
+    world.start(0);
+    world.model.faults().lost_answers = 1;
+    const auto id = world.request(0, key_of(1));
+    world.step();
+    world.model.faults().lost_answers = 0;
+    world.run(milliseconds{1500});
+    EXPECT_TRUE(world.event<claim_granted>(id));
+}
+
+TEST(claims, an_outage_fails_in_time_and_a_late_write_is_taken_back) {
+    claim_world world{1};
+    world.start(0);
+    world.late_writes = 1;
+    const auto id = world.request(0, key_of(1));
+    world.step();
+    world.model.faults().outage = outage_form::hang;
+    world.run(patience + milliseconds{100});
+    ASSERT_TRUE(world.event<claim_failed>(id));
+    EXPECT_EQ(world.event<claim_failed>(id)->failure.code, error_code::platform_down);
+    world.run(milliseconds{3000});
+    world.late_writes = 0;
+    world.model.faults().outage = outage_form::none;
+    world.run(milliseconds{5000});
+    const auto retry = world.request(0, key_of(1));
+    world.run(milliseconds{500});
+    EXPECT_TRUE(world.event<claim_granted>(retry));
+}
+
+TEST(claims, many_claims_share_a_write) {
+    claim_world world{1};
+    world.start(0);
+    for (int number = 0; number < 100; ++number) {
+        world.request(0, key_of(number));
+    }
+    world.run(milliseconds{100});
+    EXPECT_EQ(world.live.size(), 100U);
+    EXPECT_EQ(world.model.counts().writes, 1U);
+}
+
+TEST(claims, old_and_future_keys_are_refused) {
+    claim_world world{1};
+    world.start(0);
+    auto old = key_of(1);
+    old.created_ms -= claim_options{}.retention.count() + 1;
+    auto future = key_of(2);
+    future.created_ms += claim_options{}.clock_margin.count() + 1;
+    for (const auto& key : {old, future}) {
+        const auto id = world.request(0, key);
+        EXPECT_EQ(world.event<claim_failed>(id)->failure.code, error_code::key_expired);
+    }
+}
+
+TEST(claims, a_key_that_expires_while_its_write_is_under_way_is_not_granted) {
+    claim_world world{1};
+    world.start(0);
+    world.wall_shift = claim_options{}.retention.count();
+    world.model.faults().outage = outage_form::hang;
+    const auto id = world.request(0, key_of(1));
+    world.step();
+    world.wall_shift += 1000;
+    world.model.faults().outage = outage_form::none;
+    world.run(milliseconds{1500});
+    ASSERT_TRUE(world.event<claim_failed>(id));
+    EXPECT_EQ(world.event<claim_failed>(id)->failure.code, error_code::key_expired);
+}
+
+TEST(claims, a_lookup_tells_what_is_recorded) {
+    claim_world world{1};
+    world.start(0);
+    world.asked[{9, 1}] = {key_of(1), {}, 0};
+    world.asked[{9, 2}] = {key_of(1), {}, 0};
+    world.processes[0].book->look_up(key_of(1), {9, 1}, patience, world.now);
+    world.run(milliseconds{50});
+    EXPECT_FALSE(world.event<claim_found>({9, 1})->record);
+    world.request(0, key_of(1));
+    world.run(milliseconds{50});
+    world.processes[0].book->look_up(key_of(1), {9, 2}, patience, world.now);
+    world.run(milliseconds{50});
+    EXPECT_TRUE(world.event<claim_found>({9, 2})->record);
+}
+
+TEST(claims, tables_survive_their_encoding_and_the_bound_holds) {
+    rc::check([] {
+        claim_table table;
+        const auto count = *rc::gen::inRange(0, 20);
+        for (int number = 0; number < count; ++number) {
+            const auto text = *rc::gen::string<std::string>();
+            const claim_key key{"w", "k" + std::to_string(number), number};
+            claim_record record{{1, 2}, 3, outcome::failed, 500, {}, 4};
+            record.answer = text;
+            table.put(key, record);
+        }
+        const auto text = encode_claims(table);
+        RC_ASSERT(text.size() <= table.bytes + 64);
+        const auto again = decode_claims({{"claims", "x"}, 5, text, false});
+        RC_ASSERT(again.has_value());
+        RC_ASSERT(again->records.size() == table.records.size());
+    });
+}
+
+TEST(claims, an_unreadable_object_is_never_written) {
+    claim_world world{1};
+    world.start(0);
+    const auto id = claim_object(key_of(1), test_options());
+    ASSERT_TRUE(world.model.store().put({id, 0, "{\"layout\":99}"}));
+    const auto request = world.request(0, key_of(1));
+    world.run(patience + milliseconds{50});
+    EXPECT_TRUE(world.event<claim_failed>(request));
+    EXPECT_EQ(world.model.store().get(id).version, 1U);
+}
+
+/// Random requests, outcomes, faults, crashes and pauses over one store.
+void play(std::uint64_t seed, int steps) {
+    constexpr std::size_t books = 3;
+    constexpr int keys = 6;
+    claim_world world{seed};
+    const auto draw = [&](int below) {
+        return std::uniform_int_distribution<int>{0, below - 1}(world.random);
+    };
+    for (std::size_t index = 0; index < books; ++index) {
+        world.start(index);
+    }
+    for (int step = 0; step < steps; ++step) {
+        const auto index = static_cast<std::size_t>(draw(books));
+        auto& chosen = world.processes[index];
+        switch (draw(12)) {
+        case 0:
+        case 1:
+        case 2:
+            if (!chosen.is_paused) {
+                world.request(index, key_of(draw(keys)));
+            }
+            break;
+        case 3:
+            if (!world.live.empty()) {
+                const auto id =
+                    *std::next(world.live.begin(), draw(static_cast<int>(world.live.size())));
+                world.settle(id, static_cast<outcome>(draw(4)));
+            }
+            break;
+        case 4:
+            world.model.faults().lost_answers = draw(3) == 0 ? 0.5 : 0;
+            break;
+        case 5:
+            world.late_writes = draw(3) == 0 ? 0.5 : 0;
+            break;
+        case 6:
+            world.model.faults().outage = static_cast<outage_form>(draw(10) < 8 ? 0 : 1 + draw(2));
+            break;
+        case 7:
+            chosen.is_paused = draw(3) == 0;
+            break;
+        case 8:
+            if (draw(8) == 0) {
+                std::erase_if(world.live,
+                              [&](const auto& id) { return id.origin == chosen.origin; });
+                world.start(index);
+            }
+            break;
+        default:
+            break;
+        }
+        world.step(milliseconds{draw(100)});
+        for (const auto& [key, count] : world.runs) {
+            RC_ASSERT(count <= 1);
+        }
+        for (const auto& [id, claim] : world.asked) {
+            RC_ASSERT(claim.events <= 1);
+            const auto owner = std::ranges::find_if(
+                world.processes, [&](const auto& item) { return item.second.origin == id.origin; });
+            const bool runs = owner != world.processes.end() && !owner->second.is_paused;
+            RC_ASSERT(!runs || world.now < claim.deadline || claim.events == 1);
+        }
+    }
+    // After the faults, every key has its outcome or is free; none stays blocked by a refusal.
+    world.model.faults().lost_answers = 0;
+    world.model.faults().outage = outage_form::none;
+    world.late_writes = 0;
+    for (auto& [index, process] : world.processes) {
+        process.is_paused = false;
+    }
+    world.run(milliseconds{8000});
+    for (const auto& [key, result] : world.recorded) {
+        const auto id = world.request(0, key);
+        world.run(milliseconds{100});
+        const auto exists = world.event<claim_exists>(id);
+        if (exists && exists->record.result) {
+            RC_ASSERT(*exists->record.result == result);
+        }
+    }
+}
+
+RC_GTEST_PROP(claims_property, a_key_runs_at_most_once, ()) {
+    play(*rc::gen::arbitrary<std::uint64_t>(), 300);
+}
+
+} // namespace
+} // namespace magnolia
