Time line and load tool, first form

Events of all processes need one order though clocks differ, and the promises need figures. The time line keeps each process's sequence and puts causes before effects, and estimates clock offsets from causes that go both ways; the load tool plans open-loop arrivals beforehand and checks each answer.

--- a/include/magnolia/schema.h
+++ b/include/magnolia/schema.h
@@ -463,6 +463,121 @@
 void to_json(nlohmann::json& out, const entry_settings& value);
 void read(const nlohmann::json& in, schema_reader& reader, entry_settings& value);
 
+/// Settings of magnolia-timeline.
+struct timeline_settings {
+    /// Common settings; its own `timeline` stays off.
+    process_settings process{};
+    /// Listener for the events of all processes.
+    endpoint listen{};
+    /// HTTP listener of /events and /timeline.svg.
+    endpoint query{};
+    /// Events kept; the oldest go first. [100..2000000 events]
+    std::uint32_t max_events{100000};
+
+    bool operator==(const timeline_settings&) const = default;
+};
+
+void to_json(nlohmann::json& out, const timeline_settings& value);
+void read(const nlohmann::json& in, schema_reader& reader, timeline_settings& value);
+
+/// Prompts of one length in an experiment.
+struct load_class {
+    /// Name in the report. [1..32 characters]
+    std::string name{};
+    /// Length of the prompt. [1..4000000 tokens]
+    std::uint32_t prompt_tokens{};
+    /// Start of the prompt that is common to the prompts of one group. [0..4000000 tokens]
+    std::uint32_t shared_tokens{0};
+    /// Length of the answer. [1..200000 tokens]
+    std::uint32_t generated_tokens{32};
+    /// Weight among the arrivals. [0..1000000]
+    double share{};
+    /// Time to the first token that counts as met. [1..86400000 ms]
+    std::chrono::milliseconds first_token{1400};
+    /// Deadline sent with the request. [1..86400000 ms]
+    std::chrono::milliseconds finish{60000};
+
+    bool operator==(const load_class&) const = default;
+};
+
+void to_json(nlohmann::json& out, const load_class& value);
+void read(const nlohmann::json& in, schema_reader& reader, load_class& value);
+
+/// A workspace in an experiment.
+struct load_workspace {
+    /// Name of the workspace. [1..64 characters]
+    std::string name{};
+    /// Key of the workspace. [1..256 characters]
+    std::string key{};
+    /// Weight among the arrivals. [0..1000000]
+    double share{1};
+
+    bool operator==(const load_workspace&) const = default;
+};
+
+void to_json(nlohmann::json& out, const load_workspace& value);
+void read(const nlohmann::json& in, schema_reader& reader, load_workspace& value);
+
+/// A stretch of an experiment with one rate of arrivals.
+struct load_phase {
+    /// Name in the report. [1..32 characters]
+    std::string name{};
+    /// Rate of arrivals as a share of full_rate. [0.001..10]
+    double load{0.5};
+    /// Time of arrivals. [100..600000 ms]
+    std::chrono::milliseconds length{10000};
+    /// Classes that arrive, at the rate that they have in the whole mix; all if empty. [0..32
+    /// classes]
+    std::vector<std::string> only{};
+    /// Phase without long prompts that head-of-line blocking is measured against. [0..32
+    /// characters]
+    std::string alone{};
+
+    bool operator==(const load_phase&) const = default;
+};
+
+void to_json(nlohmann::json& out, const load_phase& value);
+void read(const nlohmann::json& in, schema_reader& reader, load_phase& value);
+
+/// An experiment of magnolia-load.
+struct experiment_settings {
+    /// Common settings.
+    process_settings process{};
+    /// Title of the report. [1..100 characters]
+    std::string title{};
+    /// Callers' listeners of the entries; calls go to them in turn. [1..400 entries]
+    std::vector<endpoint> entries{};
+    /// Model that is asked. [1..64 characters]
+    std::string model{};
+    /// Seed of the arrivals. [0..9007199254740992]
+    std::uint64_t seed{1};
+    /// Arrivals at a load of 1. [0.001..10000 requests/s]
+    double full_rate{};
+    /// Groups of prompts with a common start. [1..100000]
+    std::uint32_t groups{8};
+    /// Calls of the whole run; later ones are left out. [1..1000000 calls]
+    std::uint32_t max_calls{20000};
+    /// Calls under way at once; further ones count as not sent. [1..20000 calls]
+    std::uint32_t max_open{2000};
+    /// Time without arrivals after each phase. [0..600000 ms]
+    std::chrono::milliseconds pause{1000};
+    /// Longest wait for the last answers. [0..600000 ms]
+    std::chrono::milliseconds drain{60000};
+    /// Lengths of prompts. [1..32]
+    std::vector<load_class> classes{};
+    /// Workspaces that call. [1..1000]
+    std::vector<load_workspace> workspaces{};
+    /// Phases, in their order. [1..32]
+    std::vector<load_phase> phases{};
+    /// Path of the reports, without .json and .html. [1..1000 characters]
+    std::string report{"load-report"};
+
+    bool operator==(const experiment_settings&) const = default;
+};
+
+void to_json(nlohmann::json& out, const experiment_settings& value);
+void read(const nlohmann::json& in, schema_reader& reader, experiment_settings& value);
+
 /// First message on a connection between entries.
 struct hello_message {
     /// Name of the sender.
--- /dev/null
+++ b/src/load_plot.cpp
@@ -0,0 +1,200 @@
+/// HTML form of a load summary, with its plots.
+#include "load_report.h"
+#include "timeline_view.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <iomanip>
+#include <sstream>
+
+namespace magnolia {
+namespace {
+
+constexpr double plot_width = 720;
+constexpr double plot_height = 320;
+constexpr double margin = 60;
+constexpr std::array colours{"#2471a3", "#c0392b", "#1e8449", "#7d6608",
+                             "#6c3483", "#117a65", "#a04000", "#2e4053"};
+
+struct plot_line {
+    std::string name;
+    /// Height at each step; an absent one leaves a hole.
+    std::vector<std::optional<double>> values;
+};
+
+struct plot {
+    std::string title;
+    std::string unit;
+    std::vector<std::string> steps;
+    std::vector<plot_line> lines;
+    bool is_logarithmic = false;
+};
+
+/// Places values of one plot in its picture.
+class scale {
+public:
+    explicit scale(const plot& drawn) : drawn_{drawn} {
+        for (const auto& line : drawn.lines) {
+            for (const auto& value : line.values) {
+                if (value && *value > 0) {
+                    least_ = std::min(least_, *value);
+                    most_ = std::max(most_, *value);
+                }
+            }
+        }
+        if (least_ >= most_) {
+            least_ = most_ / 2;
+        }
+    }
+
+    [[nodiscard]] double x(std::size_t step) const {
+        const auto steps = std::max<std::size_t>(drawn_.steps.size(), 2) - 1;
+        return margin +
+               (plot_width - 2 * margin) * static_cast<double>(step) / static_cast<double>(steps);
+    }
+    [[nodiscard]] double y(double value) const {
+        return plot_height - margin - (plot_height - 2 * margin) * share(value);
+    }
+    [[nodiscard]] double value_at(double part) const {
+        if (drawn_.is_logarithmic) {
+            return least_ * std::pow(most_ / least_, part);
+        }
+        return most_ * part;
+    }
+
+private:
+    [[nodiscard]] double share(double value) const {
+        if (drawn_.is_logarithmic) {
+            return std::log(std::max(value, least_) / least_) / std::log(most_ / least_);
+        }
+        return value / most_;
+    }
+
+    const plot& drawn_;
+    double least_ = 1e300;
+    double most_ = 1e-9;
+};
+
+void draw_axes(std::ostream& out, const plot& drawn, const scale& places) {
+    out << "<text x=\"" << margin << "\" y=\"20\" font-weight=\"bold\">" << xml_escape(drawn.title)
+        << " [" << xml_escape(drawn.unit) << "]</text>\n";
+    for (const double part : {0.0, 0.25, 0.5, 0.75, 1.0}) {
+        const auto value = places.value_at(part);
+        const auto y = places.y(value);
+        out << "<line x1=\"" << margin << "\" x2=\"" << plot_width - margin << "\" y1=\"" << y
+            << "\" y2=\"" << y << "\" stroke=\"#ddd\"/><text x=\"4\" y=\"" << y + 4 << "\">"
+            << value << "</text>\n";
+    }
+    for (std::size_t step = 0; step < drawn.steps.size(); ++step) {
+        out << "<text x=\"" << places.x(step) << "\" y=\"" << plot_height - margin + 18
+            << "\" text-anchor=\"middle\">" << xml_escape(drawn.steps[step]) << "</text>\n";
+    }
+}
+
+void draw_line(std::ostream& out, const scale& places, const plot_line& line, std::size_t number) {
+    const auto* colour = colours[number % colours.size()];
+    std::ostringstream points;
+    points << std::fixed << std::setprecision(1);
+    for (std::size_t step = 0; step < line.values.size(); ++step) {
+        if (!line.values[step]) {
+            continue;
+        }
+        const auto x = places.x(step);
+        const auto y = places.y(*line.values[step]);
+        points << x << ',' << y << ' ';
+        out << "<circle cx=\"" << x << "\" cy=\"" << y << "\" r=\"3\" fill=\"" << colour
+            << "\"><title>" << xml_escape(line.name) << ": " << *line.values[step]
+            << "</title></circle>";
+    }
+    out << "<polyline fill=\"none\" stroke=\"" << colour << "\" points=\"" << points.str()
+        << "\"/><text x=\"" << margin + 90 * static_cast<double>(number) << "\" y=\""
+        << plot_height - 12 << "\" fill=\"" << colour << "\">" << xml_escape(line.name)
+        << "</text>\n";
+}
+
+std::string draw(const plot& drawn) {
+    const scale places{drawn};
+    std::ostringstream out;
+    out << std::fixed << std::setprecision(1)
+        << "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"" << plot_width << "\" height=\""
+        << plot_height << "\" font-family=\"sans-serif\" font-size=\"11\">\n";
+    draw_axes(out, drawn, places);
+    for (std::size_t number = 0; number < drawn.lines.size(); ++number) {
+        draw_line(out, places, drawn.lines[number], number);
+    }
+    out << "</svg>\n";
+    return out.str();
+}
+
+plot first_token_plot(const load_summary& summary) {
+    plot made{"Time to first token, p95, by prompt length", "ms", {}, {}, true};
+    for (const auto& item : summary.phases.front().classes) {
+        made.steps.push_back(item.name);
+    }
+    for (const auto& phase : summary.phases) {
+        plot_line line{phase.name, {}};
+        for (const auto& item : phase.classes) {
+            const bool has_value = item.first_token.count > 0;
+            line.values.push_back(has_value ? std::optional{item.first_token.p95} : std::nullopt);
+        }
+        made.lines.push_back(std::move(line));
+    }
+    return made;
+}
+
+plot head_of_line_plot(const load_summary& summary) {
+    plot made{"Head-of-line blocking: p95 with long prompts over p95 without", "ratio", {}, {}};
+    for (const auto& phase : summary.phases) {
+        made.steps.push_back(phase.name);
+    }
+    const auto& classes = summary.phases.front().classes;
+    for (std::size_t index = 0; index < classes.size(); ++index) {
+        plot_line line{classes[index].name, {}};
+        for (const auto& phase : summary.phases) {
+            line.values.push_back(phase.classes[index].head_of_line);
+        }
+        const auto has_value = [](const std::optional<double>& value) { return value.has_value(); };
+        if (std::ranges::any_of(line.values, has_value)) {
+            made.lines.push_back(std::move(line));
+        }
+    }
+    return made;
+}
+
+plot goodput_plot(const load_summary& summary) {
+    plot made{"Goodput against load", "calls/s", {}, {{"offered", {}}, {"goodput", {}}}};
+    for (const auto& phase : summary.phases) {
+        made.steps.push_back(phase.name);
+        made.lines[0].values.emplace_back(phase.offered_per_s);
+        made.lines[1].values.emplace_back(phase.goodput_per_s);
+    }
+    return made;
+}
+
+/// The text form, escaped line by line.
+std::string report_lines(const load_summary& summary) {
+    std::istringstream in{report_text(summary)};
+    std::string lines;
+    for (std::string line; std::getline(in, line);) {
+        lines += xml_escape(line) + "\n";
+    }
+    return lines;
+}
+
+} // namespace
+
+std::string report_html(const load_summary& summary) {
+    std::ostringstream out;
+    out << "<!doctype html>\n<meta charset=\"utf-8\">\n<title>" << xml_escape(summary.title)
+        << "</title>\n<h1>" << xml_escape(summary.title) << "</h1>\n<p>Seed " << summary.seed
+        << ".</p>\n";
+    if (!summary.phases.empty()) {
+        out << draw(first_token_plot(summary)) << draw(head_of_line_plot(summary))
+            << draw(goodput_plot(summary));
+    }
+    out << "<pre>" << report_lines(summary) << "</pre>\n";
+    return out.str();
+}
+
+} // namespace magnolia
--- /dev/null
+++ b/src/load_report.cpp
@@ -0,0 +1,221 @@
+#include "load_report.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <iomanip>
+#include <sstream>
+
+namespace magnolia {
+namespace {
+
+constexpr double us_per_ms = 1000;
+constexpr double ms_per_s = 1000;
+
+double to_ms(duration span) {
+    return static_cast<double>(span.count()) / us_per_ms;
+}
+
+bool is_admitted(const call_sample& sample) {
+    return sample.verdict != call_verdict::refused && sample.verdict != call_verdict::not_sent;
+}
+
+bool is_in_time(const call_sample& sample, const load_class& length) {
+    return sample.verdict == call_verdict::whole && sample.first_token &&
+           *sample.first_token <= length.first_token && sample.end <= length.finish;
+}
+
+class_summary summarize_class(const experiment_settings& settings, std::size_t length_class,
+                              std::span<const call_sample> samples) {
+    const auto& length = settings.classes[length_class];
+    class_summary made;
+    made.name = length.name;
+    std::vector<double> first_tokens;
+    std::vector<double> gaps;
+    for (const auto& sample : samples) {
+        if (sample.length_class != length_class) {
+            continue;
+        }
+        ++made.calls;
+        ++made.verdicts[std::string{to_string(sample.verdict)}];
+        made.admitted += is_admitted(sample) ? 1 : 0;
+        made.in_time += is_in_time(sample, length) ? 1 : 0;
+        if (sample.first_token) {
+            first_tokens.push_back(to_ms(*sample.first_token));
+        }
+        if (sample.verdict == call_verdict::whole) {
+            gaps.push_back(to_ms(sample.mean_gap));
+        }
+    }
+    made.first_token = spread_of(first_tokens);
+    made.token_gap = spread_of(gaps);
+    return made;
+}
+
+phase_summary summarize_phase(const experiment_settings& settings, std::size_t phase,
+                              std::span<const call_sample> all) {
+    const auto& wanted = settings.phases[phase];
+    std::vector<call_sample> samples;
+    std::ranges::copy_if(all, std::back_inserter(samples),
+                         [phase](const call_sample& sample) { return sample.phase == phase; });
+    phase_summary made;
+    made.name = wanted.name;
+    made.load = wanted.load;
+    made.calls = samples.size();
+    double tokens = 0;
+    for (const auto& sample : samples) {
+        ++made.verdicts[std::string{to_string(sample.verdict)}];
+        if (!sample.reason.empty()) {
+            ++made.reasons[sample.reason];
+        }
+        if (is_in_time(sample, settings.classes[sample.length_class])) {
+            tokens += sample.generated_tokens;
+        }
+    }
+    for (std::size_t index = 0; index < settings.classes.size(); ++index) {
+        made.classes.push_back(summarize_class(settings, index, samples));
+        made.admitted += made.classes.back().admitted;
+        made.in_time += made.classes.back().in_time;
+    }
+    const auto seconds = static_cast<double>(wanted.length.count()) / ms_per_s;
+    made.offered_per_s = static_cast<double>(made.calls) / seconds;
+    made.goodput_per_s = static_cast<double>(made.in_time) / seconds;
+    made.tokens_per_s = tokens / seconds;
+    return made;
+}
+
+void compare_alone(const experiment_settings& settings, std::vector<phase_summary>& phases) {
+    for (std::size_t phase = 0; phase < phases.size(); ++phase) {
+        const auto base =
+            std::ranges::find(phases, settings.phases[phase].alone, &phase_summary::name);
+        if (base == phases.end()) {
+            continue;
+        }
+        for (std::size_t index = 0; index < settings.classes.size(); ++index) {
+            const auto& alone = base->classes[index].first_token;
+            auto& mixed = phases[phase].classes[index];
+            if (alone.count > 0 && mixed.first_token.count > 0 && alone.p95 > 0) {
+                mixed.head_of_line = mixed.first_token.p95 / alone.p95;
+            }
+        }
+    }
+}
+
+nlohmann::json spread_json(const spread& values) {
+    return {{"count", values.count}, {"p50", values.p50}, {"p95", values.p95}, {"p99", values.p99}};
+}
+
+nlohmann::json class_json(const class_summary& item) {
+    nlohmann::json made{{"name", item.name},
+                        {"calls", item.calls},
+                        {"admitted", item.admitted},
+                        {"in_time", item.in_time},
+                        {"verdicts", item.verdicts},
+                        {"first_token_ms", spread_json(item.first_token)},
+                        {"token_gap_ms", spread_json(item.token_gap)}};
+    if (item.head_of_line) {
+        made["head_of_line"] = *item.head_of_line;
+    }
+    return made;
+}
+
+std::string counts_text(const std::map<std::string, std::size_t>& counts) {
+    std::string text;
+    for (const auto& [name, count] : counts) {
+        text += (text.empty() ? "" : " ") + name + "=" + std::to_string(count);
+    }
+    return text;
+}
+
+} // namespace
+
+std::string_view to_string(call_verdict verdict) {
+    switch (verdict) {
+    case call_verdict::whole:
+        return "whole";
+    case call_verdict::wrong:
+        return "wrong";
+    case call_verdict::refused:
+        return "refused";
+    case call_verdict::failed:
+        return "failed";
+    case call_verdict::unknown:
+        return "unknown";
+    case call_verdict::not_sent:
+        return "not_sent";
+    }
+    return "invalid";
+}
+
+double quantile(std::span<double> values, double share) {
+    if (values.empty()) {
+        return 0;
+    }
+    std::ranges::sort(values);
+    const auto rank = std::ceil(share * static_cast<double>(values.size()));
+    const auto index = static_cast<std::size_t>(std::max(1.0, rank)) - 1;
+    return values[std::min(index, values.size() - 1)];
+}
+
+spread spread_of(std::span<double> values) {
+    return {values.size(), quantile(values, 0.50), quantile(values, 0.95), quantile(values, 0.99)};
+}
+
+load_summary summarize(const experiment_settings& settings, std::span<const call_sample> samples) {
+    load_summary made{settings.title, settings.seed, {}};
+    for (std::size_t phase = 0; phase < settings.phases.size(); ++phase) {
+        made.phases.push_back(summarize_phase(settings, phase, samples));
+    }
+    compare_alone(settings, made.phases);
+    return made;
+}
+
+nlohmann::json report_json(const load_summary& summary) {
+    auto phases = nlohmann::json::array();
+    for (const auto& phase : summary.phases) {
+        auto classes = nlohmann::json::array();
+        std::ranges::transform(phase.classes, std::back_inserter(classes), class_json);
+        phases.push_back({{"name", phase.name},
+                          {"load", phase.load},
+                          {"offered_per_s", phase.offered_per_s},
+                          {"goodput_per_s", phase.goodput_per_s},
+                          {"tokens_per_s", phase.tokens_per_s},
+                          {"calls", phase.calls},
+                          {"admitted", phase.admitted},
+                          {"in_time", phase.in_time},
+                          {"verdicts", phase.verdicts},
+                          {"reasons", phase.reasons},
+                          {"classes", classes}});
+    }
+    return {{"title", summary.title}, {"seed", summary.seed}, {"phases", phases}};
+}
+
+std::string report_text(const load_summary& summary) {
+    std::ostringstream out;
+    out << summary.title << '\n' << std::fixed << std::setprecision(1);
+    for (const auto& phase : summary.phases) {
+        out << phase.name << ": load " << phase.load * 100 << "%, " << phase.calls << " calls, "
+            << phase.in_time << " of " << phase.admitted << " admitted in time, goodput "
+            << phase.goodput_per_s << "/s; " << counts_text(phase.verdicts);
+        out << (phase.reasons.empty() ? "" : "; ") << counts_text(phase.reasons) << '\n';
+        for (const auto& item : phase.classes) {
+            if (item.calls == 0) {
+                continue;
+            }
+            out << "  " << std::left << std::setw(8) << item.name << std::right << std::setw(6)
+                << item.calls << " calls  first token ms p50 " << std::setw(9)
+                << item.first_token.p50 << " p95 " << std::setw(9) << item.first_token.p95
+                << " p99 " << std::setw(9) << item.first_token.p99 << "  token gap p95 "
+                << std::setw(7) << item.token_gap.p95;
+            if (item.head_of_line) {
+                out << "  head-of-line " << std::setprecision(2) << *item.head_of_line
+                    << std::setprecision(1);
+            }
+            out << '\n';
+        }
+    }
+    return out.str();
+}
+
+} // namespace magnolia
--- /dev/null
+++ b/src/timeline.cpp
@@ -0,0 +1,304 @@
+#include "timeline.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <iterator>
+#include <queue>
+#include <set>
+#include <unordered_map>
+
+namespace magnolia {
+namespace {
+
+using run_pair = std::pair<process_run, process_run>;
+
+process_run run_of(const timeline_event& event) {
+    return {event.host, event.boot};
+}
+
+/// Clock offsets spread from one process of each linked group to the others, over the links with
+/// the least uncertainty first.
+class offset_solver {
+public:
+    /// Adds that `effect` (at its wall time) is not before `cause` (at its own).
+    void link(const timeline_event& cause, const timeline_event& effect) {
+        const auto from = run_of(cause);
+        const auto to = run_of(effect);
+        if (from == to) {
+            return;
+        }
+        // offset(to) - offset(from) is at least the apparent gap backwards.
+        const auto gap = cause.wall_us - effect.wall_us;
+        auto& forward = bounds_[{from, to}];
+        forward.least = std::max(forward.least, gap);
+        auto& backward = bounds_[{to, from}];
+        backward.most = std::min(backward.most, -gap);
+    }
+
+    void solve(std::map<process_run, std::int64_t>& offsets) {
+        std::set<process_run> reached;
+        for (auto& [run, offset] : offsets) {
+            if (!reached.contains(run)) {
+                spread(run, offsets, reached);
+            }
+        }
+    }
+
+private:
+    struct candidate {
+        std::int64_t uncertainty = 0;
+        process_run from;
+        process_run to;
+
+        auto operator<=>(const candidate&) const = default;
+    };
+    using candidates = std::priority_queue<candidate, std::vector<candidate>, std::greater<>>;
+
+    void push_links(const process_run& from, candidates& open) const {
+        const auto first = bounds_.lower_bound({from, process_run{}});
+        for (auto link = first; link != bounds_.end() && link->first.first == from; ++link) {
+            open.push({link->second.uncertainty(), from, link->first.second});
+        }
+    }
+
+    void spread(const process_run& start, std::map<process_run, std::int64_t>& offsets,
+                std::set<process_run>& reached) const {
+        candidates open;
+        reached.insert(start);
+        push_links(start, open);
+        while (!open.empty()) {
+            const auto next = open.top();
+            open.pop();
+            if (!reached.insert(next.to).second) {
+                continue;
+            }
+            offsets[next.to] = offsets[next.from] + bounds_.at({next.from, next.to}).estimate();
+            push_links(next.to, open);
+        }
+    }
+
+    std::map<run_pair, offset_bounds> bounds_;
+};
+
+/// Node of the order: an event with what must come before it.
+struct node {
+    const timeline_event* event = nullptr;
+    std::int64_t time_us = 0;
+    std::size_t previous = SIZE_MAX;
+    std::size_t cause = SIZE_MAX;
+    std::vector<std::size_t> followers;
+    std::size_t waits_for = 0;
+    bool is_placed = false;
+};
+
+/// Topological order, earliest time first. Causes that contradict a process's own sequence are
+/// left out where they would close a circle.
+class order_builder {
+public:
+    explicit order_builder(std::vector<node>& nodes) : nodes_{nodes} {
+        for (std::size_t index = 0; index < nodes_.size(); ++index) {
+            require(nodes_[index].previous, index);
+            require(nodes_[index].cause, index);
+        }
+        for (std::size_t index = 0; index < nodes_.size(); ++index) {
+            if (nodes_[index].waits_for == 0) {
+                ready_.emplace(nodes_[index].time_us, index);
+            }
+        }
+    }
+
+    [[nodiscard]] std::vector<std::size_t> build() {
+        std::vector<std::size_t> order;
+        order.reserve(nodes_.size());
+        while (order.size() < nodes_.size()) {
+            const auto next = ready_.empty() ? break_circle() : pop_ready();
+            place(next);
+            order.push_back(next);
+        }
+        return order;
+    }
+
+private:
+    void require(std::size_t before, std::size_t index) {
+        if (before != SIZE_MAX) {
+            nodes_[before].followers.push_back(index);
+            ++nodes_[index].waits_for;
+        }
+    }
+
+    std::size_t pop_ready() {
+        const auto next = ready_.top().second;
+        ready_.pop();
+        return next;
+    }
+
+    /// Earliest event whose process has placed all earlier ones, though its cause is missing.
+    std::size_t break_circle() {
+        std::size_t best = SIZE_MAX;
+        for (std::size_t index = 0; index < nodes_.size(); ++index) {
+            const auto& item = nodes_[index];
+            const bool is_head =
+                !item.is_placed && (item.previous == SIZE_MAX || nodes_[item.previous].is_placed);
+            if (is_head && (best == SIZE_MAX || item.time_us < nodes_[best].time_us)) {
+                best = index;
+            }
+        }
+        nodes_[best].cause = SIZE_MAX;
+        return best;
+    }
+
+    void place(std::size_t index) {
+        auto& item = nodes_[index];
+        item.is_placed = true;
+        for (const auto next : item.followers) {
+            auto& follower = nodes_[next];
+            if (follower.is_placed) {
+                continue;
+            }
+            follower.time_us = std::max(follower.time_us, item.time_us);
+            if (--follower.waits_for == 0) {
+                ready_.emplace(follower.time_us, next);
+            }
+        }
+    }
+
+    using entry = std::pair<std::int64_t, std::size_t>;
+
+    std::vector<node>& nodes_;
+    std::priority_queue<entry, std::vector<entry>, std::greater<>> ready_;
+};
+
+std::vector<placed_event> select(const std::vector<node>& nodes, std::span<const std::size_t> order,
+                                 const timeline_filter& filter) {
+    std::vector<std::size_t> chosen;
+    std::ranges::copy_if(order, std::back_inserter(chosen),
+                         [&](std::size_t index) { return matches(filter, *nodes[index].event); });
+    const auto skipped = chosen.size() - std::min(chosen.size(), filter.limit);
+    chosen.erase(chosen.begin(), chosen.begin() + static_cast<std::ptrdiff_t>(skipped));
+    std::unordered_map<std::size_t, std::size_t> place_of;
+    std::vector<placed_event> list;
+    for (const auto index : chosen) {
+        place_of[index] = list.size();
+        const auto cause = place_of.find(nodes[index].cause);
+        list.push_back({*nodes[index].event, nodes[index].time_us,
+                        cause == place_of.end() ? SIZE_MAX : cause->second});
+    }
+    return list;
+}
+
+} // namespace
+
+std::int64_t offset_bounds::estimate() const {
+    if (least != INT64_MIN && most != INT64_MAX) {
+        return least + (most - least) / 2;
+    }
+    return std::clamp<std::int64_t>(0, std::min(least, most), std::max(least, most));
+}
+
+std::int64_t offset_bounds::uncertainty() const {
+    const bool is_enclosed = least != INT64_MIN && most != INT64_MAX;
+    return is_enclosed ? std::abs(most - least) : INT64_MAX;
+}
+
+bool matches(const timeline_filter& filter, const timeline_event& event) {
+    const auto passes = [](const std::string& wanted, const std::string& value) {
+        return wanted.empty() || wanted == value;
+    };
+    return passes(filter.request, event.request) && passes(filter.workspace, event.workspace) &&
+           passes(filter.host, event.host);
+}
+
+bool timeline::add(timeline_event event) {
+    const auto run = run_of(event);
+    const auto sequence = event.sequence;
+    if (!runs_[run].emplace(sequence, std::move(event)).second) {
+        return false;
+    }
+    arrivals_.emplace_back(run, sequence);
+    if (arrivals_.size() > max_events_) {
+        forget_oldest();
+    }
+    return true;
+}
+
+void timeline::forget_oldest() {
+    const auto& [run, sequence] = arrivals_.front();
+    const auto found = runs_.find(run);
+    found->second.erase(sequence);
+    if (found->second.empty()) {
+        runs_.erase(found);
+    }
+    arrivals_.pop_front();
+}
+
+const timeline_event* timeline::cause_of(const timeline_event& event) const {
+    if (event.cause_host.empty()) {
+        return nullptr;
+    }
+    // The run of the cause is not named; it is the one whose event lies nearest in time.
+    const timeline_event* best = nullptr;
+    std::int64_t best_gap = INT64_MAX;
+    for (auto run = runs_.lower_bound({event.cause_host, 0});
+         run != runs_.end() && run->first.host == event.cause_host; ++run) {
+        const auto found = run->second.find(event.cause_sequence);
+        if (found == run->second.end()) {
+            continue;
+        }
+        const auto gap = std::abs(found->second.wall_us - event.wall_us);
+        if (gap < best_gap) {
+            best = &found->second;
+            best_gap = gap;
+        }
+    }
+    return best;
+}
+
+std::map<process_run, std::int64_t> timeline::offsets() const {
+    std::map<process_run, std::int64_t> offsets;
+    offset_solver solver;
+    for (const auto& [run, events] : runs_) {
+        offsets[run] = 0;
+        for (const auto& [sequence, event] : events) {
+            if (const auto* cause = cause_of(event)) {
+                solver.link(*cause, event);
+            }
+        }
+    }
+    solver.solve(offsets);
+    return offsets;
+}
+
+std::vector<placed_event> timeline::ordered(const timeline_filter& filter) const {
+    const auto clocks = offsets();
+    std::vector<node> nodes;
+    nodes.reserve(arrivals_.size());
+    std::unordered_map<const timeline_event*, std::size_t> index_of;
+    for (const auto& [run, events] : runs_) {
+        std::size_t previous = SIZE_MAX;
+        for (const auto& [sequence, event] : events) {
+            index_of[&event] = nodes.size();
+            nodes.push_back({.event = &event,
+                             .time_us = event.wall_us + clocks.at(run),
+                             .previous = previous,
+                             .followers = {}});
+            previous = nodes.size() - 1;
+        }
+    }
+    for (auto& item : nodes) {
+        if (const auto* cause = cause_of(*item.event)) {
+            item.cause = index_of.at(cause);
+        }
+    }
+    const auto order = order_builder{nodes}.build();
+    return select(nodes, order, filter);
+}
+
+std::uint64_t timeline::missing() const {
+    std::uint64_t missing = 0;
+    for (const auto& [run, events] : runs_) {
+        missing += events.rbegin()->first - events.begin()->first + 1 - events.size();
+    }
+    return missing;
+}
+
+} // namespace magnolia
--- /dev/null
+++ b/src/timeline_view.cpp
@@ -0,0 +1,182 @@
+#include "timeline_view.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <iomanip>
+#include <sstream>
+
+namespace magnolia {
+namespace {
+
+constexpr double picture_width = 1400;
+constexpr double lane_height = 60;
+constexpr double left_margin = 160;
+constexpr double right_margin = 40;
+constexpr double top_margin = 50;
+constexpr double us_per_ms = 1000;
+
+std::int64_t first_time(std::span<const placed_event> events) {
+    return events.empty() ? 0 : std::ranges::min(events, {}, &placed_event::time_us).time_us;
+}
+
+std::int64_t last_time(std::span<const placed_event> events) {
+    return events.empty() ? 0 : std::ranges::max(events, {}, &placed_event::time_us).time_us;
+}
+
+std::string about(const timeline_event& event) {
+    std::string text;
+    const auto add = [&text](std::string_view name, const std::string& value) {
+        if (!value.empty()) {
+            text += " " + std::string{name} + "=" + value;
+        }
+    };
+    add("req", event.request);
+    add("workspace", event.workspace);
+    add("subject", event.subject);
+    add("detail", event.detail);
+    return text;
+}
+
+/// Places of lanes and times in the picture.
+class layout {
+public:
+    explicit layout(std::span<const placed_event> events)
+        : start_{first_time(events)},
+          span_{std::max<double>(1, static_cast<double>(last_time(events) - start_))} {
+        for (const auto& item : events) {
+            lanes_.emplace(item.event.host, 0);
+        }
+        std::size_t lane = 0;
+        for (auto& [host, number] : lanes_) {
+            number = lane++;
+        }
+    }
+
+    [[nodiscard]] double x(const placed_event& item) const {
+        const auto share = static_cast<double>(item.time_us - start_) / span_;
+        return left_margin + share * (picture_width - left_margin - right_margin);
+    }
+    [[nodiscard]] double y(const std::string& host) const {
+        return top_margin + (static_cast<double>(lanes_.at(host)) + 0.5) * lane_height;
+    }
+    [[nodiscard]] double height() const {
+        return 2 * top_margin + static_cast<double>(lanes_.size()) * lane_height;
+    }
+    [[nodiscard]] double span_ms() const { return span_ / us_per_ms; }
+    [[nodiscard]] const std::map<std::string, std::size_t>& lanes() const { return lanes_; }
+
+private:
+    std::int64_t start_;
+    double span_;
+    std::map<std::string, std::size_t> lanes_;
+};
+
+std::string_view colour_of(std::string_view kind) {
+    if (kind.ends_with("refused") || kind.ends_with("lost") || kind.ends_with("lapsed")) {
+        return "#c0392b";
+    }
+    if (kind.starts_with("request")) {
+        return "#2471a3";
+    }
+    return kind.starts_with("attempt") ? "#1e8449" : "#7d6608";
+}
+
+void draw_lanes(std::ostream& out, const layout& places) {
+    for (const auto& [host, number] : places.lanes()) {
+        const auto y = places.y(host);
+        out << "<text x=\"8\" y=\"" << y + 4 << "\">" << xml_escape(host) << "</text>"
+            << "<line class=\"lane\" x1=\"" << left_margin << "\" y1=\"" << y << "\" x2=\""
+            << picture_width - right_margin << "\" y2=\"" << y << "\"/>\n";
+    }
+}
+
+void draw_causes(std::ostream& out, const layout& places, std::span<const placed_event> events) {
+    for (const auto& item : events) {
+        if (item.cause == SIZE_MAX) {
+            continue;
+        }
+        const auto& cause = events[item.cause];
+        out << "<line class=\"cause\" x1=\"" << places.x(cause) << "\" y1=\""
+            << places.y(cause.event.host) << "\" x2=\"" << places.x(item) << "\" y2=\""
+            << places.y(item.event.host) << "\"/>\n";
+    }
+}
+
+void draw_events(std::ostream& out, const layout& places, std::span<const placed_event> events) {
+    for (const auto& item : events) {
+        out << "<circle cx=\"" << places.x(item) << "\" cy=\"" << places.y(item.event.host)
+            << "\" r=\"4\" fill=\"" << colour_of(item.event.kind) << "\"><title>"
+            << xml_escape(item.event.kind + about(item.event)) << "</title></circle>\n";
+    }
+}
+
+} // namespace
+
+std::string timeline_text(std::span<const placed_event> events) {
+    const auto start = first_time(events);
+    std::ostringstream out;
+    out << std::fixed << std::setprecision(3);
+    for (const auto& item : events) {
+        out << std::setw(12) << static_cast<double>(item.time_us - start) / us_per_ms << " ms  "
+            << std::left << std::setw(16) << item.event.host << ' ' << std::setw(22)
+            << item.event.kind << std::right << about(item.event);
+        if (!item.event.cause_host.empty()) {
+            out << " <- " << item.event.cause_host << '#' << item.event.cause_sequence;
+        }
+        out << '\n';
+    }
+    return out.str();
+}
+
+std::string timeline_json(std::span<const placed_event> events) {
+    auto list = nlohmann::json::array();
+    for (const auto& item : events) {
+        auto& entry = list.emplace_back(item.event);
+        entry["time_us"] = item.time_us;
+    }
+    return list.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+std::string timeline_svg(std::span<const placed_event> events) {
+    const layout places{events};
+    std::ostringstream out;
+    out << std::fixed << std::setprecision(1)
+        << "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"" << picture_width << "\" height=\""
+        << places.height() << "\" font-family=\"sans-serif\" font-size=\"12\">\n"
+        << "<style>.lane{stroke:#ccc}.cause{stroke:#999;stroke-dasharray:3 2}</style>\n"
+        << "<rect width=\"100%\" height=\"100%\" fill=\"white\"/>\n"
+        << "<text x=\"8\" y=\"20\">" << events.size() << " events over " << places.span_ms()
+        << " ms</text>\n";
+    draw_lanes(out, places);
+    draw_causes(out, places, events);
+    draw_events(out, places, events);
+    out << "</svg>\n";
+    return out.str();
+}
+
+std::string xml_escape(std::string_view text) {
+    std::string escaped;
+    escaped.reserve(text.size());
+    for (const char letter : text) {
+        switch (letter) {
+        case '&':
+            escaped += "&amp;";
+            break;
+        case '<':
+            escaped += "&lt;";
+            break;
+        case '>':
+            escaped += "&gt;";
+            break;
+        case '"':
+            escaped += "&quot;";
+            break;
+        default:
+            escaped += static_cast<unsigned char>(letter) < 0x20 ? ' ' : letter;
+        }
+    }
+    return escaped;
+}
+
+} // namespace magnolia
--- a/tests/event_log_test.cpp
+++ b/tests/event_log_test.cpp
@@ -1,8 +1,10 @@
+#include "event_collector.h"
 #include "event_log.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
@@ -49,5 +51,41 @@
     EXPECT_EQ(log.lost(), 0U);
 }
 
+TEST(event_log, the_collector_takes_what_the_sender_sends_and_closes_bad_connections) {
+    boost::asio::io_context context;
+    metrics_registry metrics;
+    std::vector<timeline_event> received;
+    event_collector collector{context, metrics,
+                              [&](timeline_event event) { received.push_back(std::move(event)); }};
+    ASSERT_TRUE(collector.listen({"127.0.0.1", 0}));
+    tcp::socket intruder{context};
+    intruder.connect({boost::asio::ip::make_address("127.0.0.1"), collector.port()});
+    boost::asio::write(intruder, boost::asio::buffer(std::string{"GET / HTTP/1.1\n"}));
+    event_log log{"entry-1", "howrah", 7, 16};
+    log.emit(event_kind::process_started);
+    const event_sender sender{log, {"127.0.0.1", collector.port()}, metrics};
+    while (received.empty()) {
+        context.run_one();
+    }
+    EXPECT_EQ(received.front().host, "entry-1");
+    char byte = 0;
+    boost::system::error_code end;
+    intruder.async_read_some(
+        boost::asio::buffer(&byte, 1),
+        [&end](const boost::system::error_code& failure, std::size_t) { end = failure; });
+    while (!end) {
+        context.run_one();
+    }
+    EXPECT_EQ(end, boost::asio::error::eof);
+}
+
+TEST(event_log, an_event_of_a_newer_release_is_read_as_far_as_it_is_known) {
+    const auto event = read_event_line(R"({"host":"a","kind":"unheard","colour":"red"})");
+    ASSERT_TRUE(event);
+    EXPECT_EQ(event->kind, "unheard");
+    EXPECT_EQ(read_event_line("[]").error().code, error_code::frame_invalid);
+    EXPECT_EQ(read_event_line("").error().code, error_code::frame_invalid);
+}
+
 } // namespace
 } // namespace magnolia
--- /dev/null
+++ b/tests/timeline_test.cpp
@@ -0,0 +1,186 @@
+#include "timeline.h"
+#include "timeline_view.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <random>
+
+namespace magnolia {
+namespace {
+
+timeline_event make_event(const std::string& host, std::uint64_t sequence, std::int64_t wall_us,
+                          const std::string& cause_host = {}, std::uint64_t cause_sequence = 0) {
+    timeline_event event;
+    event.host = host;
+    event.sequence = sequence;
+    event.boot = 1;
+    event.wall_us = wall_us;
+    event.kind = "request_received";
+    event.cause_host = cause_host;
+    event.cause_sequence = cause_sequence;
+    return event;
+}
+
+std::vector<std::string> names(const std::vector<placed_event>& events) {
+    std::vector<std::string> list;
+    std::ranges::transform(events, std::back_inserter(list), [](const placed_event& item) {
+        return item.event.host + std::to_string(item.event.sequence);
+    });
+    return list;
+}
+
+TEST(timeline, a_cause_comes_first_though_its_clock_is_ahead) {
+    timeline line{100};
+    line.add(make_event("b", 1, 1'000, "a", 1));
+    line.add(make_event("a", 1, 9'000'000));
+    EXPECT_EQ(names(line.ordered()), (std::vector<std::string>{"a1", "b1"}));
+}
+
+TEST(timeline, links_in_both_directions_give_the_clock_offset) {
+    // The true times are 0, 100, 200, 300 us; the clock of b is 5 s ahead.
+    timeline line{100};
+    line.add(make_event("a", 1, 0));
+    line.add(make_event("b", 1, 5'000'100, "a", 1));
+    line.add(make_event("b", 2, 5'000'200));
+    line.add(make_event("a", 2, 300, "b", 2));
+    const auto offsets = line.offsets();
+    EXPECT_EQ(offsets.at({"a", 1}), 0);
+    EXPECT_EQ(offsets.at({"b", 1}), -5'000'000);
+}
+
+TEST(timeline, events_without_links_are_ordered_by_the_estimated_clock) {
+    timeline line{100};
+    line.add(make_event("a", 1, 0));
+    line.add(make_event("b", 1, 5'000'100, "a", 1));
+    line.add(make_event("a", 2, 200, "b", 1));
+    line.add(make_event("b", 2, 5'000'150));
+    line.add(make_event("a", 3, 160'000));
+    line.add(make_event("b", 3, 5'100'000));
+    EXPECT_EQ(names(line.ordered()),
+              (std::vector<std::string>{"a1", "b1", "b2", "a2", "b3", "a3"}));
+}
+
+TEST(timeline, a_sequence_stands_though_the_wall_clock_was_set_back) {
+    timeline line{100};
+    line.add(make_event("a", 2, 10));
+    line.add(make_event("a", 1, 5'000));
+    const auto events = line.ordered();
+    EXPECT_EQ(names(events), (std::vector<std::string>{"a1", "a2"}));
+    EXPECT_GE(events[1].time_us, events[0].time_us);
+}
+
+TEST(timeline, contradicting_causes_do_not_lose_events) {
+    timeline line{100};
+    line.add(make_event("a", 1, 0, "b", 2));
+    line.add(make_event("a", 2, 10));
+    line.add(make_event("b", 1, 5, "a", 2));
+    line.add(make_event("b", 2, 20));
+    EXPECT_EQ(line.ordered().size(), 4U);
+}
+
+TEST(timeline, memory_is_bounded_and_gaps_are_counted) {
+    timeline line{10};
+    for (std::uint64_t sequence = 1; sequence <= 100; ++sequence) {
+        line.add(make_event("a", sequence * 2, static_cast<std::int64_t>(sequence)));
+    }
+    EXPECT_EQ(line.size(), 10U);
+    EXPECT_EQ(line.missing(), 9U);
+    EXPECT_FALSE(line.add(make_event("a", 200, 1)));
+}
+
+TEST(timeline, a_filter_keeps_the_common_order) {
+    timeline line{100};
+    auto first = make_event("a", 1, 900);
+    first.request = "r";
+    auto last = make_event("c", 1, 10, "b", 1);
+    last.request = "r";
+    line.add(last);
+    line.add(make_event("b", 1, 500, "a", 1));
+    line.add(first);
+    EXPECT_EQ(names(line.ordered({.request = "r"})), (std::vector<std::string>{"a1", "c1"}));
+}
+
+TEST(timeline, the_picture_escapes_what_it_shows) {
+    timeline line{10};
+    line.add(make_event("<a&b>", 1, 0));
+    const auto picture = timeline_svg(line.ordered());
+    EXPECT_EQ(picture.find("<a&b>"), std::string::npos);
+    EXPECT_NE(picture.find("&lt;a&amp;b&gt;"), std::string::npos);
+}
+
+/// Events of a simulated exchange: every process has a skewed clock, and messages carry causes.
+struct exchange {
+    std::vector<timeline_event> events;
+    std::vector<std::int64_t> true_times;
+};
+
+exchange simulate(std::uint32_t seed) {
+    constexpr int processes = 5;
+    constexpr int steps = 200;
+    std::mt19937 random{seed};
+    std::uniform_int_distribution<std::int64_t> skew{-60'000'000, 60'000'000};
+    std::uniform_int_distribution<std::int64_t> delay{1'000, 5'000};
+    std::uniform_int_distribution<int> pick{0, processes - 1};
+    std::vector<std::int64_t> clock_error(processes);
+    std::ranges::generate(clock_error, [&] { return skew(random); });
+    std::vector<std::uint64_t> last(processes, 0);
+    exchange made;
+    std::int64_t now = 1'000'000'000;
+    for (int step = 0; step < steps; ++step) {
+        now += delay(random);
+        const auto from = pick(random);
+        const auto to = pick(random);
+        const auto name = [](int number) { return "p" + std::to_string(number); };
+        made.events.push_back(make_event(name(from), ++last[from], now + clock_error[from]));
+        made.true_times.push_back(now);
+        const auto cause = last[from];
+        now += delay(random);
+        made.events.push_back(
+            make_event(name(to), ++last[to], now + clock_error[to], name(from), cause));
+        made.true_times.push_back(now);
+    }
+    return made;
+}
+
+RC_GTEST_PROP(timeline, keeps_sequences_and_causes_whatever_the_clocks, (std::uint32_t seed)) {
+    auto made = simulate(seed);
+    std::ranges::shuffle(made.events, std::mt19937{seed});
+    timeline line{10'000};
+    for (auto& event : made.events) {
+        line.add(std::move(event));
+    }
+    const auto events = line.ordered();
+    RC_ASSERT(events.size() == made.true_times.size());
+    std::map<std::string, std::uint64_t> last;
+    for (std::size_t index = 0; index < events.size(); ++index) {
+        const auto& item = events[index];
+        RC_ASSERT(item.event.sequence == ++last[item.event.host]);
+        RC_ASSERT(item.event.cause_host.empty() || item.cause < index);
+        RC_ASSERT(index == 0 || item.time_us >= events[index - 1].time_us);
+    }
+}
+
+RC_GTEST_PROP(timeline, estimates_offsets_within_the_delay_of_messages, (std::uint32_t seed)) {
+    constexpr std::int64_t longest_delay = 5'000;
+    constexpr std::size_t longest_path = 4;
+    auto made = simulate(seed);
+    std::map<std::string, std::int64_t> truth;
+    for (std::size_t index = 0; index < made.events.size(); ++index) {
+        truth[made.events[index].host] = made.true_times[index] - made.events[index].wall_us;
+    }
+    timeline line{10'000};
+    for (auto& event : made.events) {
+        line.add(std::move(event));
+    }
+    const auto offsets = line.offsets();
+    const auto base = truth.at(offsets.begin()->first.host);
+    for (const auto& [run, offset] : offsets) {
+        const auto error = std::abs(offset - (truth.at(run.host) - base));
+        RC_ASSERT(error <= longest_delay * static_cast<std::int64_t>(longest_path));
+    }
+}
+
+} // namespace
+} // namespace magnolia
--- /dev/null
+++ b/tools/magnolia-timeline.cpp
@@ -0,0 +1,91 @@
+/// Gathers the events of all processes into one time line.
+#include "duty.h"
+#include "event_collector.h"
+#include "http_server.h"
+#include "process.h"
+#include "timeline_view.h"
+
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+
+namespace {
+
+using namespace magnolia;
+
+timeline_filter filter_of(const http_request& request) {
+    timeline_filter filter{.request = query_parameter(request.target, "request"),
+                           .workspace = query_parameter(request.target, "workspace"),
+                           .host = query_parameter(request.target, "host")};
+    const auto limit = query_parameter(request.target, "limit");
+    std::from_chars(limit.data(), limit.data() + limit.size(), filter.limit);
+    return filter;
+}
+
+http_response text_response(std::string type, std::string body) {
+    return {.status = 200, .headers = {{"Content-Type", std::move(type)}}, .body = std::move(body)};
+}
+
+http_response clocks(const timeline& line) {
+    auto list = nlohmann::json::array();
+    for (const auto& [run, offset] : line.offsets()) {
+        list.push_back({{"host", run.host}, {"boot", run.boot}, {"offset_us", offset}});
+    }
+    return json_response(
+        200, nlohmann::json{{"clocks", list}, {"events", line.size()}, {"missing", line.missing()}}
+                 .dump());
+}
+
+http_response answer(const timeline& line, const http_request& request) {
+    const auto path = target_path(request.target);
+    if (request.method != "GET") {
+        return error_response({error_code::bad_request, "only GET is known"});
+    }
+    if (path == "/clocks") {
+        return clocks(line);
+    }
+    if (path == "/timeline.svg") {
+        return text_response("image/svg+xml", timeline_svg(line.ordered(filter_of(request))));
+    }
+    if (path != "/events") {
+        return error_response({error_code::not_found, "known: /events, /timeline.svg, /clocks"});
+    }
+    const auto events = line.ordered(filter_of(request));
+    return query_parameter(request.target, "format") == "json"
+               ? json_response(200, timeline_json(events))
+               : text_response("text/plain; charset=utf-8", timeline_text(events));
+}
+
+result<void> run(process& running, const timeline_settings& settings) {
+    timeline line{settings.max_events};
+    duty gather{"gather"};
+    event_collector collector{gather.context(), running.metrics(),
+                              [&line](timeline_event event) { line.add(std::move(event)); }};
+    http_server queries{gather.context(),
+                        {.max_body_bytes = 0},
+                        [&line](const http_request& request, const http_responder& responder) {
+                            responder.send(answer(line, request));
+                        }};
+    const auto opened =
+        collector.listen(settings.listen).and_then([&] { return queries.listen(settings.query); });
+    if (!opened) {
+        return opened;
+    }
+    gather.start();
+    running.set_ready(true);
+    running.wait_for_stop();
+    gather.stop();
+    return {};
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    return run_program<timeline_settings>(
+        argc, argv,
+        {"magnolia-timeline", "Gathers the events of all processes into one time line.\n\n"
+                              "GET /events?request=&workspace=&host=&limit=&format=text|json\n"
+                              "GET /timeline.svg with the same filters\n"
+                              "GET /clocks for the clock offsets and the events that are missing"},
+        run);
+}
