--- a/src/process.cpp
+++ b/src/process.cpp
@@ -1,20 +1,25 @@
 #include "process.h"
 
 #include "duty.h"
+#include "http_server.h"
 
 #include <magnolia/config.h>
 
+#include <boost/asio/ip/address.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <cxxopts.hpp>
 
 #include <condition_variable>
 #include <csignal>
+#include <future>
 #include <iostream>
 #include <random>
 
 namespace magnolia {
 namespace {
 
+constexpr std::size_t max_health_connections = 32;
+
 std::uint64_t random_boot() {
     std::random_device device;
     return (std::uint64_t{device()} << 32U) | device();
@@ -64,15 +69,26 @@
         events.emit(event_kind::process_stopped);
         sender_.reset();
         duty_.stop();
+        health_.reset();
     }
 
     state(const state&) = delete;
     state& operator=(const state&) = delete;
 
     result<void> open() {
+        boost::system::error_code bad_address;
+        boost::asio::ip::make_address(settings.timeline.address, bad_address);
+        if (bad_address) {
+            return fail(error_code::bad_settings, "process.timeline.address is " +
+                                                      settings.timeline.address +
+                                                      "; allowed: an IP number");
+        }
         if (settings.timeline.port != 0) {
             sender_.emplace(events, settings.timeline, metrics);
         }
+        if (settings.metrics.port != 0) {
+            return open_health();
+        }
         return {};
     }
 
@@ -106,6 +122,39 @@
     event_log events{settings.name, settings.zone, boot, config::event_slots};
 
 private:
+    /// Opens the listener on the duty's thread and waits for it.
+    result<void> open_health() {
+        std::promise<result<void>> opened;
+        boost::asio::post(duty_.context(), [this, &opened] {
+            http_server_limits limits;
+            limits.max_body_bytes = 0;
+            limits.max_connections = max_health_connections;
+            health_.emplace(duty_.context(), limits,
+                            [this](const http_request& request, const http_responder& responder) {
+                                responder.send(answer(target_path(request.target)));
+                            });
+            opened.set_value(health_->listen(settings.metrics));
+        });
+        return opened.get_future().get();
+    }
+
+    http_response answer(std::string_view path) const {
+        const auto text = [](unsigned status, std::string body) {
+            return http_response{
+                status, {{"Content-Type", "text/plain; version=0.0.4"}}, std::move(body)};
+        };
+        if (path == "/metrics") {
+            return text(200, metrics.text());
+        }
+        if (path == "/healthz") {
+            return text(200, "ok\n");
+        }
+        if (path == "/readyz") {
+            return is_ready_.load() ? text(200, "ready\n") : text(503, "not ready\n");
+        }
+        return error_response({error_code::not_found, "known: /metrics, /healthz, /readyz"});
+    }
+
     void wait_for_signal() {
         signals_.async_wait([this](const boost::system::error_code& failure, int number) {
             if (failure) {
@@ -142,6 +191,7 @@
     duty duty_{"process"};
     boost::asio::signal_set signals_{duty_.context(), SIGTERM, SIGINT};
     std::optional<event_sender> sender_;
+    std::optional<http_server> health_;
     std::mutex mutex_;
     std::condition_variable stop_began_;
     std::function<void()> on_stop_;
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -1,5 +1,9 @@
 #include "process.h"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
 #include <array>
@@ -67,5 +71,49 @@
     EXPECT_EQ(code, static_cast<int>(exit_code::failed));
 }
 
+/// Whole answer to a GET on the loopback interface.
+std::string get(std::uint16_t port, const std::string& path) {
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::socket socket{context};
+    socket.connect({boost::asio::ip::make_address("127.0.0.1"), port});
+    const auto request = "GET " + path + " HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+    boost::asio::write(socket, boost::asio::buffer(request));
+    std::string answer;
+    boost::system::error_code end;
+    boost::asio::read(socket, boost::asio::dynamic_buffer(answer), end);
+    return answer;
+}
+
+std::uint16_t free_port() {
+    boost::asio::io_context context;
+    const boost::asio::ip::tcp::acceptor acceptor{context,
+                                                  {boost::asio::ip::make_address("127.0.0.1"), 0}};
+    return acceptor.local_endpoint().port();
+}
+
+TEST(process, health_readiness_and_metrics_are_served) {
+    const auto port = free_port();
+    const auto settings =
+        "process: {name: a, zone: z, log_level: error, metrics: {port: " + std::to_string(port) +
+        "}}\nlisten: {}\npeer_listen: {}\n";
+    const auto code = run({}, settings, [&](process& running, const entry_settings& /*settings*/) {
+        running.metrics().make_counter("magnolia_test_total", "Test.").add();
+        EXPECT_NE(get(port, "/readyz").find(" 503 "), std::string::npos);
+        running.set_ready(true);
+        EXPECT_NE(get(port, "/readyz").find(" 200 "), std::string::npos);
+        EXPECT_NE(get(port, "/healthz").find("ok"), std::string::npos);
+        EXPECT_NE(get(port, "/metrics").find("magnolia_test_total 1"), std::string::npos);
+        EXPECT_NE(get(port, "/other").find(" 404 "), std::string::npos);
+        return result<void>{};
+    });
+    EXPECT_EQ(code, 0);
+}
+
+TEST(process, a_listener_that_cannot_open_ends_the_process) {
+    const auto settings = "process: {name: a, zone: z, log_level: error, "
+                          "metrics: {address: 192.0.2.1, port: 1}}\nlisten: {}\npeer_listen: {}\n";
+    EXPECT_EQ(run({}, settings, never), static_cast<int>(exit_code::failed));
+}
+
 } // namespace
 } // namespace magnolia
