--- a/fakes/object_store.cpp
+++ b/fakes/object_store.cpp
@@ -40,7 +40,8 @@
 
 object_page object_store::list(const object_list& call) const {
     object_page page{{}, revision_, false};
-    const auto most = call.limit == 0 ? page_items_ : std::min<std::size_t>(call.limit, page_items_);
+    const auto most =
+        call.limit == 0 ? page_items_ : std::min<std::size_t>(call.limit, page_items_);
     auto next = objects_.upper_bound(object_id{call.kind, call.after});
     while (next != objects_.end() && next->first.kind == call.kind) {
         if (page.items.size() == most) {
--- a/include/magnolia/config.h
+++ b/include/magnolia/config.h
@@ -24,8 +24,8 @@
 /// Longest value of an object in the platform's store, bytes.
 inline constexpr std::size_t max_object_bytes = std::size_t{1} << 20U;
 
-/// Objects that the claims of one span of creation times are spread over. All processes that share a
-/// platform have to agree on it, and on the span.
+/// Objects that the claims of one span of creation times are spread over. All processes that share
+/// a platform have to agree on it, and on the span.
 inline constexpr std::uint32_t claim_shards = 16;
 
 /// Span of creation times of keys whose claims share objects.
--- a/src/platform_port.h
+++ b/src/platform_port.h
@@ -36,8 +36,8 @@
 };
 
 /// Writes an object if it still has the expected version; 0 means that it must not exist.
-/// Errors: conflict and platform_busy without effect; platform_down if the answer was lost, in which
-/// case the write may have taken effect or may still do so.
+/// Errors: conflict and platform_busy without effect; platform_down if the answer was lost, in
+/// which case the write may have taken effect or may still do so.
 struct object_put {
     object_id id;
     std::uint64_t expected_version = 0;
--- a/src/platform_schedule.cpp
+++ b/src/platform_schedule.cpp
@@ -64,7 +64,8 @@
 void platform_schedule::refuse_late(std::vector<scheduled_call>& out, time_point now) {
     for (auto& queue : queues_) {
         while (!queue.empty() && now - queue.front().added >= budget_.timeout) {
-            out.push_back({queue.front().number, error{error_code::platform_busy, "not sent", budget_.timeout}});
+            out.push_back({queue.front().number,
+                           error{error_code::platform_busy, "not sent", budget_.timeout}});
             queue.pop_front();
         }
     }
--- a/src/platform_wire.cpp
+++ b/src/platform_wire.cpp
@@ -47,8 +47,7 @@
 http_request encode(const object_list& call) {
     const auto path = std::string{object_root} + percent_encode(call.kind);
     return {"GET",
-            path + "?after=" + percent_encode(call.after) +
-                "&limit=" + std::to_string(call.limit),
+            path + "?after=" + percent_encode(call.after) + "&limit=" + std::to_string(call.limit),
             {},
             {}};
 }
--- a/tests/claims_test.cpp
+++ b/tests/claims_test.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
 #include <set>
 
 namespace magnolia {
@@ -148,7 +149,7 @@
     void execute(process& process, const claim_call& call) {
         std::uniform_real_distribution<double> draw{0, 1};
         if (is_put(call) && draw(random) < late_writes) {
-            late.emplace_back(
+            late_.emplace_back(
                 call.call, now + milliseconds{std::uniform_int_distribution<int>{0, 3000}(random)});
             process.waiting.emplace_back(call, now + call_timeout);
             return;
@@ -166,7 +167,7 @@
     }
 
     void land_late_writes() {
-        std::erase_if(late, [this](const auto& item) {
+        std::erase_if(late_, [this](const auto& item) {
             if (item.second > now) {
                 return false;
             }
@@ -188,7 +189,7 @@
     }
 
     claim_options options_;
-    std::vector<std::pair<platform_call, time_point>> late;
+    std::vector<std::pair<platform_call, time_point>> late_;
 };
 
 TEST(claims, a_key_is_granted_once_and_its_outcome_is_told) {
