Groups of engines for prompts beyond one engine's memory

A million tokens exceed one engine's KV memory, and two entries that each hold half a group would wait for each other for good. engine_group reserves by engine name, waits for nothing while it holds something, backs off with less pause the older the request is, replaces a lost member by a spare, and repeats releases until the engine confirms or its expiry has freed the memory. The life cycle is a Boost.MSM table in one file.

--- /dev/null
+++ b/src/engine_group.cpp
@@ -0,0 +1,460 @@
+#include "engine_group.h"
+
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/functor_row.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <random>
+#include <ranges>
+
+namespace magnolia {
+namespace {
+
+namespace msm = boost::msm;
+using msm::front::none;
+using msm::front::Row;
+
+using seconds = std::chrono::duration<double>;
+
+/// Time after which an engine frees a reservation that is not renewed.
+constexpr duration reservation_expiry = std::chrono::seconds{30};
+constexpr seconds first_pause{0.1};
+constexpr seconds longest_pause{5};
+constexpr unsigned most_doublings = 6;
+/// Share of the pause that is left to a request close to its deadline.
+constexpr double least_age_factor = 0.1;
+
+} // namespace
+
+/// Work of the group that the life cycle's actions carry out.
+class engine_group::state {
+public:
+    state(group_request request, group_plan plan, std::uint64_t seed)
+        : request_{std::move(request)}, numbers_{request_.request, request_.first_number},
+          plan_{std::move(plan)}, holds_{numbers_, reservation_expiry}, random_{seed} {}
+
+    void begin_round();
+    void prefill_next();
+    void generate();
+    void back_off();
+    void release_all() { holds_.release_all(now_, out_); }
+    void cancel_work();
+    /// Puts a spare in the place of the member that failed. False if there is none.
+    [[nodiscard]] bool take_spare(std::size_t member);
+    [[nodiscard]] std::optional<std::size_t> next_part() const;
+    void take(const engine_event& event);
+    void take_hold(const hold_result& result);
+    void take_failure(const engine_failed& event);
+    void give_up(error failure);
+    void poll();
+    [[nodiscard]] bool is_over() const {
+        return phase_ == group_phase::finished || phase_ == group_phase::failed;
+    }
+    template <class Event>
+    void process(const Event& event);
+    /// Runs one call and hands out its commands.
+    template <class Call>
+    [[nodiscard]] std::vector<engine_command> run(time_point now, Call&& call);
+
+    group_request request_;
+    command_numbers numbers_;
+    group_plan plan_;
+    group_holds holds_;
+    std::mt19937_64 random_;
+    time_point now_{};
+    std::vector<engine_command> out_;
+    /// Parts by member; empty names are not computed yet.
+    std::vector<kv_part> parts_;
+    /// Work under way: the part or the generation, and the member that does it.
+    attempt_id work_;
+    std::size_t worker_ = 0;
+    engine_handle worker_engine_;
+    attempt_id generation_;
+    std::string answer_;
+    std::uint32_t answer_tokens_ = 0;
+    unsigned rounds_ = 0;
+    time_point retry_at_ = time_point::max();
+    error failure_;
+    group_phase phase_ = group_phase::idle;
+
+    struct machine;
+    std::unique_ptr<machine> machine_;
+};
+
+void engine_group::state::begin_round() {
+    std::vector<group_hold> wanted;
+    for (std::size_t index = 0; index < plan_.members.size(); ++index) {
+        const auto& member = plan_.members[index];
+        const bool is_last = index + 1 == plan_.members.size();
+        const auto answer = is_last ? request_.max_generated_tokens : 0;
+        wanted.push_back(
+            {.where = {member.engine, plan_.names[index]}, .tokens = member.token_count + answer});
+    }
+    parts_.assign(plan_.members.size(), {});
+    retry_at_ = time_point::max();
+    holds_.begin_round(std::move(wanted));
+    static_cast<void>(holds_.ask_next(now_, out_));
+}
+
+std::optional<std::size_t> engine_group::state::next_part() const {
+    for (std::size_t index = 0; index + 1 < parts_.size(); ++index) {
+        if (parts_[index].name.empty()) {
+            return index;
+        }
+    }
+    return std::nullopt;
+}
+
+void engine_group::state::prefill_next() {
+    const auto index = next_part().value();
+    const auto& member = plan_.members[index];
+    work_ = numbers_.take();
+    worker_ = index;
+    worker_engine_ = member.engine;
+    out_.emplace_back(
+        engine_prefill_part{work_,
+                            member.engine,
+                            holds_.reservation(),
+                            request_.model,
+                            request_.prompt,
+                            member.first_token,
+                            member.token_count,
+                            {parts_.begin(), parts_.begin() + static_cast<std::ptrdiff_t>(index)},
+                            request_.deadline - now_});
+}
+
+void engine_group::state::generate() {
+    work_ = generation_ = numbers_.take();
+    worker_ = parts_.size() - 1;
+    worker_engine_ = plan_.members.back().engine;
+    out_.emplace_back(engine_start{work_,
+                                   plan_.members.back().engine,
+                                   request_.model,
+                                   request_.adapter,
+                                   request_.prompt,
+                                   answer_,
+                                   answer_tokens_,
+                                   request_.max_generated_tokens,
+                                   request_.urgency,
+                                   request_.deadline - now_,
+                                   holds_.reservation(),
+                                   {parts_.begin(), std::prev(parts_.end())}});
+}
+
+void engine_group::state::cancel_work() {
+    if (work_.number != 0) {
+        out_.emplace_back(engine_cancel{work_, worker_engine_});
+        work_ = {};
+    }
+}
+
+void engine_group::state::back_off() {
+    cancel_work();
+    release_all();
+    // The older a request, the sooner it tries again: the oldest gets through first.
+    const double lifetime = seconds{request_.deadline - request_.received}.count();
+    const double left = std::clamp(seconds{request_.deadline - now_}.count() / lifetime, 0.0, 1.0);
+    const double doubled = static_cast<double>(1U << std::min(rounds_++, most_doublings));
+    const double pause = std::min(longest_pause.count(), first_pause.count() * doubled);
+    std::uniform_real_distribution<double> jitter{0.5, 1.0};
+    const seconds chosen{pause * std::max(left, least_age_factor) * jitter(random_)};
+    retry_at_ = now_ + std::chrono::duration_cast<duration>(chosen);
+}
+
+bool engine_group::state::take_spare(std::size_t member) {
+    const auto is_member = [this](const named_engine& spare) {
+        return std::ranges::find(plan_.members, spare.engine, &group_member::engine) !=
+               plan_.members.end();
+    };
+    std::erase_if(plan_.spares, is_member);
+    if (plan_.spares.empty()) {
+        return false;
+    }
+    auto spare = std::move(plan_.spares.front());
+    plan_.spares.erase(plan_.spares.begin());
+    plan_.members[member].engine = spare.engine;
+    plan_.names[member] = spare.name;
+    parts_[member] = {};
+    holds_.replace(member, std::move(spare), now_, out_);
+    static_cast<void>(holds_.ask_next(now_, out_));
+    return true;
+}
+
+namespace {
+
+// Events of the life cycle.
+struct started {};
+struct retried {};
+struct all_held {};
+struct part_done {};
+/// A member refused, or was lost; `member` is its place.
+struct member_failed {
+    std::size_t member = 0;
+};
+struct answer_done {};
+struct given_up {};
+
+// States. Each tells the group its phase.
+template <group_phase Phase>
+struct phase_state : msm::front::state<> {
+    template <class Event, class Machine>
+    void on_entry(const Event&, Machine& machine) {
+        machine.group->phase_ = Phase;
+    }
+};
+struct idle : phase_state<group_phase::idle> {};
+struct reserving : phase_state<group_phase::reserving> {};
+struct backing_off : phase_state<group_phase::backing_off> {};
+struct prefilling : phase_state<group_phase::prefilling> {};
+struct generating : phase_state<group_phase::generating> {};
+struct finished : phase_state<group_phase::finished> {};
+struct failed : phase_state<group_phase::failed> {};
+
+// Actions and guards.
+struct begin_round {
+    template <class Event, class Machine, class From, class To>
+    void operator()(const Event&, Machine& machine, From&, To&) const {
+        machine.group->begin_round();
+    }
+};
+struct prefill_next {
+    template <class Event, class Machine, class From, class To>
+    void operator()(const Event&, Machine& machine, From&, To&) const {
+        machine.group->prefill_next();
+    }
+};
+struct generate {
+    template <class Event, class Machine, class From, class To>
+    void operator()(const Event&, Machine& machine, From&, To&) const {
+        machine.group->generate();
+    }
+};
+struct back_off {
+    template <class Event, class Machine, class From, class To>
+    void operator()(const Event&, Machine& machine, From&, To&) const {
+        machine.group->back_off();
+    }
+};
+struct cancel_work {
+    template <class Event, class Machine, class From, class To>
+    void operator()(const Event&, Machine& machine, From&, To&) const {
+        machine.group->cancel_work();
+    }
+};
+struct free_all {
+    template <class Event, class Machine, class From, class To>
+    void operator()(const Event&, Machine& machine, From&, To&) const {
+        machine.group->cancel_work();
+        machine.group->release_all();
+    }
+};
+struct has_part_left {
+    template <class Event, class Machine, class From, class To>
+    bool operator()(const Event&, Machine& machine, From&, To&) const {
+        return machine.group->next_part().has_value();
+    }
+};
+/// Replaces the member at once, without waiting, so that nothing is held while waiting.
+struct is_replaced {
+    template <class Event, class Machine, class From, class To>
+    bool operator()(const Event& event, Machine& machine, From&, To&) const {
+        return machine.group->take_spare(event.member);
+    }
+};
+
+template <class Group>
+struct life_cycle : msm::front::state_machine_def<life_cycle<Group>> {
+    using initial_state = idle;
+    using no_exception_thrown = int;
+    using no_message_queue = int;
+
+    // Of two rows for one event MSM tries the guard of the lower one first.
+    struct transition_table
+        : boost::mpl::vector<Row<idle, started, reserving, begin_round, none>,
+                             Row<backing_off, retried, reserving, begin_round, none>,
+                             Row<reserving, all_held, generating, generate, none>,
+                             Row<reserving, all_held, prefilling, prefill_next, has_part_left>,
+                             Row<reserving, member_failed, backing_off, back_off, none>,
+                             Row<reserving, member_failed, reserving, none, is_replaced>,
+                             Row<prefilling, part_done, generating, generate, none>,
+                             Row<prefilling, part_done, prefilling, prefill_next, has_part_left>,
+                             Row<prefilling, member_failed, backing_off, back_off, none>,
+                             Row<prefilling, member_failed, reserving, cancel_work, is_replaced>,
+                             Row<generating, member_failed, backing_off, back_off, none>,
+                             Row<generating, member_failed, reserving, cancel_work, is_replaced>,
+                             Row<generating, answer_done, finished, free_all, none>,
+                             Row<idle, given_up, failed, free_all, none>,
+                             Row<reserving, given_up, failed, free_all, none>,
+                             Row<backing_off, given_up, failed, free_all, none>,
+                             Row<prefilling, given_up, failed, free_all, none>,
+                             Row<generating, given_up, failed, free_all, none>> {};
+
+    /// Late events of an earlier phase change nothing.
+    template <class Event, class Machine>
+    void no_transition(const Event&, Machine&, int) {}
+
+    Group* group = nullptr;
+};
+
+} // namespace
+
+struct engine_group::state::machine : msm::back::state_machine<life_cycle<engine_group::state>> {};
+
+template <class Event>
+void engine_group::state::process(const Event& event) {
+    machine_->process_event(event);
+}
+
+template <class Call>
+std::vector<engine_command> engine_group::state::run(time_point now, Call&& call) {
+    now_ = now;
+    call();
+    return std::exchange(out_, {});
+}
+
+void engine_group::state::give_up(error failure) {
+    if (!is_over()) {
+        failure_ = std::move(failure);
+        process(given_up{});
+    }
+}
+
+void engine_group::state::take_hold(const hold_result& result) {
+    if (result.change == hold_change::refused) {
+        process(member_failed{result.index});
+    }
+    if (result.change == hold_change::agreed && phase_ == group_phase::reserving &&
+        !holds_.ask_next(now_, out_)) {
+        process(all_held{});
+    }
+}
+
+void engine_group::state::take_failure(const engine_failed& event) {
+    if (event.id != work_) {
+        return;
+    }
+    work_ = {};
+    if (event.failure.code == error_code::deadline_passed) {
+        give_up(event.failure);
+        return;
+    }
+    // A part that another member lost shows as a failure of the engine that imports it.
+    const bool is_own_fault = event.failure.code == error_code::connection ||
+                              event.failure.code == error_code::backend_lost || event.leaving;
+    if (!is_own_fault) {
+        plan_.spares.clear();
+    }
+    process(member_failed{worker_});
+}
+
+void engine_group::state::take(const engine_event& event) {
+    take_hold(holds_.on_event(event, now_, out_));
+    if (const auto* const ready = std::get_if<engine_part_ready>(&event)) {
+        if (ready->id == work_) {
+            parts_[worker_] = ready->part;
+            work_ = {};
+            process(part_done{});
+        }
+    } else if (const auto* const tokens = std::get_if<engine_tokens>(&event)) {
+        if (tokens->id == work_ && tokens->offset == answer_tokens_) {
+            answer_ += tokens->text;
+            answer_tokens_ += tokens->count;
+        }
+    } else if (const auto* const ended = std::get_if<engine_finished>(&event)) {
+        if (ended->id == work_) {
+            work_ = {};
+            process(answer_done{});
+        }
+    } else if (const auto* const failure = std::get_if<engine_failed>(&event)) {
+        take_failure(*failure);
+    }
+}
+
+void engine_group::state::poll() {
+    if (now_ >= request_.deadline) {
+        give_up({error_code::deadline_passed, to_string(request_.request), {}});
+    }
+    if (const auto lost = holds_.poll(now_, out_)) {
+        process(member_failed{*lost});
+    }
+    if (now_ >= retry_at_) {
+        process(retried{});
+    }
+}
+
+group_plan make_plan(const group_route& route, const router& engines) {
+    group_plan plan{.members = route.members, .names = {}, .spares = {}};
+    for (const auto& member : route.members) {
+        plan.names.push_back(engines.info(member.engine).name);
+    }
+    for (const auto spare : route.spares) {
+        plan.spares.push_back({spare, engines.info(spare).name});
+    }
+    return plan;
+}
+
+engine_group::engine_group(group_request request, group_plan plan, std::uint64_t seed)
+    : state_{std::make_unique<state>(std::move(request), std::move(plan), seed)} {
+    state_->machine_ = std::make_unique<state::machine>();
+    state_->machine_->group = state_.get();
+    state_->machine_->start();
+}
+engine_group::~engine_group() = default;
+engine_group::engine_group(engine_group&&) noexcept = default;
+engine_group& engine_group::operator=(engine_group&&) noexcept = default;
+
+std::vector<engine_command> engine_group::begin(time_point now) {
+    return state_->run(now, [this] { state_->process(started{}); });
+}
+
+std::vector<engine_command> engine_group::on_event(const engine_event& event, time_point now) {
+    return state_->run(now, [this, &event] { state_->take(event); });
+}
+
+std::vector<engine_command> engine_group::poll(time_point now) {
+    return state_->run(now, [this] { state_->poll(); });
+}
+
+std::vector<engine_command> engine_group::cancel(time_point now) {
+    return state_->run(now, [this] {
+        state_->give_up({error_code::caller_gone, to_string(state_->request_.request), {}});
+    });
+}
+
+void engine_group::replan(group_plan plan) {
+    if (state_->phase_ == group_phase::backing_off) {
+        state_->plan_ = std::move(plan);
+    }
+}
+
+time_point engine_group::next_due() const {
+    auto due = state_->holds_.next_due();
+    if (state_->phase_ == group_phase::backing_off) {
+        due = std::min(due, state_->retry_at_);
+    }
+    return state_->is_over() ? due : std::min(due, state_->request_.deadline);
+}
+
+group_phase engine_group::phase() const {
+    return state_->phase_;
+}
+
+bool engine_group::is_settled() const {
+    return state_->is_over() && state_->holds_.is_empty();
+}
+
+attempt_id engine_group::generation() const {
+    return state_->generation_;
+}
+
+const error& engine_group::failure() const {
+    return state_->failure_;
+}
+
+std::uint32_t engine_group::next_number() const {
+    return state_->numbers_.next;
+}
+
+} // namespace magnolia
--- a/src/route_decision.cpp
+++ b/src/route_decision.cpp
@@ -27,6 +27,8 @@
 constexpr double group_fill = 0.97;
 /// Share of the work of short prompts to which the engines kept for them are sized.
 constexpr std::size_t least_engines_for_classes = 4;
+/// Engines named beside a group to take over from a member.
+constexpr std::size_t group_spares = 2;
 /// KV cache that an engine imports, tokens/s.
 constexpr double import_tokens_per_second = 400'000;
 constexpr duration shortest_retry = std::chrono::milliseconds{100};
@@ -201,6 +203,10 @@
         group.members.push_back({option.engine, done, tokens});
         done += tokens;
     }
+    for (std::size_t index = count; index < std::min(options.size(), count + group_spares);
+         ++index) {
+        group.spares.push_back(options[index].engine);
+    }
     group.predicted_first_token = to_duration(ready);
     group.predicted_finish = to_duration(ready + context.generation);
     return group;
--- a/src/router.h
+++ b/src/router.h
@@ -55,6 +55,8 @@
 /// Several engines hold the prompt together; the last one generates.
 struct group_route {
     std::vector<group_member> members;
+    /// Engines of the same zones that could take over a member's share.
+    std::vector<engine_handle> spares;
     urgency_level engine_urgency = urgency_level::background;
     duration predicted_first_token{0};
     duration predicted_finish{0};
