--- a/src/engine_group.cpp
+++ b/src/engine_group.cpp
@@ -58,6 +58,13 @@
     template <class Call>
     [[nodiscard]] std::vector<engine_command> run(time_point now, Call&& call);
 
+    void enter(group_phase phase) { phase_ = phase; }
+
+    struct machine;
+
+private:
+    friend class engine_group;
+
     group_request request_;
     command_numbers numbers_;
     group_plan plan_;
@@ -79,7 +86,6 @@
     error failure_;
     group_phase phase_ = group_phase::idle;
 
-    struct machine;
     std::unique_ptr<machine> machine_;
 };
 
@@ -201,7 +207,7 @@
 struct phase_state : msm::front::state<> {
     template <class Event, class Machine>
     void on_entry(const Event&, Machine& machine) {
-        machine.group->phase_ = Phase;
+        machine.group->enter(Phase);
     }
 };
 struct idle : phase_state<group_phase::idle> {};
