--- /dev/null
+++ b/fakes/delay_link.cpp
@@ -0,0 +1,222 @@
+#include "delay_link.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+
+#include <deque>
+#include <random>
+#include <vector>
+
+namespace magnolia::fakes {
+namespace {
+
+using boost::asio::ip::tcp;
+using io_error = boost::system::error_code;
+
+constexpr std::size_t piece_bytes = std::size_t{64} << 10U;
+
+tcp::endpoint to_tcp(const endpoint& where) {
+    return {boost::asio::ip::make_address(where.address), where.port};
+}
+
+/// Piece of data with the time at which it may go on; an empty one ends the direction.
+struct held_piece {
+    time_point due{};
+    std::vector<char> bytes;
+};
+
+/// Moves bytes from one socket to another, each after its delay.
+class direction : public std::enable_shared_from_this<direction> {
+public:
+    direction(std::shared_ptr<tcp::socket> from, std::shared_ptr<tcp::socket> to,
+              const delay_link_settings& settings, std::uint64_t seed)
+        : from_{std::move(from)}, to_{std::move(to)}, timer_{from_->get_executor()},
+          delay_{settings.delay}, spread_{0, settings.spread.count()}, random_{seed} {}
+
+    void read() {
+        is_reading_ = true;
+        std::vector<char> bytes(piece_bytes);
+        const auto space = boost::asio::buffer(bytes);
+        from_->async_read_some(space, [self = shared_from_this(), bytes = std::move(bytes)](
+                                          io_error failure, std::size_t length) mutable {
+            bytes.resize(failure ? 0 : length);
+            self->on_read(std::move(bytes));
+        });
+    }
+
+private:
+    void on_read(std::vector<char> bytes) {
+        is_reading_ = false;
+        const bool is_end = bytes.empty();
+        const auto due = steady_now() + delay_ + duration{spread_(random_)};
+        last_due_ = std::max(last_due_, due);
+        held_bytes_ += bytes.size();
+        held_.push_back({last_due_, std::move(bytes)});
+        if (!is_writing_) {
+            wait_for_first();
+        }
+        if (!is_end && held_bytes_ < max_held_bytes) {
+            read();
+        }
+    }
+
+    void wait_for_first() {
+        is_writing_ = true;
+        timer_.expires_after(std::max(held_.front().due - steady_now(), duration{0}));
+        timer_.async_wait([self = shared_from_this()](io_error failure) {
+            if (!failure) {
+                self->write_first();
+            }
+        });
+    }
+
+    void write_first() {
+        const auto& piece = held_.front();
+        if (piece.bytes.empty()) {
+            io_error ignored;
+            to_->shutdown(tcp::socket::shutdown_send, ignored);
+            return;
+        }
+        boost::asio::async_write(*to_, boost::asio::buffer(piece.bytes),
+                                 [self = shared_from_this()](io_error failure, std::size_t) {
+                                     self->on_written(failure);
+                                 });
+    }
+
+    void on_written(io_error failure) {
+        if (failure) {
+            io_error ignored;
+            from_->close(ignored);
+            return;
+        }
+        const bool was_full = held_bytes_ >= max_held_bytes;
+        held_bytes_ -= held_.front().bytes.size();
+        held_.pop_front();
+        is_writing_ = false;
+        if (!held_.empty()) {
+            wait_for_first();
+        }
+        if (was_full && held_bytes_ < max_held_bytes && !is_reading_) {
+            read();
+        }
+    }
+
+    std::shared_ptr<tcp::socket> from_;
+    std::shared_ptr<tcp::socket> to_;
+    boost::asio::steady_timer timer_;
+    duration delay_;
+    std::uniform_int_distribution<duration::rep> spread_;
+    std::minstd_rand random_;
+    std::deque<held_piece> held_;
+    std::size_t held_bytes_ = 0;
+    time_point last_due_{};
+    bool is_reading_ = false;
+    bool is_writing_ = false;
+};
+
+} // namespace
+
+class delay_link::state : public std::enable_shared_from_this<state> {
+public:
+    state(boost::asio::io_context& context, delay_link_settings settings)
+        : context_{context}, settings_{std::move(settings)} {}
+
+    result<void> listen() {
+        try {
+            acceptor_ = tcp::acceptor{context_, to_tcp(settings_.listen)};
+        } catch (const boost::system::system_error&) {
+            return fail(error_code::connection,
+                        settings_.listen.address + ":" + std::to_string(settings_.listen.port));
+        }
+        accept();
+        return {};
+    }
+
+    [[nodiscard]] std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+
+    void set_cut(bool is_cut) {
+        is_cut_ = is_cut;
+        if (is_cut) {
+            close_connections();
+        }
+    }
+
+    void close() {
+        io_error ignored;
+        acceptor_.close(ignored);
+        close_connections();
+    }
+
+private:
+    void close_connections() {
+        for (const auto& held : sockets_) {
+            if (const auto socket = held.lock()) {
+                io_error ignored;
+                socket->close(ignored);
+            }
+        }
+        sockets_.clear();
+    }
+
+    void accept() {
+        acceptor_.async_accept([self = shared_from_this()](io_error failure, tcp::socket socket) {
+            if (!self->acceptor_.is_open()) {
+                return;
+            }
+            if (!failure && !self->is_cut_) {
+                self->connect(std::make_shared<tcp::socket>(std::move(socket)));
+            }
+            self->accept();
+        });
+    }
+
+    void connect(std::shared_ptr<tcp::socket> near) {
+        auto far = std::make_shared<tcp::socket>(context_);
+        std::erase_if(sockets_, [](const auto& held) { return held.expired(); });
+        sockets_.emplace_back(near);
+        sockets_.emplace_back(far);
+        auto& target = *far;
+        target.async_connect(
+            to_tcp(settings_.target), [self = shared_from_this(), near, far](io_error failure) {
+                if (failure) {
+                    io_error ignored;
+                    near->close(ignored);
+                    return;
+                }
+                near->set_option(tcp::no_delay{true});
+                far->set_option(tcp::no_delay{true});
+                const auto seed = self->settings_.seed + 2 * ++self->connections_;
+                std::make_shared<direction>(near, far, self->settings_, seed)->read();
+                std::make_shared<direction>(far, near, self->settings_, seed + 1)->read();
+            });
+    }
+
+    boost::asio::io_context& context_;
+    delay_link_settings settings_;
+    tcp::acceptor acceptor_{context_};
+    std::vector<std::weak_ptr<tcp::socket>> sockets_;
+    std::uint64_t connections_ = 0;
+    bool is_cut_ = false;
+};
+
+delay_link::delay_link(boost::asio::io_context& context, delay_link_settings settings)
+    : state_{std::make_shared<state>(context, std::move(settings))} {}
+
+delay_link::~delay_link() {
+    state_->close();
+}
+
+result<void> delay_link::listen() {
+    return state_->listen();
+}
+
+std::uint16_t delay_link::port() const {
+    return state_->port();
+}
+
+void delay_link::set_cut(bool is_cut) {
+    state_->set_cut(is_cut);
+}
+
+} // namespace magnolia::fakes
--- /dev/null
+++ b/scripts/cluster.py
@@ -0,0 +1,353 @@
+"""Starts the programs of a small deployment on loopback and stops them by process id.
+
+A deployment is a dictionary: zones (names in order), engines and services (numbers, spread over the zones),
+entries_per_zone, memory_tokens, time_scale, zone_delay_us, zone_spread_us, client_delay_us (one way; 0 for no link).
+Addresses: zone N has 127.0.(10+N).0/24; the platform and the time line have 127.0.9.1. With delays, zone A reaches
+zone B through 127.0.(100+10A+B).0/24, and clients reach zone N through 127.0.(200+N).0/24.
+"""
+import hashlib
+import http.client
+import json
+import os
+import pathlib
+import shutil
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+BUILD = pathlib.Path(os.environ.get("BUILD_DIR", ROOT / "build"))
+SHARED = "127.0.9.1"
+PLATFORM_PORT = 9000
+EVENTS_PORT = 9010
+QUERY_PORT = 9011
+CALLERS_PORT = 8080
+PEERS_PORT = 8081
+METRICS_PORT = 8082
+ENGINES_PORT = 9100
+ENGINE_CONTROL_PORT = 9099
+SERVICES_PORT = 9300
+SERVICE_CONTROL_PORT = 9299
+MODEL = "model"
+STOP_SECONDS = 20
+
+
+def call(address, port, method, path, body=None, headers=None, timeout=30):
+    """Returns (status, headers, body) of one HTTP request."""
+    connection = http.client.HTTPConnection(address, port, timeout=timeout)
+    try:
+        connection.request(method, path, body, headers or {})
+        response = connection.getresponse()
+        return response.status, response.headers, response.read()
+    finally:
+        connection.close()
+
+
+def to_yaml(value):
+    """Returns the value as JSON, which is YAML too."""
+    return json.dumps(value, indent=1) + "\n"
+
+
+class Cluster:
+    """Programs of one deployment; a context manager that stops what it started on every way out."""
+
+    def __init__(self, deployment):
+        self.deployment = deployment
+        self.zones = deployment["zones"]
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="magnolia-"))
+        self.started = []
+
+    def __enter__(self):
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(143))
+        signal.signal(signal.SIGINT, lambda *_: sys.exit(130))
+        try:
+            self.start_all()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *_):
+        self.stop()
+
+    @staticmethod
+    def address(zone, number=1):
+        return f"127.0.{10 + zone}.{number}"
+
+    def entry(self, zone, number=1):
+        """Address and port of one of a zone's entries towards callers."""
+        if self.deployment.get("client_delay_us", 0) > 0:
+            return f"127.0.{200 + zone}.{number}", CALLERS_PORT
+        return self.address(zone, number), CALLERS_PORT
+
+    def view(self, own_zone, zone, number=1):
+        """Address at which a zone reaches a host of another."""
+        if own_zone == zone or self.deployment.get("zone_delay_us", 0) == 0:
+            return self.address(zone, number)
+        return f"127.0.{100 + 10 * own_zone + zone}.{number}"
+
+    def entries(self):
+        """Zone and number of every entry."""
+        return [(zone, number + 1) for zone in range(len(self.zones))
+                for number in range(self.deployment.get("entries_per_zone", 1))]
+
+    def entry_name(self, zone, number):
+        return f"entry-{self.zones[zone]}-{number}"
+
+    def share(self, total, zone):
+        """Part of a number of machines that stands in one zone."""
+        count = len(self.zones)
+        return total // count + (1 if zone < total % count else 0)
+
+    def start(self, program, *arguments):
+        """Starts one program with its output in the folder."""
+        number = len(self.started)
+        log = open(self.folder / f"{number:02}-{program}.log", "w")
+        process = subprocess.Popen([str(BUILD / program), *map(str, arguments)], stdout=log, stderr=log)
+        log.close()
+        self.started.append((program, process))
+        return process
+
+    def start_with_settings(self, program, name, settings):
+        """Writes a settings file and starts the program with it."""
+        file = self.folder / f"{name}.yaml"
+        file.write_text(to_yaml(settings))
+        return self.start(program, "--settings", file)
+
+    def common(self, name, zone, metrics_address):
+        return {"name": name, "zone": zone, "metrics": {"address": metrics_address, "port": METRICS_PORT},
+                "timeline": {"address": SHARED, "port": EVENTS_PORT},
+                "platform": {"address": SHARED, "port": PLATFORM_PORT}}
+
+    def engines(self, own_zone):
+        """Settings of all engines, as the entries of a zone get them."""
+        made = []
+        for zone, name in enumerate(self.zones):
+            for index in range(self.share(self.deployment["engines"], zone)):
+                made.append({"name": f"{name}-engine-{index + 1}", "zone": name,
+                             "address": self.view(own_zone, zone), "port": ENGINES_PORT + index, "models": [MODEL],
+                             "memory_tokens": self.deployment["memory_tokens"]})
+        return made
+
+    def services(self, own_zone):
+        """Settings of all workers of the one plain service, `orders`, as the entries of a zone get them."""
+        made = []
+        for zone, name in enumerate(self.zones):
+            for index in range(self.share(self.deployment["services"], zone)):
+                made.append({"name": "orders", "zone": name, "address": self.view(own_zone, zone),
+                             "port": SERVICES_PORT + index})
+        return made
+
+    def entry_settings(self, zone, number):
+        own = self.address(zone, number)
+        members = [{"name": self.entry_name(*other), "zone": self.zones[other[0]],
+                    "address": self.view(zone, *other), "port": PEERS_PORT}
+                   for other in self.entries() if other != (zone, number)]
+        return {"process": self.common(self.entry_name(zone, number), self.zones[zone], own),
+                "listen": {"address": own, "port": CALLERS_PORT},
+                "peer_listen": {"address": own, "port": PEERS_PORT},
+                "members": members, "engines": self.engines(zone), "services": self.services(zone)}
+
+    def links(self):
+        """Links between zones and from the clients, as fake-link reads them."""
+        delay = self.deployment.get("zone_delay_us", 0)
+        spread = self.deployment.get("zone_spread_us", 0)
+        made = []
+
+        def add(address, target, port, link_delay, link_spread):
+            made.append({"listen": {"address": address, "port": port}, "target": {"address": target, "port": port},
+                         "delay_us": link_delay, "spread_us": link_spread})
+
+        for zone in range(len(self.zones)):
+            for own in range(len(self.zones)):
+                if own == zone or delay == 0:
+                    continue
+                for host, ports in self.listeners(zone):
+                    for port in ports:
+                        add(self.view(own, zone, host), self.address(zone, host), port, delay, spread)
+        if self.deployment.get("client_delay_us", 0) > 0:
+            for entry in self.entries():
+                add(self.entry(*entry)[0], self.address(*entry), CALLERS_PORT, self.deployment["client_delay_us"], 0)
+        return made
+
+    def listeners(self, zone):
+        """Host numbers of a zone with the ports that other zones reach."""
+        back_ends = [ENGINES_PORT + index for index in range(self.share(self.deployment["engines"], zone))]
+        back_ends += [SERVICES_PORT + index for index in range(self.share(self.deployment["services"], zone))]
+        return [(1, back_ends)] + [(number, [PEERS_PORT]) for own, number in self.entries() if own == zone]
+
+    def start_all(self):
+        self.start("fake-platform", "--address", SHARED, "--port", PLATFORM_PORT)
+        timeline = {"process": {"name": "timeline", "zone": self.zones[0]},
+                    "listen": {"address": SHARED, "port": EVENTS_PORT},
+                    "query": {"address": SHARED, "port": QUERY_PORT}}
+        self.start_with_settings("magnolia-timeline", "timeline", timeline)
+        for zone, name in enumerate(self.zones):
+            self.start_zone_back_ends(zone, name)
+        self.wait_until(lambda: call(SHARED, PLATFORM_PORT, "GET", "/v1/objects/contract")[0] == 200, "fake-platform")
+        links = self.links()
+        if links:
+            file = self.folder / "links.json"
+            file.write_text(json.dumps(links))
+            self.start("fake-link", "--links", file)
+        for zone, number in self.entries():
+            self.start_with_settings("magnolia-entry", self.entry_name(zone, number),
+                                     self.entry_settings(zone, number))
+        for zone, number in self.entries():
+            self.wait_until(lambda: call(self.address(zone, number), METRICS_PORT, "GET", "/readyz")[0] == 200,
+                            self.entry_name(zone, number))
+
+    def start_zone_back_ends(self, zone, name):
+        self.start("fake-engine", "--address", self.address(zone), "--engines",
+                   self.share(self.deployment["engines"], zone), "--first-port", ENGINES_PORT, "--control-port",
+                   ENGINE_CONTROL_PORT, "--name", f"{name}-engine-", "--models", MODEL, "--memory-tokens",
+                   self.deployment["memory_tokens"], "--time-scale", self.deployment["time_scale"])
+        if self.share(self.deployment["services"], zone) > 0:
+            self.start("fake-service", "--address", self.address(zone), "--services",
+                       self.share(self.deployment["services"], zone), "--first-port", SERVICES_PORT,
+                       "--control-port", SERVICE_CONTROL_PORT)
+
+    def wait_until(self, condition, what, seconds=30):
+        """Waits for a condition; raises with the logs of programs that have ended."""
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            self.check_running()
+            try:
+                if condition():
+                    return
+            except OSError:
+                pass
+            time.sleep(0.05)
+        raise RuntimeError(f"{what} is not ready after {seconds} s; logs are in {self.folder}")
+
+    def check_running(self):
+        for number, (program, process) in enumerate(self.started):
+            if process.poll() is not None:
+                log = (self.folder / f"{number:02}-{program}.log").read_text()
+                raise RuntimeError(f"{program} ended with code {process.returncode}:\n{log}")
+
+    def put_contract(self, contract, expected_version=0):
+        """Writes a contract object; returns (status, answer)."""
+        status, _, body = call(SHARED, PLATFORM_PORT, "PUT",
+                               f"/v1/objects/contract/{contract['workspace']}?expected_version={expected_version}",
+                               json.dumps(contract))
+        return status, json.loads(body)
+
+    def executions(self):
+        """Executions per idempotency key, summed over the workers of the service."""
+        total = {}
+        for zone in range(len(self.zones)):
+            if self.share(self.deployment["services"], zone) == 0:
+                continue
+            _, _, body = call(self.address(zone), SERVICE_CONTROL_PORT, "GET", "/control/counts")
+            for worker in json.loads(body):
+                for key, count in worker["executions"].items():
+                    total[key] = total.get(key, 0) + count
+        return total
+
+    def timeline(self, query=""):
+        """Text of the time line."""
+        return call(SHARED, QUERY_PORT, "GET", f"/events{query}")[2].decode()
+
+    def stop(self):
+        """Ends every program that was started, the last one first; keeps the folder if one failed."""
+        for _, process in reversed(self.started):
+            if process.poll() is None:
+                process.send_signal(signal.SIGTERM)
+        end = time.monotonic() + STOP_SECONDS
+        failed = False
+        for program, process in reversed(self.started):
+            try:
+                process.wait(max(0.1, end - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                print(f"{program} did not stop within {STOP_SECONDS} s; killed", file=sys.stderr)
+                process.kill()
+                process.wait()
+            failed = failed or process.returncode != 0
+        self.started = []
+        if failed:
+            print(f"logs are kept in {self.folder}", file=sys.stderr)
+        else:
+            shutil.rmtree(self.folder, ignore_errors=True)
+
+
+def make_contract(workspace, key, **fields):
+    """Contract object with the hash of a key."""
+    contract = {"workspace": workspace, "key_hashes": [hashlib.sha256(key.encode()).hexdigest()], "models": [MODEL],
+                "services": ["orders"], "requests_per_second": 1000, "request_burst": 1000,
+                "prompt_tokens_per_second": 10000000, "prompt_token_burst": 20000000,
+                "generated_tokens_per_second": 100000, "generated_token_burst": 1000000, "concurrency": 1000}
+    contract.update(fields)
+    return contract
+
+
+def complete(entry, workspace, key, prompt, max_tokens, deadline_ms):
+    """Sends one streamed completion; returns outcome, error type, tokens, first token and whole time in ms."""
+    address, port = entry
+    body = json.dumps({"model": MODEL, "prompt": prompt, "max_tokens": max_tokens, "stream": True})
+    headers = {"Content-Type": "application/json", "Authorization": f"Bearer {key}", "Magnolia-Workspace": workspace,
+               "Magnolia-Deadline-Ms": str(deadline_ms)}
+    connection = http.client.HTTPConnection(address, port, timeout=deadline_ms / 1000 + 5)
+    began = time.monotonic()
+    result = {"outcome": "unknown", "error": "", "tokens": 0, "first_ms": None, "id": ""}
+    try:
+        connection.request("POST", "/v1/completions", body, headers)
+        response = connection.getresponse()
+        if response.status == 200:
+            read_stream(response, began, result)
+        else:
+            take_error(json.loads(response.read())["error"], result)
+    except (OSError, http.client.HTTPException, ValueError, KeyError) as failure:
+        result["error"] = type(failure).__name__
+    finally:
+        connection.close()
+    result["whole_ms"] = (time.monotonic() - began) * 1000
+    return result
+
+
+def take_error(error, result):
+    result["outcome"] = error["outcome"]
+    result["error"] = error["type"]
+
+
+def read_stream(response, began, result):
+    """Reads server-sent events up to [DONE]."""
+    for line in response:
+        if not line.startswith(b"data: "):
+            continue
+        data = line[6:].strip()
+        if data == b"[DONE]":
+            return
+        event = json.loads(data)
+        result["id"] = event.get("id", result["id"])
+        if "error" in event:
+            take_error(event["error"], result)
+        elif event["choices"][0]["finish_reason"]:
+            result["outcome"] = event["outcome"]
+            result["tokens"] = event["usage"]["completion_tokens"]
+        elif result["first_ms"] is None:
+            result["first_ms"] = (time.monotonic() - began) * 1000
+
+
+def prompt_of(tokens, seed):
+    """Text of a prompt: four bytes a token."""
+    words = hashlib.sha256(str(seed).encode()).hexdigest()
+    return (" ".join(words[i:i + 3] for i in range(0, 60, 3)) + " ").ljust(80)[:80] * (tokens * 4 // 80) \
+        + "x" * (tokens * 4 % 80)
+
+
+def order(entry, workspace, key, idempotency_key, created_ms, text):
+    """Places one unrepeatable order; returns status, outcome, whether it was replayed, error type."""
+    headers = {"Authorization": f"Bearer {key}", "Magnolia-Workspace": workspace, "Idempotency-Key": idempotency_key,
+               "Idempotency-Key-Time": str(created_ms), "Content-Type": "application/json"}
+    status, answer, body = call(*entry, "POST", "/v1/services/orders/purchase", text, headers)
+    error = ""
+    if status != 200:
+        try:
+            error = json.loads(body)["error"]["type"]
+        except (ValueError, KeyError, TypeError):
+            error = "no JSON error"
+    return {"status": status, "outcome": answer.get("Magnolia-Outcome", ""),
+            "replayed": answer.get("Magnolia-Replayed", "") == "true", "error": error}
--- /dev/null
+++ b/scripts/demo.py
@@ -0,0 +1,79 @@
+"""Runs the demo on programs that are built; scripts/demo calls it."""
+import sys
+import time
+import uuid
+
+import cluster
+
+DEPLOYMENT = {"zones": ["salt-lake", "howrah", "new-town"], "engines": 12, "services": 3, "memory_tokens": 450000,
+              "time_scale": 20}
+LENGTHS = [1000, 4000, 16000, 64000, 128000, 256000, 512000, 1000000]
+QUICK_LENGTHS = LENGTHS[:4]
+ANSWER_TOKENS = 32
+DEADLINE_MS = 120000
+WORKSPACE = "repair-shops"
+KEY = "demo-key"
+
+
+def show_prompts(running, lengths):
+    """Sends one prompt of each length and prints a line for each; returns whether all are done."""
+    print(f"{'prompt tokens':>13}  {'entry':<10} {'outcome':<8} {'first token ms':>14} {'whole ms':>9} "
+          f"{'answer tokens':>13}  error")
+    all_done = True
+    for number, tokens in enumerate(lengths):
+        zone = number % len(running.zones)
+        got = cluster.complete(running.entry(zone), WORKSPACE, KEY, cluster.prompt_of(tokens, number), ANSWER_TOKENS,
+                               DEADLINE_MS)
+        first = "-" if got["first_ms"] is None else f"{got['first_ms']:.0f}"
+        print(f"{tokens:>13}  {running.zones[zone]:<10} {got['outcome']:<8} {first:>14} {got['whole_ms']:>9.0f} "
+              f"{got['tokens']:>13}  {got['error']}", flush=True)
+        all_done = all_done and got["outcome"] == "done" and got["tokens"] == ANSWER_TOKENS
+    return all_done
+
+
+def show_order(running):
+    """Sends one order twice, at two entries; returns whether it ran once."""
+    key = str(uuid.uuid4())
+    created = int(time.time() * 1000)
+    print("\none unrepeatable order, sent at two entries under one key:")
+    done = True
+    for zone in (0, 1):
+        got = cluster.order(running.entry(zone), WORKSPACE, KEY, key, created, '{"part":"Z80-CPU","count":4}')
+        print(f"  {running.zones[zone]:<10} status {got['status']} outcome {got['outcome']} "
+              f"{'recorded answer' if got['replayed'] else ''}{got['error']}")
+        done = done and got["status"] == 200
+    executions = running.executions().get(key, 0)
+    print(f"  the service executed it {executions} time(s)")
+    return done and executions == 1
+
+
+def show_timeline(running):
+    lines = running.timeline("?limit=12").splitlines()
+    print("\nlast events of the time line:")
+    print("\n".join(f"  {line}" for line in lines))
+
+
+def main():
+    lengths = QUICK_LENGTHS if "--quick" in sys.argv else LENGTHS
+    with cluster.Cluster(DEPLOYMENT) as running:
+        status, answer = running.put_contract(cluster.make_contract(WORKSPACE, KEY))
+        if status != 200:
+            print(f"the contract was refused: {status} {answer}", file=sys.stderr)
+            return 1
+        running.wait_until(lambda: is_in_force(running), "the contract")
+        prompts_done = show_prompts(running, lengths)
+        order_once = show_order(running)
+        show_timeline(running)
+    print(f"\nprompts: {'all done' if prompts_done else 'NOT all done'}; "
+          f"order: {'ran once' if order_once else 'NOT as promised'}; all programs stopped")
+    return 0 if prompts_done and order_once else 1
+
+
+def is_in_force(running):
+    """Whether every entry knows the workspace's key."""
+    return all(cluster.complete(running.entry(zone), WORKSPACE, KEY, "part", 1, 10000)["outcome"] == "done"
+               for zone in range(len(running.zones)))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
