Contracts in force: table, watch, repair and relays

Entries need every contract change within seconds without each of them watching the platform. Two relays per zone watch and push; entries poll a relay for its digest and age, repair by buckets, and know by local time alone how old their table is.

Two tests of the zone status failed first because a relay with fresh contracts did not report to the other one; relays now poll each other.

--- a/include/magnolia/schema.h
+++ b/include/magnolia/schema.h
@@ -587,9 +587,154 @@
 void to_json(nlohmann::json& out, const member_list_message& value);
 void read(const nlohmann::json& in, schema_reader& reader, member_list_message& value);
 
+/// A contract as the store holds it.
+struct contract_version {
+    /// Version of its object in the store.
+    std::uint64_t version{0};
+    /// The contract.
+    contract value{};
+
+    bool operator==(const contract_version&) const = default;
+};
+
+void to_json(nlohmann::json& out, const contract_version& value);
+void read(const nlohmann::json& in, schema_reader& reader, contract_version& value);
+
+/// Asks a relay for the state of the configuration.
+struct config_poll {
+    /// Comes back in the answer.
+    std::uint32_t number{0};
+    /// Digest of the sender's contracts.
+    config_digest digest{};
+    /// Revision of the store that the sender has in force.
+    std::uint64_t revision{0};
+
+    bool operator==(const config_poll&) const = default;
+};
+
+void to_json(nlohmann::json& out, const config_poll& value);
+void read(const nlohmann::json& in, schema_reader& reader, config_poll& value);
+
+/// State of a relay's configuration.
+struct config_answer {
+    /// Number of the poll.
+    std::uint32_t number{0};
+    /// Digest of the sender's contracts.
+    config_digest digest{};
+    /// Revision of the store that the sender has in force.
+    std::uint64_t revision{0};
+    /// Time since the store was last known to hold nothing newer. [0..86400000 ms]
+    std::chrono::milliseconds age{86400000};
+
+    bool operator==(const config_answer&) const = default;
+};
+
+void to_json(nlohmann::json& out, const config_answer& value);
+void read(const nlohmann::json& in, schema_reader& reader, config_answer& value);
+
+/// Asks which contracts differ.
+struct config_buckets {
+    /// Comes back in the answer.
+    std::uint32_t number{0};
+    /// First bucket to compare. [0..256]
+    std::uint32_t first{0};
+    /// Hash of each bucket of the sender's contracts.
+    std::vector<std::uint64_t> hashes{};
+
+    bool operator==(const config_buckets&) const = default;
+};
+
+void to_json(nlohmann::json& out, const config_buckets& value);
+void read(const nlohmann::json& in, schema_reader& reader, config_buckets& value);
+
+/// Versions in the buckets that differ.
+struct config_versions {
+    /// Number of the question.
+    std::uint32_t number{0};
+    /// Hashes of the workspaces' names.
+    std::vector<std::uint64_t> names{};
+    /// Version of each.
+    std::vector<std::uint64_t> versions{};
+    /// First bucket that was not compared. [0..256]
+    std::uint32_t next{256};
+
+    bool operator==(const config_versions&) const = default;
+};
+
+void to_json(nlohmann::json& out, const config_versions& value);
+void read(const nlohmann::json& in, schema_reader& reader, config_versions& value);
+
+/// Asks for contracts.
+struct config_fetch {
+    /// Comes back in the answer.
+    std::uint32_t number{0};
+    /// Hashes of the workspaces' names.
+    std::vector<std::uint64_t> names{};
+
+    bool operator==(const config_fetch&) const = default;
+};
+
+void to_json(nlohmann::json& out, const config_fetch& value);
+void read(const nlohmann::json& in, schema_reader& reader, config_fetch& value);
+
+/// Contracts, as an answer or as news.
+struct config_contracts {
+    /// Number of the question; 0 for news.
+    std::uint32_t number{0};
+    /// The contracts.
+    std::vector<contract_version> contracts{};
+
+    bool operator==(const config_contracts&) const = default;
+};
+
+void to_json(nlohmann::json& out, const config_contracts& value);
+void read(const nlohmann::json& in, schema_reader& reader, config_contracts& value);
+
+/// A change on its way through a zone.
+struct zone_change {
+    /// Workspace of the contract.
+    std::string workspace{};
+    /// Version of the contract.
+    std::uint64_t version{0};
+    /// Whether every live entry of the zone has it in force.
+    bool in_force{false};
+
+    bool operator==(const zone_change&) const = default;
+};
+
+void to_json(nlohmann::json& out, const zone_change& value);
+void read(const nlohmann::json& in, schema_reader& reader, zone_change& value);
+
+/// Configuration in force in an availability zone; object of kind status, name config/ZONE.
+struct zone_status {
+    /// Availability zone.
+    std::string zone{};
+    /// Entry that wrote it.
+    std::string relay{};
+    /// Revision of the store that the relay has.
+    std::uint64_t revision{0};
+    /// Revision that every live entry of the zone has in force.
+    std::uint64_t in_force{0};
+    /// Live entries of the zone.
+    std::uint32_t entries{0};
+    /// Live entries that have not confirmed the revision.
+    std::uint32_t entries_behind{0};
+    /// Objects that could not be read as contracts.
+    std::uint32_t rejected{0};
+    /// Latest changes, newest first.
+    std::vector<zone_change> changes{};
+
+    bool operator==(const zone_status&) const = default;
+};
+
+void to_json(nlohmann::json& out, const zone_status& value);
+void read(const nlohmann::json& in, schema_reader& reader, zone_status& value);
+
 /// Any message between two processes of the system.
-using peer_message = std::variant<hello_message, ping_message, ack_message, ping_request_message,
-                                  member_list_request, member_list_message>;
+using peer_message =
+    std::variant<hello_message, ping_message, ack_message, ping_request_message,
+                 member_list_request, member_list_message, config_poll, config_answer,
+                 config_buckets, config_versions, config_fetch, config_contracts>;
 
 /// Number of the message's type in a frame; numbers are never used again.
 [[nodiscard]] std::uint16_t message_number(const peer_message& message);
--- /dev/null
+++ b/src/contract_repair.cpp
@@ -0,0 +1,136 @@
+#include "contract_repair.h"
+
+#include <algorithm>
+#include <numeric>
+#include <utility>
+
+namespace magnolia {
+namespace {
+
+constexpr std::chrono::milliseconds answer_timeout{2000};
+constexpr std::size_t versions_per_message = 4096;
+constexpr std::size_t contracts_per_message = 256;
+/// Encoded contracts of one message.
+constexpr std::size_t batch_bytes = std::size_t{256} << 10U;
+/// Encoded bytes of a contract beside its lists.
+constexpr std::size_t contract_overhead_bytes = 800;
+
+std::size_t text_bytes(std::span<const std::string> texts) {
+    return std::accumulate(texts.begin(), texts.end(), texts.size() * 4,
+                           [](std::size_t sum, const auto& text) { return sum + text.size(); });
+}
+
+std::size_t encoded_bytes(const contract_version& contract) {
+    const auto& value = contract.value;
+    return contract_overhead_bytes + text_bytes(value.key_hashes) + text_bytes(value.models) +
+           text_bytes(value.services);
+}
+
+} // namespace
+
+std::size_t batch_size(std::span<const contract_version> contracts) {
+    std::size_t bytes = 0;
+    const auto end = std::ranges::find_if(contracts, [&](const auto& contract) {
+        bytes += encoded_bytes(contract);
+        return bytes > batch_bytes;
+    });
+    const auto fitting = static_cast<std::size_t>(end - contracts.begin());
+    return std::clamp<std::size_t>(fitting, 1, contracts_per_message);
+}
+
+std::optional<outgoing_message> contract_repair::start(repair_target target,
+                                                       const contract_table& table,
+                                                       std::uint32_t number, time_point now) {
+    if (target_) {
+        return std::nullopt;
+    }
+    target_ = std::move(target);
+    number_ = number;
+    heard_ = now;
+    missing_.clear();
+    asked_ = 0;
+    first_ = 0;
+    return ask_buckets(table);
+}
+
+outgoing_message contract_repair::ask_buckets(const contract_table& table) const {
+    const auto hashes = table.bucket_hashes();
+    return {target_->peer, config_buckets{number_, first_, {hashes.begin(), hashes.end()}}};
+}
+
+std::optional<outgoing_message> contract_repair::on(const config_versions& message,
+                                                    const contract_table& table, time_point now) {
+    if (!target_ || message.number != number_ || !missing_.empty()) {
+        return std::nullopt;
+    }
+    heard_ = now;
+    const auto missing = table.missing(message.names, message.versions);
+    missing_.assign(missing.begin(), missing.end());
+    if (!missing_.empty()) {
+        return fetch_next(table);
+    }
+    first_ = message.next;
+    if (first_ < config_bucket_count) {
+        return ask_buckets(table);
+    }
+    finished_ = std::exchange(target_, std::nullopt);
+    return std::nullopt;
+}
+
+std::optional<outgoing_message> contract_repair::on(const config_contracts& message,
+                                                    const contract_table& table, time_point now) {
+    if (!target_ || message.number != number_ || asked_ == 0) {
+        return std::nullopt;
+    }
+    heard_ = now;
+    const auto answered =
+        std::min(std::max<std::size_t>(message.contracts.size(), 1), missing_.size());
+    missing_.erase(missing_.begin(), missing_.begin() + static_cast<std::ptrdiff_t>(answered));
+    asked_ = 0;
+    return fetch_next(table);
+}
+
+std::optional<outgoing_message> contract_repair::fetch_next(const contract_table& table) {
+    if (missing_.empty()) {
+        return ask_buckets(table);
+    }
+    asked_ = std::min(contracts_per_message, missing_.size());
+    return outgoing_message{
+        target_->peer,
+        config_fetch{number_,
+                     {missing_.begin(), missing_.begin() + static_cast<std::ptrdiff_t>(asked_)}}};
+}
+
+std::optional<repair_target> contract_repair::take_finished() {
+    return std::exchange(finished_, std::nullopt);
+}
+
+void contract_repair::expire(time_point now) {
+    if (target_ && now - heard_ >= answer_timeout) {
+        target_.reset();
+    }
+}
+
+config_versions answer_buckets(const config_buckets& message, const contract_table& table) {
+    auto list = table.differing(message.hashes, message.first, versions_per_message);
+    return {message.number, std::move(list.names), std::move(list.versions),
+            static_cast<std::uint32_t>(list.next)};
+}
+
+config_contracts answer_fetch(const config_fetch& message, const contract_table& table) {
+    config_contracts answer{message.number, {}};
+    for (const auto name : message.names) {
+        if (const auto* known = table.find(name)) {
+            answer.contracts.push_back(*known);
+        }
+        if (answer.contracts.size() == contracts_per_message) {
+            break;
+        }
+    }
+    if (!answer.contracts.empty()) {
+        answer.contracts.resize(std::min(answer.contracts.size(), batch_size(answer.contracts)));
+    }
+    return answer;
+}
+
+} // namespace magnolia
