Decisions of an entry: admission, attempts, groups, orders, truth of outcomes

Cause: router, limiter, claims and engine groups had no one to join them. Change: entry_core takes typed events with their time and gives typed commands; an MSM life cycle refuses steps that its phase does not allow; a completion continues on another engine at its offset, within the retry budget and its deadline; an order is dispatched once, after its claim; waiting for a larger share and for a back end is bounded by the deadline. Ruled out: coroutines per request (docs/design/0003-entry-core.md). Conclusion: every order of events can be caused in a test without sockets.

--- a/include/magnolia/schema.h
+++ b/include/magnolia/schema.h
@@ -183,6 +183,9 @@
 /// HTTP status that callers and operators get for the error.
 [[nodiscard]] unsigned http_status(error_code code);
 
+/// Sentence that tells a person what the error means.
+[[nodiscard]] std::string_view description(error_code code);
+
 /// Kinds of events in the time line.
 enum class event_kind : std::uint16_t {
     /// A process is ready.
@@ -404,6 +407,8 @@
     std::string address{};
     /// HTTP port. [1..65535]
     std::uint16_t port{};
+    /// Beginnings of the paths whose calls must not be repeated. [0..64]
+    std::vector<std::string> unrepeatable_paths{};
 
     bool operator==(const service_settings&) const = default;
 };
--- a/scripts/generate.py
+++ b/scripts/generate.py
@@ -77,6 +77,8 @@
             "[[nodiscard]] std::string_view to_string(error_code code);", "",
             "/// HTTP status that callers and operators get for the error.",
             "[[nodiscard]] unsigned http_status(error_code code);", "",
+            "/// Sentence that tells a person what the error means.",
+            "[[nodiscard]] std::string_view description(error_code code);", "",
             "/// Kinds of events in the time line.", "enum class event_kind : std::uint16_t {"]
     for item in schema["events"]:
         out += [f"    /// {item['doc']}", f"    {item['name']},"]
@@ -174,7 +176,11 @@
     out += ["unsigned http_status(error_code code) {", "    switch (code) {"]
     for item in schema["errors"]:
         out += [f"    case error_code::{item['name']}:", f"        return {item['status']};"]
-    out += ["    }", "    return 500;", "}", ""]
+    out += ["    }", "    return 500;", "}", "", "std::string_view description(error_code code) {",
+            "    switch (code) {"]
+    for item in schema["errors"]:
+        out += [f"    case error_code::{item['name']}:", f"        return \"{item['doc']}\";"]
+    out += ["    }", "    return \"Unknown error.\";", "}", ""]
     out += emit_names("event_kind", schema["events"])
     for enum in schema["enums"]:
         out += emit_read_enum(enum)
--- a/src/duty.h
+++ b/src/duty.h
@@ -41,16 +41,31 @@
     inbox(duty& owner, std::size_t slots, std::function<void(T)> handler)
         : owner_{owner}, ring_{slots}, handler_{std::move(handler)} {}
 
+    /// As push(), but a refused item stays where it is.
+    [[nodiscard]] bool try_push(T& item) {
+        const bool pushed = ring_.try_push(item);
+        if (pushed) {
+            schedule();
+        }
+        return pushed;
+    }
+
     /// Hands an item to the duty, from any thread. Errors: ring_full.
     [[nodiscard]] result<void> push(T item) {
         auto pushed = ring_.push(std::move(item));
-        if (pushed && !is_scheduled_.exchange(true)) {
-            boost::asio::post(owner_.context(), [this] { drain(); });
+        if (pushed) {
+            schedule();
         }
         return pushed;
     }
 
 private:
+    void schedule() {
+        if (!is_scheduled_.exchange(true)) {
+            boost::asio::post(owner_.context(), [this] { drain(); });
+        }
+    }
+
     void drain() {
         is_scheduled_.store(false);
         while (auto item = ring_.pop()) {
--- /dev/null
+++ b/src/entry_completion.cpp
@@ -0,0 +1,307 @@
+/// Completions: admission, attempts on engines, the answer put together in order, recovery on
+/// another engine.
+#include "entry_core_p.h"
+
+#include <algorithm>
+
+namespace magnolia {
+namespace {
+
+/// Deadlines of a contract that states none.
+constexpr auto default_first_token = std::chrono::milliseconds{30'000};
+constexpr auto default_finish = std::chrono::milliseconds{600'000};
+
+/// Batches of tokens kept that arrived ahead of their turn; more means that the stream is broken.
+constexpr std::size_t max_batches_ahead = 64;
+
+/// Attempts of one request, whatever the retry budget holds.
+constexpr std::uint32_t max_attempts = 8;
+
+/// Wait for a back end after the first and after many refusals; doubled in between, with jitter.
+constexpr duration first_retry_wait = std::chrono::milliseconds{50};
+constexpr duration last_retry_wait = std::chrono::milliseconds{2'000};
+
+/// What a call of a plain service takes from the retry budget, tokens.
+constexpr std::uint32_t tokens_of_call = 100;
+
+/// Class of the shortest deadlines that cover the length; the last class covers everything longer.
+deadline_class class_of(const contract& terms, std::uint32_t prompt_tokens) {
+    if (terms.deadlines.empty()) {
+        return {prompt_tokens, default_first_token, default_finish};
+    }
+    const auto fits = [&](const deadline_class& item) {
+        return prompt_tokens <= item.up_to_tokens;
+    };
+    const auto found = std::ranges::find_if(terms.deadlines, fits);
+    return found == terms.deadlines.end() ? terms.deadlines.back() : *found;
+}
+
+} // namespace
+
+void entry_core::state::set_deadlines(request_record& record, const contract& terms,
+                                      const caller_identity& identity, std::uint32_t prompt_tokens,
+                                      event_time at) {
+    const auto limits = class_of(terms, prompt_tokens);
+    const auto own = identity.deadline.value_or(limits.finish);
+    record.first_token_by = at.now + std::min(limits.first_token, own);
+    record.finish_by = at.now + std::min(limits.finish, own);
+}
+
+void entry_core::state::on(const completion_request& event, event_time at) {
+    const auto terms = authorize(event.identity);
+    if (!terms) {
+        return refuse(event.caller, {}, event.identity.workspace, terms.error());
+    }
+    auto& record = open_request(event.caller, **terms, at);
+    auto& work = record.work.emplace<completion_work>();
+    work.model = event.model;
+    work.adapter = event.adapter;
+    work.prompt = event.prompt;
+    work.prompt_tokens = router_.estimate_tokens(event.model, event.prompt->size());
+    work.max_tokens = std::min(event.max_tokens == 0 ? UINT32_MAX : event.max_tokens,
+                               (*terms)->max_generated_tokens);
+    set_deadlines(record, **terms, event.identity, work.prompt_tokens, at);
+    if (is_stopping_ || requests_.size() > options_.max_requests) {
+        const auto code = is_stopping_ ? error_code::stopping : error_code::overloaded;
+        return end_failed(record, {code, {}, std::chrono::milliseconds{100}}, at);
+    }
+    if (std::ranges::find((*terms)->models, event.model) == (*terms)->models.end()) {
+        return end_failed(record, {error_code::model_unknown, event.model, {}}, at);
+    }
+    if (work.prompt_tokens > (*terms)->max_prompt_tokens) {
+        return end_failed(
+            record, {error_code::too_large, std::to_string(work.prompt_tokens) + " tokens", {}},
+            at);
+    }
+    work.prefixes = prefix_hashes(*work.prompt);
+    watch_deadline(record);
+    admit(record, at);
+}
+
+void entry_core::state::on_admitted(request_record& record, completion_work& /*work*/,
+                                    event_time at) {
+    take_step(record, request_step::admit);
+    start_completion(record, at);
+}
+
+route_query entry_core::state::query_of(const request_record& record, event_time at) const {
+    const auto& work = std::get<completion_work>(record.work);
+    route_query query;
+    query.request = record.id;
+    query.model = work.model;
+    query.adapter = work.adapter;
+    query.prompt_tokens = work.prompt_tokens + work.next_offset;
+    query.max_generated_tokens = work.max_tokens - work.next_offset;
+    query.prefix_hashes = work.prefixes;
+    query.urgency = record.urgency;
+    // After the first token only the end matters.
+    const auto first_token_by = work.next_offset > 0 ? record.finish_by : record.first_token_by;
+    query.first_token_in = first_token_by - at.now;
+    query.finish_in = record.finish_by - at.now;
+    query.excluded = work.excluded;
+    return query;
+}
+
+void entry_core::state::start_completion(request_record& record, event_time at) {
+    const auto query = query_of(record, at);
+    const auto decision = router_.decide(query, at.now);
+    if (const auto* refused = std::get_if<route_refused>(&decision)) {
+        // An admitted request that has been tried goes on waiting; a new one is refused at once.
+        const bool is_new = record.attempt.number == 0;
+        return is_new ? end_failed(record, refused->failure, at)
+                      : wait_for_backend(record, refused->failure, at);
+    }
+    if (const auto* single = std::get_if<single_route>(&decision)) {
+        return dispatch(record, *single, query, at);
+    }
+    start_group(record, std::get<group_route>(decision), query, at);
+}
+
+void entry_core::state::begin_answer(completion_work& work) {
+    work.is_accepted = false;
+    work.final_tokens.reset();
+    work.ahead.clear();
+}
+
+void entry_core::state::dispatch(request_record& record, const single_route& route,
+                                 const route_query& query, event_time at) {
+    auto& work = std::get<completion_work>(record.work);
+    ++record.attempt.number;
+    record.is_attempt_open = true;
+    const auto engine = route.engine;
+    work.engine = engine;
+    begin_answer(work);
+    take_step(record, request_step::dispatch);
+    router_.on_started(record.attempt, engine, query, at.now);
+    record.refusals = 0;
+    if (record.attempt.number == 1) {
+        retry_budget_.on_first_attempt(work.prompt_tokens, at.now);
+    }
+
+    engine_start start;
+    start.id = record.attempt;
+    start.engine = engine;
+    start.model = work.model;
+    start.adapter = work.adapter;
+    start.prompt = work.prompt;
+    start.prefix_answer = work.answer;
+    start.resume_offset = work.next_offset;
+    start.max_generated_tokens = work.max_tokens;
+    start.urgency = route.engine_urgency;
+    start.time_left = record.finish_by - at.now;
+    const auto kind =
+        work.next_offset > 0 ? event_kind::attempt_resumed : event_kind::attempt_started;
+    note(kind, record, router_.info(engine).name, "offset " + std::to_string(work.next_offset));
+    emit(engine_command{std::move(start)});
+}
+
+void entry_core::state::end_attempt(request_record& record, bool succeeded, event_time at) {
+    if (!record.is_attempt_open) {
+        return;
+    }
+    record.is_attempt_open = false;
+    auto* work = std::get_if<completion_work>(&record.work);
+    if (work == nullptr) {
+        close_call(std::get<service_work>(record.work));
+        record.may_have_run = true;
+        return;
+    }
+    record.has_run = record.has_run || work->is_accepted;
+    record.may_have_run = true;
+    if (work->group) {
+        return;
+    }
+    router_.on_ended(record.attempt, succeeded, work->next_offset, at.now);
+    note(event_kind::attempt_ended, record, router_.info(work->engine).name,
+         succeeded ? "done" : "cancelled");
+    if (!succeeded) {
+        emit(engine_command{engine_cancel{record.attempt, work->engine}});
+    }
+}
+
+void entry_core::state::on(const engine_accepted& event, event_time at) {
+    auto* record = find_attempt(event.id);
+    if (record == nullptr) {
+        return;
+    }
+    auto& work = std::get<completion_work>(record->work);
+    work.is_accepted = true;
+    work.prompt_tokens = event.prompt_tokens;
+    router_.on_accepted(work.group ? work.group_account : event.id, event.prompt_tokens,
+                        event.cached_tokens, at.now);
+}
+
+void entry_core::state::on(const engine_tokens& event, event_time at) {
+    if (auto* record = find_attempt(event.id)) {
+        accept_tokens(*record, event, at);
+    }
+}
+
+void entry_core::state::accept_tokens(request_record& record, const engine_tokens& event,
+                                      event_time at) {
+    auto& work = std::get<completion_work>(record.work);
+    const auto end = event.offset + event.count;
+    if (end <= work.next_offset || event.count == 0) {
+        return;
+    }
+    if (event.offset < work.next_offset || work.ahead.size() >= max_batches_ahead) {
+        return retry_completion(record, {error_code::backend_failed, "stream out of order", {}},
+                                at);
+    }
+    work.is_accepted = true;
+    work.ahead.emplace(event.offset, event);
+    while (!work.ahead.empty() && work.ahead.begin()->first == work.next_offset) {
+        auto batch = std::move(work.ahead.extract(work.ahead.begin()).mapped());
+        if (record.life.phase() == request_phase::dispatched) {
+            take_step(record, request_step::first_token);
+            router_.on_first_token(work.group ? work.group_account : record.attempt, at.now);
+            note(event_kind::attempt_first_token, record, {}, {});
+        }
+        work.answer += batch.text;
+        work.next_offset += batch.count;
+        emit(caller_command{
+            caller_text{record.caller, record.id, batch.offset, std::move(batch.text)}});
+    }
+    finish_if_whole(record, at);
+}
+
+void entry_core::state::on(const engine_finished& event, event_time at) {
+    auto* record = find_attempt(event.id);
+    if (record == nullptr) {
+        return;
+    }
+    auto& work = std::get<completion_work>(record->work);
+    work.is_accepted = true;
+    work.final_tokens = event.generated_tokens;
+    finish_if_whole(*record, at);
+}
+
+void entry_core::state::finish_if_whole(request_record& record, event_time at) {
+    const auto& work = std::get<completion_work>(record.work);
+    if (work.final_tokens && *work.final_tokens <= work.next_offset && work.ahead.empty()) {
+        end_attempt(record, true, at);
+        end_done(record, at);
+    }
+}
+
+void entry_core::state::on(const engine_failed& event, event_time at) {
+    if (event.leaving) {
+        set_engine_state(event.engine, host_state::leaving, at);
+    }
+    auto* record = find_attempt(event.id);
+    if (record == nullptr || std::get<completion_work>(record->work).group) {
+        return;
+    }
+    auto& work = std::get<completion_work>(record->work);
+    record->is_attempt_open = false;
+    record->has_run = record->has_run || work.is_accepted || event.certainty == run_certainty::ran;
+    record->may_have_run = record->may_have_run || event.certainty != run_certainty::not_run;
+    router_.on_ended(event.id, false, work.next_offset, at.now);
+    note(event_kind::attempt_ended, *record, router_.info(work.engine).name,
+         to_string(event.failure));
+    retry_completion(*record, event.failure, at);
+}
+
+bool entry_core::state::may_retry(const request_record& record, event_time at) {
+    const auto* work = std::get_if<completion_work>(&record.work);
+    const auto tokens = work != nullptr ? work->prompt_tokens : tokens_of_call;
+    return record.attempt.number < max_attempts && retry_budget_.try_spend(tokens, at.now);
+}
+
+void entry_core::state::retry_completion(request_record& record, const error& failure,
+                                         event_time at) {
+    end_attempt(record, false, at);
+    auto& work = std::get<completion_work>(record.work);
+    work.excluded.push_back(work.engine);
+    if (!may_retry(record, at)) {
+        return end_failed(record, failure, at);
+    }
+    take_step(record, request_step::retry);
+    start_completion(record, at);
+}
+
+void entry_core::state::wait_for_backend(request_record& record, const error& failure,
+                                         event_time at) {
+    auto& work = std::get<completion_work>(record.work);
+    // An engine that failed may be back by then.
+    work.excluded.clear();
+    const auto longest = std::min(
+        first_retry_wait * (std::int64_t{1} << std::min(record.refusals, 6U)), last_retry_wait);
+    const duration wait{
+        std::uniform_int_distribution{longest.count() / 2, longest.count()}(random_)};
+    ++record.refusals;
+    const auto next = at.now + wait;
+    const auto give_up = work.next_offset > 0 ? record.finish_by : record.first_token_by;
+    if (next >= give_up) {
+        return end_failed(record, failure, at);
+    }
+    record.retry_at = next;
+    timers_.emplace(next, record.id);
+}
+
+void entry_core::state::on(const resume_request& event, event_time /*at*/) {
+    refuse(event.caller, event.request, event.identity.workspace,
+           {error_code::not_found, to_string(event.request), {}});
+}
+
+} // namespace magnolia
--- /dev/null
+++ b/src/entry_core.cpp
@@ -0,0 +1,396 @@
+#include "entry_core_p.h"
+
+#include <openssl/evp.h>
+
+#include <algorithm>
+#include <array>
+#include <ranges>
+
+namespace magnolia {
+
+std::string hash_key(std::string_view key) {
+    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
+    unsigned length = 0;
+    EVP_Digest(key.data(), key.size(), digest.data(), &length, EVP_sha256(), nullptr);
+    static constexpr std::string_view digits = "0123456789abcdef";
+    std::string text;
+    text.reserve(std::size_t{2} * length);
+    for (const auto byte : std::span{digest}.first(length)) {
+        text += digits[byte >> 4U];
+        text += digits[byte & 15U];
+    }
+    return text;
+}
+
+// Construction and back ends.
+
+entry_core::state::state(entry_options options)
+    : options_{std::move(options)}, router_{options_.zone, options_.policy, options_.seed},
+      limiter_{options_.name, options_.zone}, claims_{options_.origin, options_.claim_retention},
+      random_{options_.seed} {}
+
+engine_handle entry_core::state::put_engine(const engine_info& info, event_time at) {
+    return router_.put_engine(info, at.now);
+}
+
+service_handle entry_core::state::put_service(const service_info& info) {
+    services_.push_back({info});
+    return {static_cast<std::uint32_t>(services_.size() - 1)};
+}
+
+void entry_core::state::set_engine_state(engine_handle engine, host_state value, event_time at) {
+    auto& held = engine_states_[engine];
+    if (held == value) {
+        return;
+    }
+    held = value;
+    router_.set_state(engine, value, at.now);
+    if (value != host_state::live) {
+        emit(timeline_note{event_kind::backend_leaving,
+                           {},
+                           {},
+                           router_.info(engine).name,
+                           std::string{to_string(value)}});
+    }
+}
+
+void entry_core::state::set_service_state(service_handle service, host_state value) {
+    services_[service.value].value = value;
+}
+
+void entry_core::state::put_contract(const contract& value, std::uint64_t version, event_time at) {
+    auto& held = contracts_[value.workspace];
+    if (version <= held.version) {
+        return;
+    }
+    for (const auto& hash : held.value.key_hashes) {
+        workspace_of_key_.erase(hash);
+    }
+    for (const auto& hash : value.key_hashes) {
+        workspace_of_key_[hash] = value.workspace;
+    }
+    held = {value, version};
+    limiter_.put_contract(value, version, at.now);
+    emit(timeline_note{event_kind::contract_in_force,
+                       {},
+                       value.workspace,
+                       value.workspace,
+                       "version " + std::to_string(version)});
+}
+
+// Admission, common to both kinds of work.
+
+result<const contract*> entry_core::state::authorize(const caller_identity& identity) const {
+    const auto owner = workspace_of_key_.find(hash_key(identity.key));
+    if (owner == workspace_of_key_.end()) {
+        return fail(error_code::unauthorized);
+    }
+    if (!identity.workspace.empty() && identity.workspace != owner->second) {
+        return fail(error_code::unauthorized, identity.workspace);
+    }
+    const auto& terms = contracts_.at(owner->second).value;
+    if (terms.state == contract_state::retired) {
+        return fail(error_code::workspace_retired, terms.workspace);
+    }
+    return &terms;
+}
+
+request_record& entry_core::state::open_request(caller_handle caller, const contract& terms,
+                                                event_time at) {
+    const request_id id{options_.origin, next_sequence_++};
+    auto& slot = requests_[id];
+    slot = std::make_unique<request_record>();
+    slot->id = id;
+    slot->caller = caller;
+    slot->workspace = terms.workspace;
+    slot->urgency = terms.urgency;
+    slot->received = at.now;
+    slot->attempt.request = id;
+    request_of_caller_[caller.value] = id;
+    note(event_kind::request_received, *slot, {}, {});
+    return *slot;
+}
+
+void entry_core::state::refuse(caller_handle caller, request_id request, std::string_view workspace,
+                               const error& failure) {
+    emit(timeline_note{
+        event_kind::request_refused, request, std::string{workspace}, {}, to_string(failure)});
+    emit(caller_command{caller_failed{caller, request, failure, outcome::not_run}});
+}
+
+void entry_core::state::note(event_kind kind, const request_record& record, std::string subject,
+                             std::string detail) {
+    emit(timeline_note{kind, record.id, record.workspace, std::move(subject), std::move(detail)});
+}
+
+void entry_core::state::take_step(request_record& record, request_step step) {
+    if (const auto taken = record.life.take(step); !taken) {
+        note(event_kind::request_ended, record, "life cycle", to_string(taken.error()));
+    }
+}
+
+void entry_core::state::watch_deadline(request_record& record) {
+    timers_.emplace(std::min(record.first_token_by, record.finish_by), record.id);
+    timers_.emplace(record.finish_by, record.id);
+}
+
+void entry_core::state::admit(request_record& record, event_time at) {
+    const auto* work = std::get_if<completion_work>(&record.work);
+    const auto prompt_tokens = work != nullptr ? work->prompt_tokens : 0U;
+    const auto generated_tokens = work != nullptr ? work->max_tokens : 0U;
+    auto decision =
+        limiter_.decide(record.workspace, prompt_tokens, generated_tokens, record.received, at.now);
+    if (auto* failure = std::get_if<error>(&decision)) {
+        return end_failed(record, *failure, at);
+    }
+    if (const auto* pending = std::get_if<limit_pending>(&decision)) {
+        waiting_[record.workspace].push_back(record.id);
+        // Never at once, so that a tick ends.
+        timers_.emplace(std::max(pending->until, at.now + least_wait), record.id);
+        return;
+    }
+    record.ticket = std::move(std::get<limit_ticket>(decision));
+    note(event_kind::request_admitted, record, {}, {});
+    std::visit([&](auto& item) { on_admitted(record, item, at); }, record.work);
+}
+
+void entry_core::state::admit_waiting(event_time at) {
+    for (const auto& workspace : limiter_.take_changed()) {
+        const auto found = waiting_.find(workspace);
+        if (found == waiting_.end()) {
+            continue;
+        }
+        const auto ids = std::exchange(found->second, {});
+        waiting_.erase(found);
+        for (const auto& id : ids) {
+            auto* record = find(id);
+            if (record != nullptr && record->life.phase() == request_phase::received) {
+                admit(*record, at);
+            }
+        }
+    }
+}
+
+// The end of a request.
+
+outcome entry_core::state::outcome_of(const request_record& record) const {
+    if (record.has_run) {
+        return outcome::failed;
+    }
+    return record.may_have_run ? outcome::unknown : outcome::not_run;
+}
+
+void entry_core::state::end_done(request_record& record, event_time at) {
+    const auto& work = std::get<completion_work>(record.work);
+    emit(caller_command{
+        caller_done{record.caller, record.id, work.prompt_tokens, work.next_offset}});
+    close(record, outcome::done, at);
+}
+
+void entry_core::state::end_answered(request_record& record, const service_answer& answer,
+                                     event_time at) {
+    constexpr unsigned first_server_error = 500;
+    const auto reached = answer.status < first_server_error ? outcome::done : outcome::failed;
+    emit(
+        caller_command{caller_answer{record.caller, record.id, answer.status, answer.body, false}});
+    if (auto& work = std::get<service_work>(record.work); work.is_claimed) {
+        claims_.settle(*work.claim, record.id, reached, answer.status, answer.body, at.now);
+    }
+    close(record, reached, at);
+}
+
+void entry_core::state::end_failed(request_record& record, const error& failure, event_time at) {
+    end_attempt(record, false, at);
+    const auto reached = outcome_of(record);
+    if (auto* work = std::get_if<service_work>(&record.work); work != nullptr && work->is_claimed) {
+        claims_.settle(*work->claim, record.id, reached, 0, {}, at.now);
+    }
+    emit(caller_command{caller_failed{record.caller, record.id, failure, reached}});
+    note(event_kind::request_refused, record, {}, to_string(failure));
+    close(record, reached, at);
+}
+
+void entry_core::state::close(request_record& record, outcome result, event_time at) {
+    take_step(record, request_step::end);
+    close_group(record, result == outcome::done, at);
+    note(event_kind::request_ended, record, {}, std::string{to_string(result)});
+    if (record.ticket) {
+        const auto* work = std::get_if<completion_work>(&record.work);
+        const bool has_started = result != outcome::not_run;
+        const auto prompt_tokens = work != nullptr && has_started ? work->prompt_tokens : 0U;
+        const auto generated_tokens = work != nullptr ? work->next_offset : 0U;
+        limiter_.settle(*record.ticket, prompt_tokens, generated_tokens, at.now);
+    }
+    request_of_caller_.erase(record.caller.value);
+    // Erases the record itself; nothing may touch it afterwards.
+    requests_.erase(record.id);
+}
+
+// Time.
+
+void entry_core::state::tick(event_time at) {
+    while (!timers_.empty() && timers_.begin()->first <= at.now) {
+        auto* record = find(timers_.begin()->second);
+        timers_.erase(timers_.begin());
+        if (record != nullptr) {
+            look_again(*record, at);
+        }
+    }
+    for (auto& message : limiter_.poll(at.now)) {
+        emit(std::move(message));
+    }
+    admit_waiting(at);
+    poll_closing_groups(at);
+    drain_claims(at);
+}
+
+void entry_core::state::look_again(request_record& record, event_time at) {
+    const auto* work = std::get_if<completion_work>(&record.work);
+    const bool has_token = work != nullptr && work->next_offset > 0;
+    if (record.finish_by <= at.now || (!has_token && record.first_token_by <= at.now)) {
+        return end_failed(record, error{error_code::deadline_passed, {}, {}}, at);
+    }
+    if (record.life.phase() == request_phase::received) {
+        return admit(record, at);
+    }
+    if (work != nullptr && work->group) {
+        return poll_group(record, at);
+    }
+    if (record.retry_at && *record.retry_at <= at.now) {
+        record.retry_at.reset();
+        work != nullptr ? start_completion(record, at) : start_service(record, at);
+    }
+}
+
+void entry_core::state::drain_claims(event_time at) {
+    for (auto& call : claims_.poll(at.now, at.wall_ms)) {
+        emit(std::move(call));
+    }
+    for (const auto& event : claims_.take_events()) {
+        std::visit([&](const auto& item) { on(item, at); }, event);
+    }
+}
+
+time_point entry_core::state::next_due() const {
+    const auto deadline = timers_.empty() ? time_point::max() : timers_.begin()->first;
+    return std::min(deadline, claims_.next_due());
+}
+
+void entry_core::state::abandon_all(event_time at) {
+    while (!requests_.empty()) {
+        end_failed(*requests_.begin()->second, error{error_code::stopping, {}, {}}, at);
+    }
+    drain_claims(at);
+}
+
+request_record* entry_core::state::find(request_id id) {
+    const auto found = requests_.find(id);
+    return found == requests_.end() ? nullptr : found->second.get();
+}
+
+request_record* entry_core::state::find_attempt(attempt_id id) {
+    auto* record = find(id.request);
+    const bool is_current = record != nullptr && record->is_attempt_open && record->attempt == id;
+    return is_current ? record : nullptr;
+}
+
+void entry_core::state::on(const caller_gone& event, event_time at) {
+    const auto found = request_of_caller_.find(event.caller.value);
+    if (found != request_of_caller_.end()) {
+        end_failed(*find(found->second), error{error_code::caller_gone, {}, {}}, at);
+    }
+}
+
+// The public face.
+
+entry_core::entry_core(entry_options options)
+    : state_{std::make_unique<state>(std::move(options))} {}
+
+entry_core::~entry_core() = default;
+
+engine_handle entry_core::put_engine(const engine_info& info, event_time at) {
+    return state_->put_engine(info, at);
+}
+
+service_handle entry_core::put_service(const service_info& info) {
+    return state_->put_service(info);
+}
+
+void entry_core::set_engine_state(engine_handle engine, host_state value, event_time at) {
+    state_->set_engine_state(engine, value, at);
+}
+
+void entry_core::set_service_state(service_handle service, host_state value) {
+    state_->set_service_state(service, value);
+}
+
+void entry_core::on_engine_load(engine_handle engine, const engine_load& load, event_time at) {
+    state_->set_engine_state(engine, load.state, at);
+    state_->router_.on_load(engine, load, at.now);
+}
+
+void entry_core::on_engine_silent(engine_handle engine, event_time at) {
+    state_->set_engine_state(engine, host_state::suspect, at);
+}
+
+void entry_core::put_contract(const contract& value, std::uint64_t version, event_time at) {
+    state_->put_contract(value, version, at);
+}
+
+void entry_core::set_members(const std::vector<limit_member>& members, bool is_cut_off,
+                             event_time at) {
+    state_->limiter_.set_members(members, is_cut_off, at.now);
+}
+
+void entry_core::handle(const caller_event& event, event_time at) {
+    std::visit([&](const auto& item) { state_->on(item, at); }, event);
+    state_->drain_claims(at);
+}
+
+void entry_core::handle(const engine_event& event, event_time at) {
+    state_->tell_group(event, at);
+    std::visit([&](const auto& item) { state_->on(item, at); }, event);
+    state_->follow(event, at);
+}
+
+void entry_core::handle(const service_event& event, event_time at) {
+    std::visit([&](const auto& item) { state_->on(item, at); }, event);
+    state_->drain_claims(at);
+}
+
+void entry_core::handle_reply(std::uint64_t call, const result<platform_reply>& reply,
+                              event_time at) {
+    state_->claims_.on_reply(call, reply, at.now, at.wall_ms);
+    state_->drain_claims(at);
+}
+
+void entry_core::handle_message(std::string_view from, const peer_message& message, event_time at) {
+    state_->limiter_.on_message(from, message, at.now);
+    state_->admit_waiting(at);
+}
+
+void entry_core::tick(event_time at) {
+    state_->tick(at);
+}
+
+time_point entry_core::next_due() const {
+    return state_->next_due();
+}
+
+void entry_core::begin_stop() {
+    state_->is_stopping_ = true;
+}
+
+void entry_core::abandon_all(event_time at) {
+    state_->abandon_all(at);
+}
+
+std::size_t entry_core::open_requests() const {
+    return state_->requests_.size();
+}
+
+std::vector<entry_command> entry_core::take_commands() {
+    return std::exchange(state_->commands_, {});
+}
+
+} // namespace magnolia
--- /dev/null
+++ b/src/entry_core_p.h
@@ -0,0 +1,232 @@
+/// State of an entry's decisions, shared by entry_core.cpp, entry_completion.cpp and
+/// entry_service.cpp.
+#pragma once
+
+#include "engine_group.h"
+#include "entry_core.h"
+#include "request_life.h"
+#include "retry_budget.h"
+
+#include <map>
+#include <random>
+#include <unordered_map>
+
+namespace magnolia {
+
+/// Shortest wait before a request is looked at again.
+inline constexpr duration least_wait = std::chrono::milliseconds{1};
+
+/// A contract in force.
+struct contract_in_force {
+    contract value;
+    std::uint64_t version = 0;
+};
+
+/// Work of a completion.
+struct completion_work {
+    std::string model;
+    std::string adapter;
+    shared_text prompt;
+    std::vector<std::uint64_t> prefixes;
+    std::uint32_t prompt_tokens = 0;
+    std::uint32_t max_tokens = 0;
+    /// Engine of the current attempt.
+    engine_handle engine;
+    /// Engines that earlier attempts failed on.
+    std::vector<engine_handle> excluded;
+    /// The engine of the current attempt said that it runs.
+    bool is_accepted = false;
+    /// Text so far and the tokens in it.
+    std::string answer;
+    std::uint32_t next_offset = 0;
+    /// Tokens that arrived ahead of their turn, by offset.
+    std::map<std::uint32_t, engine_tokens> ahead;
+    /// Tokens that the engine said it generated, once it has finished.
+    std::optional<std::uint32_t> final_tokens;
+    /// Group that holds the prompt, if one engine does not; and its account with the router.
+    std::unique_ptr<engine_group> group;
+    attempt_id group_account;
+};
+
+/// Work of a call to a plain service.
+struct service_work {
+    std::string service;
+    std::string path;
+    shared_text body;
+    std::optional<claim_key> claim;
+    std::uint64_t fingerprint = 0;
+    bool is_repeatable = true;
+    service_handle instance;
+    std::vector<service_handle> excluded;
+    bool is_claimed = false;
+};
+
+/// A request from its arrival to its outcome.
+struct request_record {
+    request_id id;
+    caller_handle caller;
+    std::string workspace;
+    urgency_level urgency = urgency_level::standard;
+    request_life life;
+    time_point received;
+    time_point first_token_by;
+    time_point finish_by;
+    std::optional<limit_ticket> ticket;
+    /// Attempt under way; number 0 before the first.
+    attempt_id attempt;
+    bool is_attempt_open = false;
+    /// Moment of the next attempt, while one waits for a back end.
+    std::optional<time_point> retry_at;
+    /// Attempts that found no back end, since the last one that was sent.
+    std::uint32_t refusals = 0;
+    /// An ended attempt ran, at least in part.
+    bool has_run = false;
+    /// An ended attempt may have run.
+    bool may_have_run = false;
+    std::variant<completion_work, service_work> work;
+};
+
+class entry_core::state {
+public:
+    explicit state(entry_options options);
+
+    // Back ends and contracts.
+    engine_handle put_engine(const engine_info& info, event_time at);
+    service_handle put_service(const service_info& info);
+    void set_engine_state(engine_handle engine, host_state value, event_time at);
+    void set_service_state(service_handle service, host_state value);
+    void put_contract(const contract& value, std::uint64_t version, event_time at);
+
+    // Events.
+    void on(const completion_request& event, event_time at);
+    void on(const service_request& event, event_time at);
+    void on(const outcome_request& event, event_time at);
+    void on(const resume_request& event, event_time at);
+    void on(const caller_gone& event, event_time at);
+    void on(const engine_accepted& event, event_time at);
+    void on(const engine_tokens& event, event_time at);
+    void on(const engine_finished& event, event_time at);
+    /// Groups take these.
+    void on(const engine_reserved& /*event*/, event_time /*at*/) {}
+    void on(const engine_released& /*event*/, event_time /*at*/) {}
+    void on(const engine_part_ready& /*event*/, event_time /*at*/) {}
+    void on(const engine_failed& event, event_time at);
+    void on(const service_answer& event, event_time at);
+    void on(const service_failed& event, event_time at);
+    void on(const claim_granted& event, event_time at);
+    void on(const claim_exists& event, event_time at);
+    void on(const claim_failed& event, event_time at);
+    void on(const claim_found& event, event_time at);
+
+    void tell_group(const engine_event& event, event_time at);
+    /// Takes over what a group has come to after an event.
+    void follow(const engine_event& event, event_time at);
+    void drain_claims(event_time at);
+    /// Asks again for the requests whose workspace's share has grown.
+    void admit_waiting(event_time at);
+    void tick(event_time at);
+    [[nodiscard]] time_point next_due() const;
+    void abandon_all(event_time at);
+
+private:
+    friend class entry_core;
+
+    struct service_instance {
+        service_info info;
+        host_state value = host_state::live;
+        std::uint32_t open_calls = 0;
+    };
+
+    // Admission, common to both kinds of work.
+    [[nodiscard]] result<const contract*> authorize(const caller_identity& identity) const;
+    request_record& open_request(caller_handle caller, const contract& terms, event_time at);
+    void refuse(caller_handle caller, request_id request, std::string_view workspace,
+                const error& failure);
+    void note(event_kind kind, const request_record& record, std::string subject,
+              std::string detail);
+    void take_step(request_record& record, request_step step);
+    void watch_deadline(request_record& record);
+    /// Takes the request's worth of its workspace's limits, or waits for a larger share.
+    void admit(request_record& record, event_time at);
+    /// Ends what is past its deadline; else takes the step that was waited for.
+    void look_again(request_record& record, event_time at);
+
+    // The end of a request: exactly one of these, once.
+    void end_done(request_record& record, event_time at);
+    void end_failed(request_record& record, const error& failure, event_time at);
+    void end_answered(request_record& record, const service_answer& answer, event_time at);
+    void close(request_record& record, outcome result, event_time at);
+    [[nodiscard]] outcome outcome_of(const request_record& record) const;
+
+    // Completions: entry_completion.cpp.
+    void set_deadlines(request_record& record, const contract& terms,
+                       const caller_identity& identity, std::uint32_t prompt_tokens, event_time at);
+    void on_admitted(request_record& record, completion_work& work, event_time at);
+    void start_completion(request_record& record, event_time at);
+    void dispatch(request_record& record, const single_route& route, const route_query& query,
+                  event_time at);
+    void end_attempt(request_record& record, bool succeeded, event_time at);
+    void retry_completion(request_record& record, const error& failure, event_time at);
+    /// Waits before the next attempt, if the deadline leaves time; else ends the request.
+    void wait_for_backend(request_record& record, const error& failure, event_time at);
+    /// Takes a further attempt's work from the retry budget.
+    [[nodiscard]] bool may_retry(const request_record& record, event_time at);
+    void accept_tokens(request_record& record, const engine_tokens& event, event_time at);
+    void finish_if_whole(request_record& record, event_time at);
+    [[nodiscard]] route_query query_of(const request_record& record, event_time at) const;
+
+    static void begin_answer(completion_work& work);
+
+    // Groups of engines: entry_group.cpp.
+    void start_group(request_record& record, const group_route& route, const route_query& query,
+                     event_time at);
+    /// Takes over what the group has come to.
+    void follow_group(request_record& record, event_time at);
+    void poll_group(request_record& record, event_time at);
+    void close_group(request_record& record, bool succeeded, event_time at);
+    void drop_settled_group(request_id id);
+    void poll_closing_groups(event_time at);
+    void emit_all(std::vector<engine_command> commands);
+
+    // Services: entry_service.cpp.
+    void on_admitted(request_record& record, service_work& work, event_time at);
+    void start_service(request_record& record, event_time at);
+    [[nodiscard]] std::optional<service_handle> choose_instance(const service_work& work) const;
+    [[nodiscard]] bool is_unrepeatable(std::string_view service, std::string_view path) const;
+    void close_call(service_work& work);
+    [[nodiscard]] std::optional<caller_handle> take_lookup(request_id id);
+
+    [[nodiscard]] request_record* find(request_id id);
+    [[nodiscard]] request_record* find_attempt(attempt_id id);
+
+    template <class Command>
+    void emit(Command command) {
+        commands_.emplace_back(std::move(command));
+    }
+
+    entry_options options_;
+    router router_;
+    limiter limiter_;
+    claim_book claims_;
+    std::vector<entry_command> commands_;
+    std::unordered_map<request_id, std::unique_ptr<request_record>> requests_;
+    bool is_stopping_ = false;
+    std::unordered_map<std::string, contract_in_force> contracts_;
+    std::unordered_map<std::string, std::string> workspace_of_key_;
+    std::unordered_map<engine_handle, host_state> engine_states_;
+    std::vector<service_instance> services_;
+    std::unordered_map<std::uint32_t, request_id> request_of_caller_;
+    /// Requests that wait for a larger share, by workspace.
+    std::unordered_map<std::string, std::vector<request_id>> waiting_;
+    /// Moments at which a request has to be looked at again.
+    std::multimap<time_point, request_id> timers_;
+    /// Groups of ended requests that engines may still hold memory for.
+    std::unordered_map<request_id, std::unique_ptr<engine_group>> closing_groups_;
+    /// Callers that ask for a recorded outcome, by the number of their question.
+    std::unordered_map<request_id, caller_handle> lookups_;
+    retry_budget retry_budget_;
+    std::mt19937_64 random_;
+    std::uint64_t next_sequence_ = 1;
+};
+
+} // namespace magnolia
--- /dev/null
+++ b/src/entry_service.cpp
@@ -0,0 +1,246 @@
+/// Plain services: claims of idempotency keys, the one dispatch of an unrepeatable call, retries of
+/// repeatable ones.
+#include "entry_core_p.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <ranges>
+
+namespace magnolia {
+namespace {
+
+/// Deadline of a call for which the caller sets none.
+constexpr auto default_call_deadline = std::chrono::milliseconds{10'000};
+
+/// Longest wait for a durable claim.
+constexpr duration claim_patience = std::chrono::milliseconds{3'000};
+
+/// Time after which to ask again for a call that is under way.
+constexpr auto in_progress_retry = std::chrono::milliseconds{1'000};
+
+std::uint64_t fingerprint_of(const service_request& event) {
+    const auto head = XXH3_64bits(event.path.data(), event.path.size());
+    const auto name = XXH3_64bits_withSeed(event.service.data(), event.service.size(), head);
+    return XXH3_64bits_withSeed(event.body->data(), event.body->size(), name);
+}
+
+} // namespace
+
+bool entry_core::state::is_unrepeatable(std::string_view service, std::string_view path) const {
+    const auto matches = [&](const service_instance& item) {
+        const auto covers = [&](const std::string& beginning) {
+            return path.starts_with(beginning);
+        };
+        return item.info.name == service &&
+               std::ranges::any_of(item.info.unrepeatable_paths, covers);
+    };
+    return std::ranges::any_of(services_, matches);
+}
+
+void entry_core::state::on(const service_request& event, event_time at) {
+    const auto terms = authorize(event.identity);
+    if (!terms) {
+        return refuse(event.caller, {}, event.identity.workspace, terms.error());
+    }
+    auto& record = open_request(event.caller, **terms, at);
+    auto& work = record.work.emplace<service_work>();
+    work.service = event.service;
+    work.path = event.path;
+    work.body = event.body;
+    work.fingerprint = fingerprint_of(event);
+    work.is_repeatable = !event.key && !is_unrepeatable(event.service, event.path);
+    record.finish_by = at.now + event.identity.deadline.value_or(default_call_deadline);
+    record.first_token_by = record.finish_by;
+    if (is_stopping_ || requests_.size() > options_.max_requests) {
+        const auto code = is_stopping_ ? error_code::stopping : error_code::overloaded;
+        return end_failed(record, {code, {}, std::chrono::milliseconds{100}}, at);
+    }
+    if (std::ranges::find((*terms)->services, event.service) == (*terms)->services.end()) {
+        return end_failed(record, {error_code::service_unknown, event.service, {}}, at);
+    }
+    if (!work.is_repeatable && !event.key) {
+        return end_failed(record, {error_code::key_without_time, event.path, {}}, at);
+    }
+    if (event.key) {
+        work.claim = claim_key{record.workspace, event.key->key, event.key->created_ms};
+    }
+    watch_deadline(record);
+    admit(record, at);
+}
+
+void entry_core::state::on_admitted(request_record& record, service_work& work, event_time at) {
+    if (work.is_repeatable) {
+        take_step(record, request_step::admit);
+        return start_service(record, at);
+    }
+    take_step(record, request_step::claim);
+    const auto patience = std::min(claim_patience, record.finish_by - at.now);
+    claims_.request(*work.claim, record.id, work.fingerprint, patience, at.now, at.wall_ms);
+}
+
+void entry_core::state::on(const claim_granted& event, event_time at) {
+    auto* record = find(event.request);
+    if (record == nullptr) {
+        return;
+    }
+    auto& work = std::get<service_work>(record->work);
+    work.is_claimed = true;
+    note(event_kind::claim_written, *record, work.claim->key, {});
+    take_step(*record, request_step::admit);
+    start_service(*record, at);
+}
+
+void entry_core::state::on(const claim_exists& event, event_time at) {
+    auto* record = find(event.request);
+    if (record == nullptr) {
+        return;
+    }
+    const auto& work = std::get<service_work>(record->work);
+    note(event_kind::claim_refused, *record, work.claim->key, "exists");
+    const auto& earlier = event.record;
+    if (earlier.fingerprint != work.fingerprint) {
+        return end_failed(*record, {error_code::key_reused, work.claim->key, {}}, at);
+    }
+    if (!earlier.result) {
+        record->may_have_run = true;
+        return end_failed(*record,
+                          {error_code::key_in_progress, work.claim->key, in_progress_retry}, at);
+    }
+    if (earlier.status == 0) {
+        record->has_run = *earlier.result == outcome::failed;
+        record->may_have_run = true;
+        return end_failed(*record, {error_code::backend_lost, work.claim->key, {}}, at);
+    }
+    emit(caller_command{
+        caller_answer{record->caller, record->id, earlier.status, earlier.answer, true}});
+    close(*record, *earlier.result, at);
+}
+
+void entry_core::state::on(const claim_failed& event, event_time at) {
+    if (auto* record = find(event.request)) {
+        note(event_kind::claim_refused, *record, {}, to_string(event.failure));
+        end_failed(*record, event.failure, at);
+    } else if (const auto asked = take_lookup(event.request)) {
+        emit(caller_command{caller_failed{*asked, event.request, event.failure, outcome::not_run}});
+    }
+}
+
+void entry_core::state::on(const claim_found& event, event_time /*at*/) {
+    const auto asked = take_lookup(event.request);
+    if (!asked) {
+        return;
+    }
+    const auto answer = [&](error_code code, outcome reached,
+                            std::chrono::milliseconds retry_after = {}) {
+        emit(
+            caller_command{caller_failed{*asked, event.request, {code, {}, retry_after}, reached}});
+    };
+    if (!event.record) {
+        return answer(error_code::not_found, outcome::not_run);
+    }
+    if (!event.record->result) {
+        return answer(error_code::key_in_progress, outcome::unknown, in_progress_retry);
+    }
+    if (event.record->status == 0) {
+        return answer(error_code::backend_lost, *event.record->result);
+    }
+    emit(caller_command{
+        caller_answer{*asked, event.request, event.record->status, event.record->answer, true}});
+}
+
+std::optional<caller_handle> entry_core::state::take_lookup(request_id id) {
+    const auto found = lookups_.extract(id);
+    return found.empty() ? std::nullopt : std::optional{found.mapped()};
+}
+
+std::optional<service_handle> entry_core::state::choose_instance(const service_work& work) const {
+    const auto cost = [&](std::uint32_t index) {
+        const auto& item = services_[index];
+        return std::pair{item.info.zone != options_.zone, item.open_calls};
+    };
+    const auto is_usable = [&](std::uint32_t index) {
+        const auto& item = services_[index];
+        const bool is_excluded =
+            std::ranges::find(work.excluded, service_handle{index}) != work.excluded.end();
+        return item.info.name == work.service && item.value == host_state::live && !is_excluded;
+    };
+    const auto count = static_cast<std::uint32_t>(services_.size());
+    std::optional<std::uint32_t> best;
+    for (const auto index : std::views::iota(0U, count) | std::views::filter(is_usable)) {
+        if (!best || cost(index) < cost(*best)) {
+            best = index;
+        }
+    }
+    return best ? std::optional{service_handle{*best}} : std::nullopt;
+}
+
+void entry_core::state::start_service(request_record& record, event_time at) {
+    auto& work = std::get<service_work>(record.work);
+    const auto instance = choose_instance(work);
+    if (!instance) {
+        return end_failed(
+            record, {error_code::no_capacity, work.service, std::chrono::milliseconds{1'000}}, at);
+    }
+    ++record.attempt.number;
+    record.is_attempt_open = true;
+    work.instance = *instance;
+    ++services_[instance->value].open_calls;
+    take_step(record, request_step::dispatch);
+    note(event_kind::attempt_started, record, work.service, work.path);
+    const auto key = work.claim ? work.claim->key : std::string{};
+    emit(service_call{record.attempt, *instance, work.path, work.body, key,
+                      record.finish_by - at.now});
+}
+
+void entry_core::state::close_call(service_work& work) {
+    --services_[work.instance.value].open_calls;
+}
+
+void entry_core::state::on(const service_answer& event, event_time at) {
+    auto* record = find_attempt(event.id);
+    if (record == nullptr) {
+        return;
+    }
+    record->is_attempt_open = false;
+    record->has_run = true;
+    close_call(std::get<service_work>(record->work));
+    note(event_kind::attempt_ended, *record, {}, "status " + std::to_string(event.status));
+    end_answered(*record, event, at);
+}
+
+void entry_core::state::on(const service_failed& event, event_time at) {
+    auto* record = find_attempt(event.id);
+    if (record == nullptr) {
+        return;
+    }
+    auto& work = std::get<service_work>(record->work);
+    record->is_attempt_open = false;
+    close_call(work);
+    record->has_run = record->has_run || event.certainty == run_certainty::ran;
+    record->may_have_run = record->may_have_run || event.certainty != run_certainty::not_run;
+    note(event_kind::attempt_ended, *record, work.service, to_string(event.failure));
+    if (event.leaving) {
+        services_[work.instance.value].value = host_state::leaving;
+    }
+    const bool is_safe = work.is_repeatable || event.certainty == run_certainty::not_run;
+    if (!is_safe || !may_retry(*record, at)) {
+        return end_failed(*record, event.failure, at);
+    }
+    work.excluded.push_back(work.instance);
+    take_step(*record, request_step::retry);
+    start_service(*record, at);
+}
+
+void entry_core::state::on(const outcome_request& event, event_time at) {
+    const auto terms = authorize(event.identity);
+    if (!terms) {
+        return refuse(event.caller, {}, event.identity.workspace, terms.error());
+    }
+    const request_id id{options_.origin, next_sequence_++};
+    lookups_[id] = event.caller;
+    claims_.look_up({(*terms)->workspace, event.key.key, event.key.created_ms}, id, claim_patience,
+                    at.now);
+}
+
+} // namespace magnolia
--- /dev/null
+++ b/src/outbox.h
@@ -0,0 +1,36 @@
+/// Ordered way out of a duty into another duty's ring, which may be full for a while.
+#pragma once
+
+#include "duty.h"
+
+#include <deque>
+
+namespace magnolia {
+
+/// Keeps items in order until the ring takes them. Used by one thread; its owner stops taking new
+/// work while is_blocked(), so that the number kept is bounded by what the work under way produces.
+template <class T>
+class outbox {
+public:
+    explicit outbox(inbox<T>& target) : target_{target} {}
+
+    void push(T item) {
+        waiting_.push_back(std::move(item));
+        flush();
+    }
+
+    /// Hands over what the ring takes.
+    void flush() {
+        while (!waiting_.empty() && target_.try_push(waiting_.front())) {
+            waiting_.pop_front();
+        }
+    }
+
+    [[nodiscard]] bool is_blocked() const { return !waiting_.empty(); }
+
+private:
+    inbox<T>& target_;
+    std::deque<T> waiting_;
+};
+
+} // namespace magnolia
--- a/src/ring.h
+++ b/src/ring.h
@@ -20,12 +20,20 @@
 
     /// Adds an item. Errors: ring_full.
     [[nodiscard]] result<void> push(T item) {
+        if (!try_push(item)) {
+            return fail(error_code::ring_full);
+        }
+        return {};
+    }
+
+    /// Moves the item in if there is room; else leaves it as it is.
+    [[nodiscard]] bool try_push(T& item) {
         const std::scoped_lock lock{mutex_};
         if (items_.full()) {
-            return fail(error_code::ring_full);
+            return false;
         }
         items_.push_back(std::move(item));
-        return {};
+        return true;
     }
 
     /// Takes the oldest item, if there is one.
