--- /dev/null
+++ b/tests/world.h
@@ -0,0 +1,145 @@
+/// Entries, engines, services and a store joined in one thread under a virtual clock, with faults
+/// that a test switches. The oracle sees only what callers and back ends can see.
+#pragma once
+
+#include "engine_model.h"
+#include "entry_core.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace magnolia::testing {
+
+/// One call of a caller and everything it was told.
+struct call_record {
+    std::string name;
+    std::string entry;
+    std::string model;
+    shared_text prompt;
+    std::uint32_t max_tokens = 0;
+    std::string key;
+    time_point asked{};
+    /// Latest moment at which the call has to have ended.
+    time_point end_by{};
+    std::string text;
+    std::optional<time_point> first_token;
+    std::optional<time_point> ended;
+    std::optional<outcome> result;
+    std::optional<error_code> failure;
+    std::uint32_t ends = 0;
+    std::uint32_t generated_tokens = 0;
+    bool is_replayed = false;
+    unsigned status = 0;
+    request_id request;
+};
+
+/// A plain service that counts executions by key.
+struct test_service {
+    std::string name;
+    std::map<std::string, std::uint32_t> executions;
+    bool loses_answers = false;
+    bool refuses = false;
+    bool is_down = false;
+};
+
+/// The system in one thread. Times are since the start of the test.
+class world {
+public:
+    explicit world(std::uint64_t seed);
+    ~world();
+
+    // What there is.
+    void add_entry(const std::string& name, const std::string& zone);
+    void add_engine(const fakes::engine_model_settings& settings, const std::string& zone);
+    void add_service(const std::string& name, std::vector<std::string> unrepeatable_paths);
+    void put_contract(const contract& value);
+
+    // What callers do. The name of a call is unique.
+    void ask(const std::string& call, const std::string& entry, const std::string& workspace,
+             const std::string& model, std::uint32_t prompt_tokens, std::uint32_t max_tokens);
+    void order(const std::string& call, const std::string& entry, const std::string& workspace,
+               const std::string& service, const std::string& path, const std::string& key);
+    void hang_up(const std::string& call);
+
+    // What fails. Every one may come at any moment.
+    void crash_engine(const std::string& name);
+    void restart_engine(const std::string& name);
+    void pause_engine(const std::string& name, bool is_paused);
+    void drain_engine(const std::string& name);
+    void crash_entry(const std::string& name);
+    void restart_entry(const std::string& name);
+    void pause_entry(const std::string& name, bool is_paused);
+    void stop_entry(const std::string& name);
+    void set_store_down(bool is_down);
+    /// Writes take effect, but their answers are lost.
+    void set_store_loses_answers(bool loses);
+    test_service& service(const std::string& name);
+    /// Share of the engines' frames that arrive twice, or late, in [0, 1].
+    void set_frame_faults(double twice, double late);
+
+    /// Runs until the moment.
+    void run_until(time_point end);
+    [[nodiscard]] time_point now() const { return now_; }
+
+    // What callers and back ends saw.
+    [[nodiscard]] const std::map<std::string, call_record>& calls() const { return calls_; }
+    [[nodiscard]] const call_record& call(const std::string& name) const { return calls_.at(name); }
+    [[nodiscard]] std::uint32_t engine_executions(request_id request) const;
+    [[nodiscard]] std::uint64_t memory_held() const;
+    /// Promises broken so far, one sentence each; empty if all hold. `is_final`: nothing more will
+    /// happen.
+    [[nodiscard]] std::vector<std::string> broken_promises(bool is_final) const;
+
+private:
+    struct entry;
+    struct engine;
+    struct store;
+
+    void at(time_point when, std::function<void()> action);
+    void after(duration delay, std::function<void()> action);
+    [[nodiscard]] duration network_delay();
+    [[nodiscard]] event_time time() const;
+    void start_entry(entry& target);
+    void flush(entry& target);
+    void run(entry& source, const caller_command& command);
+    void run(entry& source, const engine_command& command);
+    void run(entry& source, const service_call& command);
+    void run(entry& source, const claim_call& command);
+    void run(entry& source, const outgoing_message& command);
+    void run(entry& source, const timeline_note& command);
+    void deliver(const std::string& entry_name, std::uint64_t boot,
+                 std::function<void(entry_core&)> event);
+    void poll_engines();
+    void send_event(const engine_event& event);
+    void tell(call_record& call, const caller_text& event);
+    void tell(call_record& call, const caller_done& event);
+    void tell(call_record& call, const caller_answer& event);
+    void tell(call_record& call, const caller_failed& event);
+    void end(call_record& call, outcome result);
+    void extend_deadlines(const std::string& entry_name, time_point paused_at);
+    void send_call(const std::string& call, const caller_event& event);
+    call_record& open_call(const std::string& call, const std::string& entry_name);
+
+    std::mt19937_64 random_;
+    time_point now_{};
+    std::multimap<time_point, std::function<void()>> events_;
+    std::map<std::string, std::unique_ptr<entry>> entries_;
+    std::vector<std::unique_ptr<engine>> engines_;
+    std::map<std::string, test_service> services_;
+    std::vector<service_info> service_infos_;
+    std::unique_ptr<store> store_;
+    std::map<std::string, std::pair<contract, std::uint64_t>> contracts_;
+    std::map<std::string, call_record> calls_;
+    std::map<std::uint32_t, std::string> call_of_caller_;
+    std::map<request_id, std::string> call_of_request_;
+    fakes::part_directory parts_;
+    std::uint32_t next_caller_ = 0;
+    std::uint64_t next_boot_ = 1;
+    double twice_ = 0;
+    double late_ = 0;
+};
+
+} // namespace magnolia::testing
