--- /dev/null
+++ b/src/entry_server.cpp
@@ -0,0 +1,408 @@
+#include "entry_server.h"
+
+#include "caller_http.h"
+#include "engine_client.h"
+#include "entry_core.h"
+#include "outbox.h"
+#include "peer_links.h"
+#include "platform_client.h"
+#include "service_client.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <atomic>
+#include <future>
+
+namespace magnolia {
+namespace {
+
+/// Longest time between two ticks of the decisions.
+constexpr auto tick_period = std::chrono::milliseconds{10};
+
+/// Time between two looks at whether a planned stop has finished.
+constexpr auto stop_poll_period = std::chrono::milliseconds{50};
+
+/// Time for which answers may still leave after the last request has ended.
+constexpr auto linger = std::chrono::milliseconds{200};
+
+event_time current_time() {
+    const auto wall = std::chrono::system_clock::now().time_since_epoch();
+    return {steady_now(), std::chrono::duration_cast<std::chrono::milliseconds>(wall).count()};
+}
+
+/// Answer of the platform to a claim's call.
+struct platform_answer {
+    std::uint64_t number = 0;
+    result<platform_reply> reply;
+};
+
+/// A contract as the platform holds it.
+struct contract_update {
+    contract value;
+    std::uint64_t version = 0;
+};
+
+/// Begins the planned stop.
+struct stop_request {};
+
+/// Ends every request at once.
+struct abandon_request {};
+
+/// Anything that the decisions are told.
+using decision_event =
+    std::variant<caller_event, engine_event, service_event, engine_report, platform_answer,
+                 contract_update, peer_delivery, stop_request, abandon_request>;
+
+/// Work for the duty of back ends.
+using backend_command = std::variant<engine_command, service_call>;
+
+} // namespace
+
+class entry_server::state {
+public:
+    state(process& owner, const entry_settings& settings);
+    ~state();
+
+    result<void> run();
+
+private:
+    void add_backends();
+    void start();
+    void finish();
+
+    // On the duty of decisions.
+    void decide(decision_event event);
+    void on(const caller_event& event) { core_.handle(event, current_time()); }
+    void on(const engine_event& event) { core_.handle(event, current_time()); }
+    void on(const service_event& event) { core_.handle(event, current_time()); }
+    void on(const engine_report& event);
+    void on(const platform_answer& event) {
+        core_.handle_reply(event.number, event.reply, current_time());
+    }
+    void on(const contract_update& event) {
+        core_.put_contract(event.value, event.version, current_time());
+    }
+    void on(const peer_delivery& event) {
+        core_.handle_message(event.from, event.message, current_time());
+    }
+    void on(const stop_request& /*event*/) { core_.begin_stop(); }
+    void on(const abandon_request& /*event*/) { core_.abandon_all(current_time()); }
+    void carry_out();
+    void carry_out(caller_command command) { to_callers_.push(std::move(command)); }
+    void carry_out(engine_command command) { to_backends_.push(std::move(command)); }
+    void carry_out(service_call command) { to_backends_.push(std::move(command)); }
+    void carry_out(claim_call command) { to_platform_.push(std::move(command)); }
+    void carry_out(outgoing_message command);
+    void carry_out(const timeline_note& note);
+    void schedule_tick();
+
+    // On the duty of the platform.
+    void call_platform(claim_call call);
+    void list_contracts(std::string after);
+    void watch_contracts(std::uint64_t revision);
+    void take_contract(const stored_object& object);
+    void retry_contracts();
+
+    /// Hands on the answer to a call that this entry made.
+    void reply(decision_event event) {
+        if (!reply_inbox_.push(std::move(event))) {
+            log_.error("An answer found no room; its call ends at its deadline.");
+        }
+    }
+
+    /// Whether the decisions can take work that may wait.
+    [[nodiscard]] bool has_room() const { return !is_congested_.load(); }
+
+    process& owner_;
+    entry_settings settings_;
+    logger log_{"entry"};
+    std::atomic<bool> is_congested_{false};
+    std::atomic<std::size_t> open_requests_{0};
+
+    duty callers_{"callers"};
+    duty decisions_{"decisions"};
+    duty backends_{"backends"};
+    duty platform_{"platform"};
+    duty peers_{"peers"};
+
+    inbox<decision_event> decision_inbox_;
+    /// For answers that must not be refused; their number is bounded by the calls under way.
+    inbox<decision_event> reply_inbox_;
+    inbox<caller_command> caller_inbox_;
+    inbox<backend_command> backend_inbox_;
+    inbox<claim_call> platform_inbox_;
+
+    // Owned by the duty of decisions.
+    entry_core core_;
+    outbox<caller_command> to_callers_{caller_inbox_};
+    outbox<backend_command> to_backends_{backend_inbox_};
+    outbox<claim_call> to_platform_{platform_inbox_};
+    boost::asio::steady_timer tick_{decisions_.context()};
+
+    // Owned by the other duties.
+    caller_http caller_http_;
+    engine_client engines_;
+    service_client services_;
+    platform_client platform_client_;
+    boost::asio::steady_timer contract_retry_{platform_.context()};
+    peer_links links_;
+};
+
+entry_server::state::state(process& owner, const entry_settings& settings)
+    : owner_{owner}, settings_{settings},
+      decision_inbox_{decisions_, config::ring_slots,
+                      [this](decision_event event) { decide(std::move(event)); }},
+      reply_inbox_{decisions_, config::ring_slots + 2 * std::size_t{settings.max_requests},
+                   [this](decision_event event) { decide(std::move(event)); }},
+      caller_inbox_{callers_, config::ring_slots,
+                    [this](const caller_command& command) { caller_http_.deliver(command); }},
+      backend_inbox_{backends_, config::ring_slots,
+                     [this](const backend_command& command) {
+                         if (const auto* call = std::get_if<service_call>(&command)) {
+                             services_.submit(*call);
+                         } else {
+                             engines_.submit(std::get<engine_command>(command));
+                         }
+                     }},
+      platform_inbox_{platform_, config::ring_slots,
+                      [this](claim_call call) { call_platform(std::move(call)); }},
+      core_{{.name = settings.process.name,
+             .zone = settings.process.zone,
+             .origin = owner.boot(),
+             .seed = owner.boot(),
+             .max_requests = settings.max_requests,
+             .claim_retention = settings.claim_retention}},
+      caller_http_{
+          callers_.context(),
+          {.max_total_body_bytes = settings.body_memory, .read_timeout = settings.body_timeout},
+          [this](caller_event event) -> result<void> {
+              if (!has_room()) {
+                  return fail(error_code::ring_full);
+              }
+              return decision_inbox_.push(std::move(event));
+          }},
+      engines_{backends_.context(), {.owner = settings.process.name}},
+      services_{backends_.context(), {}},
+      platform_client_{platform_.context(), settings.process.platform, {}, owner.boot()},
+      links_{peers_,
+             {settings.process.name, settings.process.zone, owner.boot(), config::protocol_release},
+             owner.boot(),
+             [this](peer_delivery delivery) {
+                 static_cast<void>(decision_inbox_.push(std::move(delivery)));
+             }} {}
+
+entry_server::state::~state() {
+    for (auto* item : {&callers_, &peers_, &platform_, &backends_, &decisions_}) {
+        item->stop();
+    }
+}
+
+// Start and stop.
+
+void entry_server::state::add_backends() {
+    const auto now = current_time();
+    for (const auto& item : settings_.engines) {
+        const auto handle = core_.put_engine(
+            {item.name, item.zone, item.models, {}, item.memory_tokens, item.role}, now);
+        engines_.put_engine(handle, http_engine{{item.address, item.port}});
+    }
+    for (const auto& item : settings_.services) {
+        const auto handle = core_.put_service({item.name, item.zone, item.unrepeatable_paths});
+        services_.put_service(handle, http_service{{item.address, item.port}});
+    }
+    std::vector<limit_member> members{
+        {settings_.process.name, settings_.process.zone, host_state::live}};
+    std::vector<peer_address> addresses;
+    for (const auto& item : settings_.members) {
+        members.push_back({item.name, item.zone, host_state::live});
+        addresses.push_back({item.name, item.address, item.port});
+    }
+    core_.set_members(members, false, now);
+    static_cast<void>(links_.set_members(std::move(addresses)));
+}
+
+void entry_server::state::start() {
+    add_backends();
+    engines_.set_event_sink([this](engine_event& event) {
+        decision_event item{std::move(event)};
+        const bool is_taken = has_room() && decision_inbox_.try_push(item);
+        if (!is_taken) {
+            event = std::move(std::get<engine_event>(item));
+        }
+        return is_taken;
+    });
+    engines_.set_report_sink(
+        [this](const engine_report& report) { static_cast<void>(decision_inbox_.push(report)); });
+    services_.set_event_sink([this](service_event event) { reply(std::move(event)); });
+    boost::asio::post(decisions_.context(), [this] { schedule_tick(); });
+    boost::asio::post(platform_.context(), [this] { list_contracts({}); });
+    for (auto* item : {&decisions_, &backends_, &platform_, &peers_, &callers_}) {
+        item->start();
+    }
+}
+
+result<void> entry_server::state::run() {
+    if (auto opened = caller_http_.listen(settings_.listen); !opened) {
+        return opened;
+    }
+    if (auto opened = links_.listen(settings_.peer_listen); !opened) {
+        return tl::unexpected{opened.error()};
+    }
+    start();
+    log_.info("Serves callers on port " + std::to_string(caller_http_.port()) + ".");
+    owner_.set_ready(true);
+    owner_.wait_for_stop();
+    finish();
+    return {};
+}
+
+void entry_server::state::finish() {
+    owner_.set_ready(false);
+    static_cast<void>(decision_inbox_.push(stop_request{}));
+    const auto give_up = steady_now() + settings_.stop_timeout;
+    std::this_thread::sleep_for(stop_poll_period);
+    while (open_requests_.load() > 0 && steady_now() < give_up) {
+        std::this_thread::sleep_for(stop_poll_period);
+    }
+    if (open_requests_.load() > 0) {
+        log_.warn("Ends " + std::to_string(open_requests_.load()) +
+                  " requests at the bound of the stop.");
+        static_cast<void>(decision_inbox_.push(abandon_request{}));
+    }
+    std::this_thread::sleep_for(linger);
+    boost::asio::post(callers_.context(), [this] { caller_http_.stop_accepting(); });
+    std::this_thread::sleep_for(linger);
+}
+
+// The duty of decisions.
+
+void entry_server::state::decide(decision_event event) {
+    std::visit([this](const auto& item) { on(item); }, event);
+    carry_out();
+}
+
+void entry_server::state::on(const engine_report& event) {
+    const auto now = current_time();
+    if (event.load) {
+        core_.on_engine_load(event.engine, *event.load, now);
+    } else {
+        core_.on_engine_silent(event.engine, now);
+    }
+}
+
+void entry_server::state::carry_out() {
+    for (auto& command : core_.take_commands()) {
+        std::visit([this](auto&& item) { carry_out(std::forward<decltype(item)>(item)); },
+                   std::move(command));
+    }
+    open_requests_.store(core_.open_requests());
+    is_congested_.store(to_callers_.is_blocked() || to_backends_.is_blocked() ||
+                        to_platform_.is_blocked());
+}
+
+void entry_server::state::carry_out(outgoing_message command) {
+    // Messages between entries may be lost; they are sent again by those who need them.
+    static_cast<void>(links_.send(std::move(command.member), std::move(command.message)));
+}
+
+void entry_server::state::carry_out(const timeline_note& note) {
+    event_fields fields;
+    fields.workspace = note.workspace;
+    fields.subject = note.subject;
+    fields.detail = note.detail;
+    if (note.request.origin == 0) {
+        owner_.events().emit(note.kind, std::move(fields));
+    } else {
+        owner_.events().emit(note.kind, note.request, std::move(fields));
+    }
+}
+
+void entry_server::state::schedule_tick() {
+    tick_.expires_after(tick_period);
+    tick_.async_wait([this](const boost::system::error_code& cancelled) {
+        if (cancelled) {
+            return;
+        }
+        to_callers_.flush();
+        to_backends_.flush();
+        to_platform_.flush();
+        core_.tick(current_time());
+        carry_out();
+        schedule_tick();
+    });
+}
+
+// The duty of the platform.
+
+void entry_server::state::call_platform(claim_call call) {
+    platform_client_.execute(call.call, call_priority::claim,
+                             [this, number = call.number](const result<platform_reply>& answer) {
+                                 reply(platform_answer{number, answer});
+                             });
+}
+
+void entry_server::state::list_contracts(std::string after) {
+    platform_client_.execute(object_list{"contract", after}, call_priority::configuration,
+                             [this](const result<platform_reply>& reply) {
+                                 if (!reply) {
+                                     return retry_contracts();
+                                 }
+                                 const auto& page = std::get<object_page>(*reply);
+                                 std::ranges::for_each(
+                                     page.items, [this](const auto& item) { take_contract(item); });
+                                 if (page.more) {
+                                     list_contracts(page.items.back().id.name);
+                                 } else {
+                                     watch_contracts(page.revision);
+                                 }
+                             });
+}
+
+void entry_server::state::watch_contracts(std::uint64_t revision) {
+    platform_client_.execute(
+        object_watch{"contract", revision}, call_priority::configuration,
+        [this](const result<platform_reply>& reply) {
+            if (!reply || std::get<watch_page>(*reply).gap) {
+                return retry_contracts();
+            }
+            const auto& page = std::get<watch_page>(*reply);
+            std::ranges::for_each(page.changes, [this](const auto& item) { take_contract(item); });
+            watch_contracts(page.revision);
+        });
+}
+
+void entry_server::state::take_contract(const stored_object& object) {
+    const auto document = nlohmann::json::parse(object.value, nullptr, false);
+    schema_reader reader{unknown_keys::accept};
+    contract_update update;
+    read(document, reader, update.value);
+    update.version = object.version;
+    if (!reader.errors().empty()) {
+        log_.error("Ignores the contract " + object.id.name + "; it breaks the schema.");
+        return;
+    }
+    static_cast<void>(decision_inbox_.push(std::move(update)));
+}
+
+void entry_server::state::retry_contracts() {
+    constexpr auto retry_period = std::chrono::milliseconds{1000};
+    contract_retry_.expires_after(retry_period);
+    contract_retry_.async_wait([this](const boost::system::error_code& cancelled) {
+        if (!cancelled) {
+            list_contracts({});
+        }
+    });
+}
+
+// The public face.
+
+entry_server::entry_server(process& owner, const entry_settings& settings)
+    : state_{std::make_unique<state>(owner, settings)} {}
+
+entry_server::~entry_server() = default;
+
+result<void> entry_server::run() {
+    return state_->run();
+}
+
+} // namespace magnolia
