--- /dev/null
+++ b/examples/02-order-once/run.py
@@ -0,0 +1,48 @@
+"""An unrepeatable order under one key at several entries, with lost answers."""
+import concurrent.futures
+import pathlib
+import sys
+import time
+import uuid
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2] / "scripts"))
+import cluster  # noqa: E402
+
+DEPLOYMENT = {"zones": ["salt-lake", "howrah", "new-town"], "engines": 3, "services": 3, "memory_tokens": 450000,
+              "time_scale": 4}
+
+
+def place(running, zone, key):
+    return cluster.order(running.entry(zone), "purchasing", "purchasing-key", key, int(time.time() * 1000),
+                         '{"part":"Z80-CPU","count":4}')
+
+
+def show(title, answers):
+    print(title)
+    for got in answers:
+        print(f"  status {got['status']} outcome {got['outcome']:<8} {got['error']}"
+              f"{' recorded answer' if got['replayed'] else ''}")
+
+
+def main():
+    keys = [str(uuid.uuid4()), str(uuid.uuid4())]
+    with cluster.Cluster(DEPLOYMENT) as running:
+        running.put_contract(cluster.make_contract("purchasing", "purchasing-key"))
+        running.wait_until(lambda: all(
+            cluster.complete(running.entry(zone), "purchasing", "purchasing-key", "part", 1, 10000)["outcome"] == "done"
+            for zone in range(3)), "the contract")
+        for zone in range(3):
+            cluster.call(running.address(zone), cluster.SERVICE_CONTROL_PORT, "POST",
+                         "/control/lost_answers?service=0&count=1")
+        show("one after the other, the service's first answers are lost:",
+             [place(running, zone, keys[0]) for zone in range(3)])
+        with concurrent.futures.ThreadPoolExecutor(3) as pool:
+            show("at the same time:", pool.map(lambda zone: place(running, zone, keys[1]), range(3)))
+        executions = running.executions()
+    for key in keys:
+        print(f"the service executed {key} {executions.get(key, 0)} time(s)")
+    return 0 if all(executions.get(key, 0) <= 1 for key in keys) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/include/magnolia/schema.h
+++ b/include/magnolia/schema.h
@@ -492,7 +492,12 @@
     std::uint32_t generated_tokens{32};
     /// Weight among the arrivals. [0..1000000]
     double share{};
-    /// Time to the first token that counts as met. [1..86400000 ms]
+    /// Plain service that is called instead of a model, each time under a new idempotency key, and
+    /// again under the same key at the next entry. [0..64 characters]
+    std::string service{};
+    /// Path of the service that is called. [1..200 characters]
+    std::string path{"/"};
+    /// Time to the first token that counts as met; for a service, to its answer. [1..86400000 ms]
     std::chrono::milliseconds first_token{1400};
     /// Deadline sent with the request. [1..86400000 ms]
     std::chrono::milliseconds finish{60000};
--- a/scripts/experiment.py
+++ b/scripts/experiment.py
@@ -39,7 +39,12 @@
             for entry in running.entries()), "the contracts")
         settings = running.folder / "experiment.yaml"
         settings.write_text(cluster.to_yaml(experiment))
-        return subprocess.run([str(cluster.BUILD / "magnolia-load"), "--settings", str(settings)], check=False).returncode
+        code = subprocess.run([str(cluster.BUILD / "magnolia-load"), "--settings", str(settings)],
+                              check=False).returncode
+        executions = {key: count for key, count in running.executions().items() if key}
+        twice = sorted(key for key, count in executions.items() if count > 1)
+        print(f"{len(executions)} orders executed, {len(twice)} more than once")
+        return 1 if twice else code
 
 
 if __name__ == "__main__":
--- a/tools/magnolia-load.cpp
+++ b/tools/magnolia-load.cpp
@@ -33,7 +33,7 @@
     std::string error_body;
 };
 
-using open_call_ptr = std::shared_ptr<open_call>;
+using order_answer = tl::expected<http_response, http_failure>;
 
 /// Error of an answer that is no stream.
 struct refusal {
@@ -89,8 +89,10 @@
 /// Duty that sends the calls of a plan at their times, whatever becomes of earlier ones.
 class load_driver {
 public:
-    load_driver(const experiment_settings& settings, std::vector<planned_call> plan)
-        : settings_{settings}, plan_{std::move(plan)} {
+    /// @param run_name  unique for each run; makes its idempotency keys unique.
+    load_driver(const experiment_settings& settings, std::vector<planned_call> plan,
+                std::string run_name)
+        : settings_{settings}, plan_{std::move(plan)}, run_name_{std::move(run_name)} {
         samples_.reserve(plan_.size());
     }
 
@@ -149,20 +151,22 @@
         }
     }
 
-    http_request make_request(const open_call& call) const {
-        const auto& length = settings_.classes[call.plan.length_class];
-        const auto& workspace = settings_.workspaces[call.plan.workspace];
-        const nlohmann::json body{{"model", settings_.model},
-                                  {"prompt", call.prompt},
-                                  {"max_tokens", length.generated_tokens},
-                                  {"stream", true}};
+    http_request make_request(const planned_call& plan, std::string target,
+                              std::string body) const {
+        const auto& length = settings_.classes[plan.length_class];
+        const auto& workspace = settings_.workspaces[plan.workspace];
         return {.method = "POST",
-                .target = "/v1/completions",
+                .target = std::move(target),
                 .headers = {{"Content-Type", "application/json"},
                             {"Authorization", "Bearer " + workspace.key},
                             {"Magnolia-Workspace", workspace.name},
                             {"Magnolia-Deadline-Ms", std::to_string(length.finish.count())}},
-                .body = body.dump()};
+                .body = std::move(body)};
+    }
+
+    http_call_limits limits_of(const planned_call& plan) const {
+        const auto longest = settings_.classes[plan.length_class].finish + answer_grace;
+        return {.silence_timeout = longest, .total_timeout = longest};
     }
 
     void send(const planned_call& plan) {
@@ -171,20 +175,97 @@
             return;
         }
         ++open_;
+        if (settings_.classes[plan.length_class].service.empty()) {
+            send_prompt(plan);
+        } else {
+            send_order(plan);
+        }
+    }
+
+    void send_prompt(const planned_call& plan) {
         auto call = std::make_shared<open_call>();
         call->plan = plan;
         call->planned_at = started_ + plan.at;
         call->prompt = prompt_text(settings_, plan);
-        const auto finish = settings_.classes[plan.length_class].finish;
-        const http_call_limits limits{.silence_timeout = finish + answer_grace,
-                                      .total_timeout = finish + answer_grace};
+        const nlohmann::json body{
+            {"model", settings_.model},
+            {"prompt", call->prompt},
+            {"max_tokens", settings_.classes[plan.length_class].generated_tokens},
+            {"stream", true}};
         client_.stream(
-            settings_.entries[plan.entry], make_request(*call), limits,
+            settings_.entries[plan.entry], make_request(plan, "/v1/completions", body.dump()),
+            limits_of(plan),
             {.on_header = [call](unsigned status, const http_headers&) { call->status = status; },
              .on_text = [call](std::string_view text) { take_text(*call, text); },
              .on_end = [this, call](const http_failure* failure) { end(*call, failure); }});
     }
 
+    http_request make_order(const planned_call& plan, const std::string& key,
+                            const std::string& created) const {
+        const auto& length = settings_.classes[plan.length_class];
+        auto request = make_request(plan, "/v1/services/" + length.service + length.path,
+                                    R"({"order":)" + std::to_string(plan.number) + "}");
+        request.headers.push_back({"Idempotency-Key", key});
+        request.headers.push_back({"Idempotency-Key-Time", created});
+        return request;
+    }
+
+    /// Sends an order; once it is done, sends it again under its key at the next entry, where the
+    /// recorded answer has to come.
+    void send_order(const planned_call& plan) {
+        using namespace std::chrono;
+        const auto created = std::to_string(
+            duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count());
+        const auto key = run_name_ + "-" + std::to_string(plan.number);
+        client_.call(settings_.entries[plan.entry], make_order(plan, key, created), limits_of(plan),
+                     [this, plan, key, created](const order_answer& first) {
+                         auto sample = judge_order(plan, first);
+                         if (sample.verdict != call_verdict::whole) {
+                             close(std::move(sample));
+                             return;
+                         }
+                         send_again(plan, make_order(plan, key, created), first->body,
+                                    std::move(sample));
+                     });
+    }
+
+    void send_again(const planned_call& plan, http_request request, const std::string& body,
+                    call_sample sample) {
+        const auto next = (plan.entry + 1) % settings_.entries.size();
+        client_.call(settings_.entries[next], std::move(request), limits_of(plan),
+                     [this, body, sample](const order_answer& again) mutable {
+                         if (again && again->status == 200 && again->body != body) {
+                             sample.verdict = call_verdict::wrong;
+                             sample.reason = "other_answer";
+                         }
+                         close(std::move(sample));
+                     });
+    }
+
+    call_sample judge_order(const planned_call& plan, const order_answer& answer) const {
+        call_sample sample{.phase = plan.phase, .length_class = plan.length_class};
+        sample.end = steady_now() - started_ - plan.at;
+        if (!answer) {
+            sample.verdict =
+                answer.error().is_request_written ? call_verdict::unknown : call_verdict::refused;
+            sample.reason = "broken:" + std::string{to_string(answer.error().failure.code)};
+        } else if (answer->status == 200) {
+            sample.verdict = call_verdict::whole;
+            sample.first_token = sample.end;
+        } else {
+            const auto refused = read_refusal(answer->body);
+            sample.verdict = verdict_of(refused.outcome_name);
+            sample.reason = refused.type;
+        }
+        return sample;
+    }
+
+    void close(call_sample sample) {
+        samples_.push_back(std::move(sample));
+        --open_;
+        finish_if_over();
+    }
+
     static void take_text(open_call& call, std::string_view text) {
         if (call.status == 200) {
             call.reader.feed(text, steady_now());
@@ -215,13 +296,12 @@
             sample.verdict = verdict_of(refused.outcome_name);
             sample.reason = refused.type;
         }
-        samples_.push_back(std::move(sample));
-        --open_;
-        finish_if_over();
+        close(std::move(sample));
     }
 
     const experiment_settings& settings_;
     std::vector<planned_call> plan_;
+    std::string run_name_;
     std::vector<call_sample> samples_;
     std::size_t next_ = 0;
     std::size_t open_ = 0;
@@ -249,7 +329,7 @@
     }
     running.set_ready(true);
     const auto planned = plan->size();
-    load_driver driver{settings, std::move(*plan)};
+    load_driver driver{settings, std::move(*plan), std::to_string(running.boot())};
     const auto samples = driver.run(running);
     const auto summary = summarize(settings, samples);
     std::cout << report_text(summary) << samples.size() << " of " << planned
