Wait for the outcome of an order under way with the same key

Cause: in the demo a retry at another entry, sent right after the first call's answer, was told 409 key_in_progress, though the outcome is recorded a moment later. Change: a call that finds its key under way looks again every 200 ms for up to 3 s, then is told when to come back; a contract without deadlines has wide ones (10 min to the first token, 1 h in all), and the demo's own deadline leaves room for a million tokens at the router's prior.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -10,7 +10,7 @@
 LENGTHS = [1000, 4000, 16000, 64000, 128000, 256000, 512000, 1000000]
 QUICK_LENGTHS = LENGTHS[:4]
 ANSWER_TOKENS = 32
-DEADLINE_MS = 120000
+DEADLINE_MS = 600000
 WORKSPACE = "repair-shops"
 KEY = "demo-key"
 
--- a/src/entry_completion.cpp
+++ b/src/entry_completion.cpp
@@ -8,8 +8,8 @@
 namespace {
 
 /// Deadlines of a contract that states none.
-constexpr auto default_first_token = std::chrono::milliseconds{30'000};
-constexpr auto default_finish = std::chrono::milliseconds{600'000};
+constexpr auto default_first_token = std::chrono::minutes{10};
+constexpr auto default_finish = std::chrono::hours{1};
 
 /// Batches of tokens kept that arrived ahead of their turn; more means that the stream is broken.
 constexpr std::size_t max_batches_ahead = 64;
--- a/src/entry_core.cpp
+++ b/src/entry_core.cpp
@@ -258,7 +258,18 @@
     }
     if (record.retry_at && *record.retry_at <= at.now) {
         record.retry_at.reset();
-        work != nullptr ? start_completion(record, at) : start_service(record, at);
+        resume(record, at);
+    }
+}
+
+void entry_core::state::resume(request_record& record, event_time at) {
+    const auto* call = std::get_if<service_work>(&record.work);
+    if (call == nullptr) {
+        start_completion(record, at);
+    } else if (record.life.phase() == request_phase::claiming) {
+        claims_.look_up(*call->claim, record.id, record.finish_by - at.now, at.now);
+    } else {
+        start_service(record, at);
     }
 }
 
--- a/src/entry_core_p.h
+++ b/src/entry_core_p.h
@@ -59,6 +59,8 @@
     service_handle instance;
     std::vector<service_handle> excluded;
     bool is_claimed = false;
+    /// While another request with the key is under way: the moment to stop waiting for its outcome.
+    std::optional<time_point> outcome_by;
 };
 
 /// A request from its arrival to its outcome.
@@ -150,6 +152,7 @@
     void admit(request_record& record, event_time at);
     /// Ends what is past its deadline; else takes the step that was waited for.
     void look_again(request_record& record, event_time at);
+    void resume(request_record& record, event_time at);
 
     // The end of a request: exactly one of these, once.
     void end_done(request_record& record, event_time at);
@@ -194,6 +197,10 @@
     [[nodiscard]] std::optional<service_handle> choose_instance(const service_work& work) const;
     [[nodiscard]] bool is_unrepeatable(std::string_view service, std::string_view path) const;
     void close_call(service_work& work);
+    void claim(request_record& record, event_time at);
+    /// Tells the recorded outcome of an earlier call, or waits for it.
+    void replay(request_record& record, const claim_record& earlier, event_time at);
+    void wait_for_outcome(request_record& record, service_work& work, event_time at);
     [[nodiscard]] std::optional<caller_handle> take_lookup(request_id id);
 
     [[nodiscard]] request_record* find(request_id id);
--- a/src/entry_service.cpp
+++ b/src/entry_service.cpp
@@ -16,6 +16,10 @@
 /// Longest wait for a durable claim.
 constexpr duration claim_patience = std::chrono::milliseconds{3'000};
 
+/// Longest wait for the outcome of a call under way with the same key, and time between two looks.
+constexpr duration outcome_patience = std::chrono::milliseconds{3'000};
+constexpr duration outcome_poll_period = std::chrono::milliseconds{200};
+
 /// Time after which to ask again for a call that is under way.
 constexpr auto in_progress_retry = std::chrono::milliseconds{1'000};
 
@@ -75,6 +79,11 @@
         return start_service(record, at);
     }
     take_step(record, request_step::claim);
+    claim(record, at);
+}
+
+void entry_core::state::claim(request_record& record, event_time at) {
+    const auto& work = std::get<service_work>(record.work);
     const auto patience = std::min(claim_patience, record.finish_by - at.now);
     claims_.request(*work.claim, record.id, work.fingerprint, patience, at.now, at.wall_ms);
 }
@@ -92,29 +101,44 @@
 }
 
 void entry_core::state::on(const claim_exists& event, event_time at) {
-    auto* record = find(event.request);
-    if (record == nullptr) {
-        return;
+    if (auto* record = find(event.request)) {
+        note(event_kind::claim_refused, *record, std::get<service_work>(record->work).claim->key,
+             "exists");
+        replay(*record, event.record, at);
     }
-    const auto& work = std::get<service_work>(record->work);
-    note(event_kind::claim_refused, *record, work.claim->key, "exists");
-    const auto& earlier = event.record;
+}
+
+void entry_core::state::replay(request_record& record, const claim_record& earlier, event_time at) {
+    auto& work = std::get<service_work>(record.work);
     if (earlier.fingerprint != work.fingerprint) {
-        return end_failed(*record, {error_code::key_reused, work.claim->key, {}}, at);
+        return end_failed(record, {error_code::key_reused, work.claim->key, {}}, at);
     }
     if (!earlier.result) {
-        record->may_have_run = true;
-        return end_failed(*record,
-                          {error_code::key_in_progress, work.claim->key, in_progress_retry}, at);
+        return wait_for_outcome(record, work, at);
     }
     if (earlier.status == 0) {
-        record->has_run = *earlier.result == outcome::failed;
-        record->may_have_run = true;
-        return end_failed(*record, {error_code::backend_lost, work.claim->key, {}}, at);
+        record.has_run = *earlier.result == outcome::failed;
+        record.may_have_run = true;
+        return end_failed(record, {error_code::backend_lost, work.claim->key, {}}, at);
     }
     emit(caller_command{
-        caller_answer{record->caller, record->id, earlier.status, earlier.answer, true}});
-    close(*record, *earlier.result, at);
+        caller_answer{record.caller, record.id, earlier.status, earlier.answer, true}});
+    close(record, *earlier.result, at);
+}
+
+void entry_core::state::wait_for_outcome(request_record& record, service_work& work,
+                                         event_time at) {
+    if (!work.outcome_by) {
+        work.outcome_by = std::min(at.now + outcome_patience, record.finish_by);
+    }
+    const auto next = at.now + outcome_poll_period;
+    if (next >= *work.outcome_by) {
+        record.may_have_run = true;
+        return end_failed(record, {error_code::key_in_progress, work.claim->key, in_progress_retry},
+                          at);
+    }
+    record.retry_at = next;
+    timers_.emplace(next, record.id);
 }
 
 void entry_core::state::on(const claim_failed& event, event_time at) {
@@ -126,7 +150,11 @@
     }
 }
 
-void entry_core::state::on(const claim_found& event, event_time /*at*/) {
+void entry_core::state::on(const claim_found& event, event_time at) {
+    if (auto* record = find(event.request)) {
+        // The other request has freed the key: this one may claim it.
+        return event.record ? replay(*record, *event.record, at) : claim(*record, at);
+    }
     const auto asked = take_lookup(event.request);
     if (!asked) {
         return;
