Limits by grants from keepers, with loans between zones

A static split wastes the parts of idle entries and admits less than a request where there are many. Each workspace now has a keeper and a standby per zone that grant amounts from buckets; keepers borrow from other zones; slots of the concurrency are counted until no request can run under them.

Before, an entry had only its static share.

--- a/include/magnolia/schema.h
+++ b/include/magnolia/schema.h
@@ -56,6 +56,23 @@
 /// Name of the value as written in settings and messages.
 [[nodiscard]] std::string_view to_string(cut_off_rule value);
 
+/// Limits of a contract that are enforced over all entries.
+enum class limit_kind : std::uint8_t {
+    /// No limit.
+    none,
+    /// Request rate.
+    requests,
+    /// Prompt token rate.
+    prompt_tokens,
+    /// Generated token rate.
+    generated_tokens,
+    /// Requests under way at once.
+    concurrency,
+};
+
+/// Name of the value as written in settings and messages.
+[[nodiscard]] std::string_view to_string(limit_kind value);
+
 /// Life of a contract.
 enum class contract_state : std::uint8_t {
     /// Requests are served.
@@ -702,6 +719,113 @@
 void to_json(nlohmann::json& out, const member_list_message& value);
 void read(const nlohmann::json& in, schema_reader& reader, member_list_message& value);
 
+/// Amounts of a contract's rates.
+struct limit_amounts {
+    /// Requests. [0..1000000000000 requests]
+    double requests{0};
+    /// Prompt tokens. [0..1000000000000 tokens]
+    double prompt{0};
+    /// Generated tokens. [0..1000000000000 tokens]
+    double generated{0};
+
+    bool operator==(const limit_amounts&) const = default;
+};
+
+void to_json(nlohmann::json& out, const limit_amounts& value);
+void read(const nlohmann::json& in, schema_reader& reader, limit_amounts& value);
+
+/// An entry asks a keeper of its zone for a part of a workspace's limits.
+struct limit_demand {
+    /// Workspace.
+    std::string workspace{};
+    /// Rises with each demand for the workspace; comes back in the grant.
+    std::uint32_t number{0};
+    /// Number of the last grant that arrived.
+    std::uint32_t received{0};
+    /// Number of the demand before, if its grant did not arrive and is not taken any more.
+    std::uint32_t lost{0};
+    /// Random number of the sender's start.
+    std::uint64_t boot{0};
+    /// Amounts needed now, all or nothing.
+    limit_amounts wanted{};
+    /// Amounts that are expected to be needed next, as far as they are there.
+    limit_amounts extra{};
+    /// Demand per second at the sender, averaged.
+    limit_amounts demand{};
+    /// Amounts of earlier grants given back.
+    limit_amounts returned{};
+    /// Requests that the sender wants to have under way at once.
+    std::uint32_t slots{0};
+    /// Requests that the sender has under way.
+    std::uint32_t in_use{0};
+
+    bool operator==(const limit_demand&) const = default;
+};
+
+void to_json(nlohmann::json& out, const limit_demand& value);
+void read(const nlohmann::json& in, schema_reader& reader, limit_demand& value);
+
+/// Answer to a demand.
+struct limit_grant {
+    /// Workspace.
+    std::string workspace{};
+    /// Number of the demand.
+    std::uint32_t number{0};
+    /// Amounts that the entry may use until its lease ends.
+    limit_amounts granted{};
+    /// Requests that the entry may have under way until its lease ends.
+    std::uint32_t slots{0};
+    /// Whether more was asked of other zones.
+    bool borrowing{false};
+    /// First limit that was short.
+    limit_kind lacking{limit_kind::none};
+    /// Time until what was wanted may be there. [0..86400000 ms]
+    std::chrono::milliseconds retry_after{0};
+
+    bool operator==(const limit_grant&) const = default;
+};
+
+void to_json(nlohmann::json& out, const limit_grant& value);
+void read(const nlohmann::json& in, schema_reader& reader, limit_grant& value);
+
+/// A keeper asks the keeper of another zone for unused limits.
+struct limit_borrow {
+    /// Workspace.
+    std::string workspace{};
+    /// Rises with each question for the workspace; comes back in the loan.
+    std::uint32_t number{0};
+    /// Random number of the sender's start.
+    std::uint64_t boot{0};
+    /// Amounts wanted now.
+    limit_amounts wanted{};
+    /// Slots that the sender wants to have on loan from this zone.
+    std::uint32_t slots{0};
+    /// Slots that the sender has on loan from this zone.
+    std::uint32_t held{0};
+
+    bool operator==(const limit_borrow&) const = default;
+};
+
+void to_json(nlohmann::json& out, const limit_borrow& value);
+void read(const nlohmann::json& in, schema_reader& reader, limit_borrow& value);
+
+/// Answer to a borrow.
+struct limit_loan {
+    /// Workspace.
+    std::string workspace{};
+    /// Number of the question.
+    std::uint32_t number{0};
+    /// Amounts that passed to the sender's zone.
+    limit_amounts granted{};
+    /// Slots on loan to the sender's zone.
+    std::uint32_t slots{0};
+
+    bool operator==(const limit_loan&) const = default;
+};
+
+void to_json(nlohmann::json& out, const limit_loan& value);
+void read(const nlohmann::json& in, schema_reader& reader, limit_loan& value);
+
 /// A contract as the store holds it.
 struct contract_version {
     /// Version of its object in the store.
@@ -846,10 +970,10 @@
 void read(const nlohmann::json& in, schema_reader& reader, zone_status& value);
 
 /// Any message between two processes of the system.
-using peer_message =
-    std::variant<hello_message, ping_message, ack_message, ping_request_message,
-                 member_list_request, member_list_message, config_poll, config_answer,
-                 config_buckets, config_versions, config_fetch, config_contracts>;
+using peer_message = std::variant<hello_message, ping_message, ack_message, ping_request_message,
+                                  member_list_request, member_list_message, limit_demand,
+                                  limit_grant, limit_borrow, limit_loan, config_poll, config_answer,
+                                  config_buckets, config_versions, config_fetch, config_contracts>;
 
 /// Number of the message's type in a frame; numbers are never used again.
 [[nodiscard]] std::uint16_t message_number(const peer_message& message);
--- /dev/null
+++ b/src/limit_amounts.h
@@ -0,0 +1,46 @@
+/// Arithmetic on amounts of requests, prompt tokens and generated tokens.
+#pragma once
+
+#include <magnolia/schema.h>
+
+#include <algorithm>
+
+namespace magnolia {
+
+/// Amounts combined member by member.
+template <class Combine>
+[[nodiscard]] limit_amounts combine(const limit_amounts& a, const limit_amounts& b,
+                                    Combine combine_one) {
+    return {combine_one(a.requests, b.requests), combine_one(a.prompt, b.prompt),
+            combine_one(a.generated, b.generated)};
+}
+
+[[nodiscard]] inline limit_amounts sum(const limit_amounts& a, const limit_amounts& b) {
+    return combine(a, b, [](double x, double y) { return x + y; });
+}
+
+/// What of `a` exceeds `b`; never negative.
+[[nodiscard]] inline limit_amounts excess(const limit_amounts& a, const limit_amounts& b) {
+    return combine(a, b, [](double x, double y) { return std::max(0.0, x - y); });
+}
+
+[[nodiscard]] inline limit_amounts least(const limit_amounts& a, const limit_amounts& b) {
+    return combine(a, b, [](double x, double y) { return std::min(x, y); });
+}
+
+[[nodiscard]] inline limit_amounts scaled(const limit_amounts& a, double factor) {
+    return {a.requests * factor, a.prompt * factor, a.generated * factor};
+}
+
+/// Whether `a` holds `b`, up to rounding of sums.
+[[nodiscard]] inline bool covers(const limit_amounts& a, const limit_amounts& b) {
+    constexpr double tolerance = 1e-6;
+    return a.requests + tolerance >= b.requests && a.prompt + tolerance >= b.prompt &&
+           a.generated + tolerance >= b.generated;
+}
+
+[[nodiscard]] inline bool is_zero(const limit_amounts& a) {
+    return covers({}, a);
+}
+
+} // namespace magnolia
--- a/src/limiter.h
+++ b/src/limiter.h
@@ -1,6 +1,7 @@
 /// Enforces the limits of contracts over all entries without a call per request.
 #pragma once
 
+#include "limit_view.h"
 #include "outgoing_message.h"
 
 #include <magnolia/error.h>
@@ -17,6 +18,8 @@
     std::string workspace;
     std::uint32_t prompt_tokens = 0;
     std::uint32_t generated_tokens = 0;
+    /// Whether the slot is the standby's, not the keeper's.
+    bool has_standby_slot = false;
 };
 
 /// The local share is short and more was asked for. Ask again when take_changed() names the
@@ -28,13 +31,6 @@
 /// Outcome of a question for admission.
 using limit_decision = std::variant<limit_ticket, limit_pending, error>;
 
-/// A member of the fleet as the limiter needs it.
-struct limit_member {
-    std::string name;
-    std::string zone;
-    host_state state = host_state::live;
-};
-
 /// Local shares of every workspace that has traffic here, and the keeper's part for those it keeps.
 /// Not thread-safe; owned by the duty of decisions.
 class limiter {
@@ -75,6 +71,9 @@
     /// Workspaces whose share has grown since the last call.
     [[nodiscard]] std::vector<std::string> take_changed();
 
+    /// Workspaces with state here: shares, and pools kept.
+    [[nodiscard]] std::size_t active_count() const;
+
 private:
     class state;
     std::unique_ptr<state> state_;
