Leases with fencing, fenced orders, leaving back ends, control process

Several control processes may run, holders may be paused, and not all engines check who gives an order; the host list lags by 30 s behind back ends that leave. lease holds an object by conditional writes and its own clock, with read-back after lost answers; fenced_orders brings engines to the wanted state one order at a time, with the weight store's budget; backend_states merges the list, the back ends' signs and peers' news; magnolia-control joins lease and orders to the platform and the engines.

--- a/include/magnolia/schema.h
+++ b/include/magnolia/schema.h
@@ -578,6 +578,61 @@
 void to_json(nlohmann::json& out, const experiment_settings& value);
 void read(const nlohmann::json& in, schema_reader& reader, experiment_settings& value);
 
+/// Settings of magnolia-control.
+struct control_settings {
+    /// Common settings.
+    process_settings process{};
+    /// Engines that this zone's control process may order. [0..5000]
+    std::vector<engine_settings> engines{};
+    /// Time after which a silent holder of the zone's lease is replaced. [1000..600000 ms]
+    std::chrono::milliseconds lease_ttl{10000};
+    /// Time between renewals of the lease; less than half of lease_ttl. [100..200000 ms]
+    std::chrono::milliseconds renewal_interval{3000};
+    /// Longest time in which an order takes effect; less than lease_ttl. [100..300000 ms]
+    std::chrono::milliseconds order_time{5000};
+    /// Time between two readings of the wanted state. [100..600000 ms]
+    std::chrono::milliseconds plan_interval{2000};
+    /// Engines that load weights at once. [1..1000 engines]
+    std::uint32_t max_loads{2};
+
+    bool operator==(const control_settings&) const = default;
+};
+
+void to_json(nlohmann::json& out, const control_settings& value);
+void read(const nlohmann::json& in, schema_reader& reader, control_settings& value);
+
+/// Model or adapter that an engine should have.
+struct wanted_item_object {
+    /// Name. [1..64 characters]
+    std::string name{};
+    /// Version. [1..64 characters]
+    std::string version{};
+    /// Size of the weights. [bytes]
+    std::uint64_t bytes{0};
+
+    bool operator==(const wanted_item_object&) const = default;
+};
+
+void to_json(nlohmann::json& out, const wanted_item_object& value);
+void read(const nlohmann::json& in, schema_reader& reader, wanted_item_object& value);
+
+/// Wanted state of an engine; object of kind engine, under the engine's name.
+struct wanted_engine_object {
+    /// Models. [0..64]
+    std::vector<wanted_item_object> models{};
+    /// Adapters. [0..1024]
+    std::vector<wanted_item_object> adapters{};
+    /// Prompt lengths that it is kept for.
+    engine_role role{engine_role::any};
+    /// Whether it should take no new work.
+    bool leaving{false};
+
+    bool operator==(const wanted_engine_object&) const = default;
+};
+
+void to_json(nlohmann::json& out, const wanted_engine_object& value);
+void read(const nlohmann::json& in, schema_reader& reader, wanted_engine_object& value);
+
 /// First message on a connection between entries.
 struct hello_message {
     /// Name of the sender.
@@ -845,11 +900,28 @@
 void to_json(nlohmann::json& out, const zone_status& value);
 void read(const nlohmann::json& in, schema_reader& reader, zone_status& value);
 
+/// News of a back end that began to leave or came back, as an entry saw it on the back end itself.
+struct backend_state_message {
+    /// Name of the back end.
+    std::string engine{};
+    /// State that was seen.
+    host_state state{host_state::live};
+    /// Raised by the entry that saw the change; a later one overrules.
+    std::uint64_t sequence{0};
+    /// Name of the entry that saw it.
+    std::string source{};
+
+    bool operator==(const backend_state_message&) const = default;
+};
+
+void to_json(nlohmann::json& out, const backend_state_message& value);
+void read(const nlohmann::json& in, schema_reader& reader, backend_state_message& value);
+
 /// Any message between two processes of the system.
-using peer_message =
-    std::variant<hello_message, ping_message, ack_message, ping_request_message,
-                 member_list_request, member_list_message, config_poll, config_answer,
-                 config_buckets, config_versions, config_fetch, config_contracts>;
+using peer_message = std::variant<hello_message, ping_message, ack_message, ping_request_message,
+                                  member_list_request, member_list_message, config_poll,
+                                  config_answer, config_buckets, config_versions, config_fetch,
+                                  config_contracts, backend_state_message>;
 
 /// Number of the message's type in a frame; numbers are never used again.
 [[nodiscard]] std::uint16_t message_number(const peer_message& message);
--- /dev/null
+++ b/tests/backend_states_test.cpp
@@ -0,0 +1,93 @@
+#include "backend_states.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+
+namespace magnolia {
+namespace {
+
+using std::chrono::seconds;
+
+struct backend_states_test : testing::Test {
+    backend_states states{"entry-1", {}};
+    time_point now{seconds{100}};
+    std::vector<listed_backend> live{{"engine-1", host_state::live}};
+
+    backend_states_test() {
+        states.on_list(live);
+        static_cast<void>(states.take_changes());
+    }
+
+    host_state state() const { return states.state("engine-1"); }
+};
+
+TEST_F(backend_states_test, a_leaving_sign_goes_before_a_lagging_list) {
+    states.on_sign("engine-1", host_state::leaving, duration{0}, now);
+    EXPECT_EQ(states.take_changes(),
+              (std::vector<backend_change>{{"engine-1", host_state::leaving}}));
+    states.on_list(live);
+    EXPECT_EQ(state(), host_state::leaving);
+}
+
+TEST_F(backend_states_test, an_old_report_does_not_undo_a_leaving_sign) {
+    states.on_sign("engine-1", host_state::leaving, duration{0}, now);
+    states.on_sign("engine-1", host_state::live, seconds{1}, now + seconds{2});
+    EXPECT_EQ(state(), host_state::leaving);
+    states.on_sign("engine-1", host_state::live, seconds{1}, now + seconds{4});
+    EXPECT_EQ(state(), host_state::live);
+}
+
+TEST_F(backend_states_test, older_news_changes_nothing_and_a_tie_restricts) {
+    states.on_news({"engine-1", host_state::leaving, 3, "entry-2"}, now);
+    states.on_news({"engine-1", host_state::live, 2, "entry-3"}, now);
+    EXPECT_EQ(state(), host_state::leaving);
+    states.on_news({"engine-1", host_state::live, 3, "entry-3"}, now);
+    EXPECT_EQ(state(), host_state::leaving);
+    states.on_news({"engine-1", host_state::live, 4, "entry-3"}, now);
+    EXPECT_EQ(state(), host_state::live);
+}
+
+TEST_F(backend_states_test, news_is_passed_on_for_a_few_rounds) {
+    states.on_news({"engine-1", host_state::leaving, 1, "entry-2"}, now);
+    int rounds = 0;
+    while (states.next_due() != time_point::max()) {
+        rounds += static_cast<int>(states.poll(states.next_due()).size());
+    }
+    EXPECT_EQ(rounds, 3);
+    states.on_news({"engine-1", host_state::leaving, 1, "entry-3"}, now);
+    EXPECT_EQ(states.next_due(), time_point::max());
+}
+
+TEST_F(backend_states_test, the_list_removes_and_adds) {
+    states.on_list({});
+    EXPECT_EQ(state(), host_state::gone);
+    states.on_list(live);
+    EXPECT_EQ(state(), host_state::live);
+    states.on_list(std::vector<listed_backend>{{"engine-1", host_state::leaving}});
+    EXPECT_EQ(state(), host_state::leaving);
+}
+
+RC_GTEST_PROP(backend_states_property, entries_agree_whatever_the_order_of_news, ()) {
+    const auto raw = *rc::gen::container<std::vector<unsigned>>(12, rc::gen::inRange(0U, 12U));
+    std::vector<backend_state_message> news;
+    for (const auto value : raw) {
+        news.push_back({"engine-1", value % 2 == 0 ? host_state::live : host_state::leaving,
+                        1 + value / 2, "entry-2"});
+    }
+    const auto result_of = [&news] {
+        backend_states states{"entry-1", {}};
+        states.on_list(std::vector<listed_backend>{{"engine-1", host_state::live}});
+        for (const auto& item : news) {
+            states.on_news(item, {});
+        }
+        return states.state("engine-1");
+    };
+    const auto first = result_of();
+    std::ranges::reverse(news);
+    RC_ASSERT(result_of() == first);
+}
+
+} // namespace
+} // namespace magnolia
--- /dev/null
+++ b/tools/magnolia-control.cpp
@@ -0,0 +1,257 @@
+/// Control process of a zone: takes the zone's lease and orders what the platform's objects of kind
+/// engine want of each engine.
+#include "duty.h"
+#include "engine_client.h"
+#include "fenced_orders.h"
+#include "lease.h"
+#include "platform_client.h"
+#include "process.h"
+
+#include <boost/asio/post.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <future>
+
+namespace {
+
+using namespace magnolia;
+
+constexpr std::chrono::milliseconds tick{100};
+constexpr auto wanted_kind = "engine";
+
+/// Decisions of the control process joined to its clients; runs on one duty.
+class controller {
+public:
+    controller(boost::asio::io_context& context, process& running,
+               const control_settings& settings);
+
+    void start() { on_tick(); }
+    /// Gives the lease back; `done` is called once that is certain or the platform is down.
+    void stop(std::function<void()> done);
+
+private:
+    void on_tick();
+    void step_lease(time_point now);
+    void read_wanted(time_point now);
+    void on_wanted(const object_page& page);
+    void read_status(time_point now);
+    void step_orders(time_point now);
+    void send(const weight_request& request);
+    void send(const engine_order& order);
+    void note_holder(time_point now);
+    [[nodiscard]] order_permit permit(time_point now) const;
+
+    process& running_;
+    const control_settings& settings_;
+    logger log_{"control"};
+    platform_client platform_;
+    engine_client engines_;
+    lease lease_;
+    fenced_orders orders_;
+    std::map<std::string, engine_handle> names_;
+    std::map<engine_handle, bool> is_asked_;
+    boost::asio::steady_timer timer_;
+    time_point wanted_due_{};
+    bool is_reading_wanted_ = false;
+    std::uint64_t fencing_ = 0;
+    std::function<void()> stopped_;
+};
+
+lease_settings lease_of(const process& running, const control_settings& settings) {
+    return {.name = "zone-" + settings.process.zone,
+            .holder = settings.process.name,
+            .boot = running.boot(),
+            .ttl = settings.lease_ttl,
+            .renewal_interval = settings.renewal_interval,
+            .order_time = settings.order_time};
+}
+
+engine_client_settings client_of(const control_settings& settings) {
+    engine_client_settings client;
+    client.owner = settings.process.name;
+    client.load_interval = std::chrono::milliseconds{0};
+    client.call_timeout = settings.order_time;
+    return client;
+}
+
+controller::controller(boost::asio::io_context& context, process& running,
+                       const control_settings& settings)
+    : running_{running}, settings_{settings},
+      platform_{context, settings.process.platform, {}, running.boot()},
+      engines_{context, client_of(settings)}, lease_{lease_of(running, settings)},
+      orders_{{.max_loads = settings.max_loads}}, timer_{context} {
+    for (const auto& engine : settings.engines) {
+        const engine_handle handle{static_cast<std::uint32_t>(names_.size())};
+        names_.emplace(engine.name, handle);
+        engines_.put_engine(handle, http_engine{{engine.address, engine.port}});
+    }
+}
+
+void controller::on_tick() {
+    const auto now = steady_now();
+    step_lease(now);
+    if (lease_.fencing(now) != 0) {
+        read_wanted(now);
+        read_status(now);
+        step_orders(now);
+    }
+    note_holder(now);
+    if (stopped_ && (lease_.is_stopped() || !platform_.is_up())) {
+        std::exchange(stopped_, {})();
+        return;
+    }
+    timer_.expires_after(tick);
+    timer_.async_wait([this](const auto& failure) {
+        if (!failure) {
+            on_tick();
+        }
+    });
+}
+
+void controller::step_lease(time_point now) {
+    if (auto call = lease_.poll(now)) {
+        platform_.execute(
+            std::move(*call), call_priority::lease,
+            [this](const result<platform_reply>& reply) { lease_.on_reply(reply, steady_now()); });
+    }
+}
+
+void controller::note_holder(time_point now) {
+    const auto fencing = lease_.fencing(now);
+    if (fencing == fencing_) {
+        return;
+    }
+    fencing_ = fencing;
+    const bool is_holder = fencing != 0;
+    running_.events().emit(
+        is_holder ? event_kind::lease_taken : event_kind::lease_lapsed,
+        {.subject = "zone-" + settings_.process.zone, .detail = std::to_string(fencing)});
+    log_.info(is_holder ? "Took the zone's lease." : "Holds the zone's lease no more.");
+}
+
+void controller::read_wanted(time_point now) {
+    if (is_reading_wanted_ || now < wanted_due_) {
+        return;
+    }
+    is_reading_wanted_ = true;
+    wanted_due_ = now + settings_.plan_interval;
+    platform_.execute(object_list{wanted_kind, {}}, call_priority::configuration,
+                      [this](const result<platform_reply>& reply) {
+                          is_reading_wanted_ = false;
+                          if (reply) {
+                              on_wanted(std::get<object_page>(*reply));
+                          }
+                      });
+}
+
+void controller::on_wanted(const object_page& page) {
+    for (const auto& object : page.items) {
+        const auto handle = names_.find(object.id.name);
+        const auto in = nlohmann::json::parse(object.value, nullptr, false);
+        if (handle == names_.end() || in.is_discarded()) {
+            continue;
+        }
+        schema_reader reader{unknown_keys::accept};
+        wanted_engine_object wanted;
+        read(in, reader, wanted);
+        if (!reader.errors().empty()) {
+            log_.warn("Wanted state of " + object.id.name + " is not valid.");
+            continue;
+        }
+        const auto items = [](const std::vector<wanted_item_object>& list) {
+            std::vector<wanted_item> all;
+            std::ranges::transform(list, std::back_inserter(all), [](const auto& item) {
+                return wanted_item{item.name, item.version, item.bytes};
+            });
+            return all;
+        };
+        const auto& engine = settings_.engines[handle->second.value];
+        orders_.set_wanted(handle->second, {items(wanted.models), items(wanted.adapters),
+                                            wanted.role, wanted.leaving, engine.checks_fencing});
+    }
+}
+
+void controller::read_status(time_point now) {
+    for (const auto engine : orders_.needs_status(now)) {
+        if (std::exchange(is_asked_[engine], true)) {
+            continue;
+        }
+        engines_.status(engine, [this, engine, now](const result<engine_status>& status) {
+            is_asked_[engine] = false;
+            if (status) {
+                // The status describes a moment not before the question.
+                orders_.on_status(engine, *status, now);
+            }
+        });
+    }
+}
+
+order_permit controller::permit(time_point now) const {
+    return {lease_.fencing(now), lease_.may_act(now), lease_.may_act_unfenced(now)};
+}
+
+void controller::step_orders(time_point now) {
+    for (const auto& step : orders_.poll(permit(now), now)) {
+        std::visit([this](const auto& value) { send(value); }, step);
+    }
+}
+
+void controller::send(const weight_request& request) {
+    platform_.execute(weight_take{request.bytes}, call_priority::status,
+                      [this, request](const result<platform_reply>& reply) {
+                          const auto wait = reply.map([](const platform_reply& value) {
+                              return std::get<weight_grant>(value).wait;
+                          });
+                          orders_.on_weight(request.engine, wait, steady_now());
+                      });
+}
+
+void controller::send(const engine_order& order) {
+    const auto now = steady_now();
+    const auto allowed = permit(now);
+    const auto& engine = settings_.engines[order.engine.value];
+    const bool may_act = engine.checks_fencing ? allowed.may_act : allowed.may_act_unfenced;
+    if (!may_act || allowed.fencing != order.fencing) {
+        orders_.on_order_answered(order.engine, fail(error_code::lease_lost), now);
+        return;
+    }
+    running_.events().emit(event_kind::order_sent,
+                           {.subject = engine.name, .detail = order.name + " " + order.version});
+    engines_.order(order, [this, engine = order.engine](const result<void>& answer) {
+        orders_.on_order_answered(engine, answer, steady_now());
+    });
+}
+
+void controller::stop(std::function<void()> done) {
+    stopped_ = std::move(done);
+    lease_.stop();
+}
+
+result<void> run(process& running, const control_settings& settings) {
+    if (settings.order_time >= settings.lease_ttl ||
+        settings.renewal_interval * 2 >= settings.lease_ttl) {
+        return fail(error_code::bad_settings,
+                    "order_time and twice renewal_interval have to be less than lease_ttl");
+    }
+    duty decide{"control"};
+    controller control{decide.context(), running, settings};
+    boost::asio::post(decide.context(), [&control] { control.start(); });
+    decide.start();
+    running.set_ready(true);
+    running.wait_for_stop();
+    std::promise<void> stopped;
+    boost::asio::post(decide.context(), [&] { control.stop([&stopped] { stopped.set_value(); }); });
+    static_cast<void>(stopped.get_future().wait_for(settings.lease_ttl));
+    decide.stop();
+    return {};
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    return run_program<control_settings>(
+        argc, argv,
+        {"magnolia-control", "Orders models, adapters, versions and roles of a zone's engines."},
+        run);
+}
