Members, contracts in force and leaving back ends in the running entry

Cause: each entry listed and watched the contracts by itself, knew its members from the settings alone, and a back end's leaving sign stayed with the entry that saw it. Change: entry_exchange joins membership, contract relay and states of back ends, without sockets; the running entry carries its messages and calls out. A contract whose cut-off rule is to refuse is refused while the configuration's lease has lapsed; the other rules follow from whether other zones answer. An entry is ready once it knows contracts.

--- a/src/entry_core.cpp
+++ b/src/entry_core.cpp
@@ -7,6 +7,12 @@
 #include <ranges>
 
 namespace magnolia {
+namespace {
+
+/// Time after which to ask again while the configuration is not known to be current.
+constexpr auto cut_off_retry = std::chrono::milliseconds{2'000};
+
+} // namespace
 
 std::string hash_key(std::string_view key) {
     std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
@@ -92,6 +98,9 @@
     if (terms.state == contract_state::retired) {
         return fail(error_code::workspace_retired, terms.workspace);
     }
+    if (is_config_lapsed_ && terms.cut_off == cut_off_rule::refuse) {
+        return fail(error_code::cut_off, terms.workspace, cut_off_retry);
+    }
     return &terms;
 }
 
@@ -336,7 +345,6 @@
 }
 
 void entry_core::on_engine_load(engine_handle engine, const engine_load& load, event_time at) {
-    state_->set_engine_state(engine, load.state, at);
     state_->router_.on_load(engine, load, at.now);
 }
 
@@ -353,6 +361,10 @@
     state_->limiter_.set_members(members, is_cut_off, at.now);
 }
 
+void entry_core::set_config_lapsed(bool is_lapsed) {
+    state_->is_config_lapsed_ = is_lapsed;
+}
+
 void entry_core::handle(const caller_event& event, event_time at) {
     std::visit([&](const auto& item) { state_->on(item, at); }, event);
     state_->drain_claims(at);
--- a/src/entry_core.h
+++ b/src/entry_core.h
@@ -75,6 +75,9 @@
     void put_contract(const contract& value, std::uint64_t version, event_time at);
     /// Members as this entry sees them, and whether its zone is cut off from the others.
     void set_members(const std::vector<limit_member>& members, bool is_cut_off, event_time at);
+    /// Whether the lease of the configuration has lapsed; contracts whose cut-off rule is to refuse
+    /// are refused then.
+    void set_config_lapsed(bool is_lapsed);
 
     void handle(const caller_event& event, event_time at);
     void handle(const engine_event& event, event_time at);
--- a/src/entry_core_p.h
+++ b/src/entry_core_p.h
@@ -218,6 +218,7 @@
     std::vector<entry_command> commands_;
     std::unordered_map<request_id, std::unique_ptr<request_record>> requests_;
     bool is_stopping_ = false;
+    bool is_config_lapsed_ = false;
     std::unordered_map<std::string, contract_in_force> contracts_;
     std::unordered_map<std::string, std::string> workspace_of_key_;
     std::unordered_map<engine_handle, host_state> engine_states_;
--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -3,6 +3,7 @@
 #include "caller_http.h"
 #include "engine_client.h"
 #include "entry_core.h"
+#include "entry_exchange.h"
 #include "outbox.h"
 #include "peer_links.h"
 #include "platform_client.h"
@@ -19,15 +20,40 @@
 /// Longest time between two ticks of the decisions.
 constexpr auto tick_period = std::chrono::milliseconds{10};
 
+/// Time between two looks at what the exchange has to do.
+constexpr auto exchange_period = std::chrono::milliseconds{50};
+
 /// Time between two looks at whether a planned stop has finished.
 constexpr auto stop_poll_period = std::chrono::milliseconds{50};
 
 /// Time for which answers may still leave after the last request has ended.
 constexpr auto linger = std::chrono::milliseconds{200};
 
-event_time current_time() {
+std::int64_t wall_ms() {
     const auto wall = std::chrono::system_clock::now().time_since_epoch();
-    return {steady_now(), std::chrono::duration_cast<std::chrono::milliseconds>(wall).count()};
+    return std::chrono::duration_cast<std::chrono::milliseconds>(wall).count();
+}
+
+event_time current_time() {
+    return {steady_now(), wall_ms()};
+}
+
+/// This entry as the others see it; a restarted entry overrules its former self.
+member_change self_of(const entry_settings& settings) {
+    return {settings.process.name,
+            settings.process.zone,
+            settings.peer_listen.address,
+            settings.peer_listen.port,
+            static_cast<std::uint64_t>(wall_ms()),
+            host_state::live};
+}
+
+std::vector<member_change> known_members(const entry_settings& settings) {
+    std::vector<member_change> known;
+    for (const auto& item : settings.members) {
+        known.push_back({item.name, item.zone, item.address, item.port, 0, host_state::live});
+    }
+    return known;
 }
 
 /// Answer of the platform to a claim's call.
@@ -36,10 +62,10 @@
     result<platform_reply> reply;
 };
 
-/// A contract as the platform holds it.
-struct contract_update {
-    contract value;
-    std::uint64_t version = 0;
+/// Answer of the platform to a call of the exchange.
+struct exchange_answer {
+    std::uint64_t number = 0;
+    result<platform_reply> reply;
 };
 
 /// Begins the planned stop.
@@ -51,7 +77,10 @@
 /// Anything that the decisions are told.
 using decision_event =
     std::variant<caller_event, engine_event, service_event, engine_report, platform_answer,
-                 contract_update, peer_delivery, stop_request, abandon_request>;
+                 exchange_answer, peer_delivery, stop_request, abandon_request>;
+
+/// Work for the duty of the platform.
+using platform_work = std::variant<claim_call, numbered_call>;
 
 /// Work for the duty of back ends.
 using backend_command = std::variant<engine_command, service_call>;
@@ -73,20 +102,22 @@
     // On the duty of decisions.
     void decide(decision_event event);
     void on(const caller_event& event) { core_.handle(event, current_time()); }
-    void on(const engine_event& event) { core_.handle(event, current_time()); }
+    void on(const engine_event& event);
     void on(const service_event& event) { core_.handle(event, current_time()); }
     void on(const engine_report& event);
     void on(const platform_answer& event) {
         core_.handle_reply(event.number, event.reply, current_time());
     }
-    void on(const contract_update& event) {
-        core_.put_contract(event.value, event.version, current_time());
-    }
-    void on(const peer_delivery& event) {
-        core_.handle_message(event.from, event.message, current_time());
+    void on(const exchange_answer& event) {
+        exchange_.on_reply(event.number, event.reply, steady_now());
     }
-    void on(const stop_request& /*event*/) { core_.begin_stop(); }
+    void on(const peer_delivery& event);
+    void on(const stop_request& event);
     void on(const abandon_request& /*event*/) { core_.abandon_all(current_time()); }
+    /// Lets the exchange do what is due and takes over what it found.
+    void exchange(event_time at);
+    void take_view(exchange_view view, event_time at);
+    void note_member(const member_event& event);
     void carry_out();
     void carry_out(caller_command command) { to_callers_.push(std::move(command)); }
     void carry_out(engine_command command) { to_backends_.push(std::move(command)); }
@@ -97,11 +128,7 @@
     void schedule_tick();
 
     // On the duty of the platform.
-    void call_platform(claim_call call);
-    void list_contracts(std::string after);
-    void watch_contracts(std::uint64_t revision);
-    void take_contract(const stored_object& object);
-    void retry_contracts();
+    void call_platform(platform_work work);
 
     /// Hands on the answer to a call that this entry made.
     void reply(decision_event event) {
@@ -130,13 +157,19 @@
     inbox<decision_event> reply_inbox_;
     inbox<caller_command> caller_inbox_;
     inbox<backend_command> backend_inbox_;
-    inbox<claim_call> platform_inbox_;
+    inbox<platform_work> platform_inbox_;
 
     // Owned by the duty of decisions.
     entry_core core_;
+    entry_exchange exchange_;
+    std::unordered_map<std::string, engine_handle> engine_of_name_;
+    std::vector<std::string> engine_names_;
+    time_point next_exchange_{};
+    exchange_view view_;
+    std::atomic<bool> is_ready_{false};
     outbox<caller_command> to_callers_{caller_inbox_};
     outbox<backend_command> to_backends_{backend_inbox_};
-    outbox<claim_call> to_platform_{platform_inbox_};
+    outbox<platform_work> to_platform_{platform_inbox_};
     boost::asio::steady_timer tick_{decisions_.context()};
 
     // Owned by the other duties.
@@ -144,7 +177,6 @@
     engine_client engines_;
     service_client services_;
     platform_client platform_client_;
-    boost::asio::steady_timer contract_retry_{platform_.context()};
     peer_links links_;
 };
 
@@ -165,13 +197,14 @@
                          }
                      }},
       platform_inbox_{platform_, config::ring_slots,
-                      [this](claim_call call) { call_platform(std::move(call)); }},
+                      [this](platform_work work) { call_platform(std::move(work)); }},
       core_{{.name = settings.process.name,
              .zone = settings.process.zone,
              .origin = owner.boot(),
              .seed = owner.boot(),
              .max_requests = settings.max_requests,
              .claim_retention = settings.claim_retention}},
+      exchange_{self_of(settings), known_members(settings), owner.boot(), steady_now()},
       caller_http_{
           callers_.context(),
           {.max_total_body_bytes = settings.body_memory, .read_timeout = settings.body_timeout},
@@ -205,20 +238,13 @@
         const auto handle = core_.put_engine(
             {item.name, item.zone, item.models, {}, item.memory_tokens, item.role}, now);
         engines_.put_engine(handle, http_engine{{item.address, item.port}});
+        engine_names_.push_back(item.name);
+        engine_of_name_[item.name] = handle;
     }
     for (const auto& item : settings_.services) {
         const auto handle = core_.put_service({item.name, item.zone, item.unrepeatable_paths});
         services_.put_service(handle, http_service{{item.address, item.port}});
     }
-    std::vector<limit_member> members{
-        {settings_.process.name, settings_.process.zone, host_state::live}};
-    std::vector<peer_address> addresses;
-    for (const auto& item : settings_.members) {
-        members.push_back({item.name, item.zone, host_state::live});
-        addresses.push_back({item.name, item.address, item.port});
-    }
-    core_.set_members(members, false, now);
-    static_cast<void>(links_.set_members(std::move(addresses)));
 }
 
 void entry_server::state::start() {
@@ -235,7 +261,6 @@
         [this](const engine_report& report) { static_cast<void>(decision_inbox_.push(report)); });
     services_.set_event_sink([this](service_event event) { reply(std::move(event)); });
     boost::asio::post(decisions_.context(), [this] { schedule_tick(); });
-    boost::asio::post(platform_.context(), [this] { list_contracts({}); });
     for (auto* item : {&decisions_, &backends_, &platform_, &peers_, &callers_}) {
         item->start();
     }
@@ -248,8 +273,12 @@
     if (auto opened = links_.listen(settings_.peer_listen); !opened) {
         return tl::unexpected{opened.error()};
     }
+    take_view(exchange_.view(steady_now()), current_time());
     start();
     log_.info("Serves callers on port " + std::to_string(caller_http_.port()) + ".");
+    while (!is_ready_.load() && !owner_.is_stopping()) {
+        std::this_thread::sleep_for(stop_poll_period);
+    }
     owner_.set_ready(true);
     owner_.wait_for_stop();
     finish();
@@ -281,13 +310,90 @@
     carry_out();
 }
 
+void entry_server::state::on(const engine_event& event) {
+    if (const auto* failed = std::get_if<engine_failed>(&event);
+        failed != nullptr && failed->leaving) {
+        exchange_.on_backend_sign(engine_names_.at(failed->engine.value), host_state::leaving, {},
+                                  steady_now());
+    }
+    core_.handle(event, current_time());
+}
+
 void entry_server::state::on(const engine_report& event) {
     const auto now = current_time();
-    if (event.load) {
-        core_.on_engine_load(event.engine, *event.load, now);
-    } else {
-        core_.on_engine_silent(event.engine, now);
+    if (!event.load) {
+        return core_.on_engine_silent(event.engine, now);
     }
+    const auto& name = engine_names_.at(event.engine.value);
+    exchange_.on_backend_sign(name, event.load->state, event.load->age, now.now);
+    core_.set_engine_state(event.engine, exchange_.backend_state(name), now);
+    core_.on_engine_load(event.engine, *event.load, now);
+}
+
+void entry_server::state::on(const peer_delivery& event) {
+    const auto now = current_time();
+    exchange_.on_message(event.from, event.message, now.now);
+    core_.handle_message(event.from, event.message, now);
+    exchange(now);
+}
+
+void entry_server::state::on(const stop_request& /*event*/) {
+    core_.begin_stop();
+    exchange_.leave();
+}
+
+void entry_server::state::exchange(event_time at) {
+    exchange_.tick(at.now);
+    for (const auto& item : exchange_.take_contracts()) {
+        core_.put_contract(item.value, item.version, at);
+    }
+    for (const auto& item : exchange_.take_backend_changes()) {
+        if (const auto found = engine_of_name_.find(item.name); found != engine_of_name_.end()) {
+            core_.set_engine_state(found->second, item.state, at);
+        }
+    }
+    for (const auto& item : exchange_.take_member_events()) {
+        note_member(item);
+    }
+    for (auto& message : exchange_.take_messages()) {
+        carry_out(std::move(message));
+    }
+    for (auto& call : exchange_.take_calls()) {
+        to_platform_.push(std::move(call));
+    }
+    is_ready_.store(exchange_.is_ready(at.now));
+    take_view(exchange_.view(at.now), at);
+}
+
+void entry_server::state::take_view(exchange_view view, event_time at) {
+    core_.set_members(view.members, view.is_cut_off, at);
+    core_.set_config_lapsed(view.is_lapsed);
+    if (view.addresses != view_.addresses) {
+        std::vector<peer_address> addresses;
+        for (const auto& item : view.addresses) {
+            addresses.push_back({item.name, item.address, item.port});
+        }
+        static_cast<void>(links_.set_members(std::move(addresses)));
+    }
+    view_ = std::move(view);
+}
+
+void entry_server::state::note_member(const member_event& event) {
+    const auto kind_of = [](host_state value) {
+        switch (value) {
+        case host_state::live:
+            return event_kind::member_joined;
+        case host_state::suspect:
+            return event_kind::member_suspected;
+        default:
+            return event_kind::member_left;
+        }
+    };
+    carry_out(timeline_note{kind_of(event.member.state),
+                            {},
+                            {},
+                            event.member.name,
+                            std::string{to_string(event.member.state)}});
 }
 
 void entry_server::state::carry_out() {
@@ -326,7 +432,12 @@
         to_callers_.flush();
         to_backends_.flush();
         to_platform_.flush();
-        core_.tick(current_time());
+        const auto now = current_time();
+        if (next_exchange_ <= now.now) {
+            next_exchange_ = now.now + exchange_period;
+            exchange(now);
+        }
+        core_.tick(now);
         carry_out();
         schedule_tick();
     });
@@ -334,64 +445,20 @@
 
 // The duty of the platform.
 
-void entry_server::state::call_platform(claim_call call) {
-    platform_client_.execute(call.call, call_priority::claim,
-                             [this, number = call.number](const result<platform_reply>& answer) {
-                                 reply(platform_answer{number, answer});
-                             });
-}
-
-void entry_server::state::list_contracts(std::string after) {
-    platform_client_.execute(object_list{"contract", after}, call_priority::configuration,
-                             [this](const result<platform_reply>& reply) {
-                                 if (!reply) {
-                                     return retry_contracts();
-                                 }
-                                 const auto& page = std::get<object_page>(*reply);
-                                 std::ranges::for_each(
-                                     page.items, [this](const auto& item) { take_contract(item); });
-                                 if (page.more) {
-                                     list_contracts(page.items.back().id.name);
-                                 } else {
-                                     watch_contracts(page.revision);
-                                 }
-                             });
-}
-
-void entry_server::state::watch_contracts(std::uint64_t revision) {
-    platform_client_.execute(
-        object_watch{"contract", revision}, call_priority::configuration,
-        [this](const result<platform_reply>& reply) {
-            if (!reply || std::get<watch_page>(*reply).gap) {
-                return retry_contracts();
-            }
-            const auto& page = std::get<watch_page>(*reply);
-            std::ranges::for_each(page.changes, [this](const auto& item) { take_contract(item); });
-            watch_contracts(page.revision);
-        });
-}
-
-void entry_server::state::take_contract(const stored_object& object) {
-    const auto document = nlohmann::json::parse(object.value, nullptr, false);
-    schema_reader reader{unknown_keys::accept};
-    contract_update update;
-    read(document, reader, update.value);
-    update.version = object.version;
-    if (!reader.errors().empty()) {
-        log_.error("Ignores the contract " + object.id.name + "; it breaks the schema.");
+void entry_server::state::call_platform(platform_work work) {
+    if (auto* claim = std::get_if<claim_call>(&work)) {
+        platform_client_.execute(
+            std::move(claim->call), call_priority::claim,
+            [this, number = claim->number](const result<platform_reply>& answer) {
+                reply(platform_answer{number, answer});
+            });
         return;
     }
-    static_cast<void>(decision_inbox_.push(std::move(update)));
-}
-
-void entry_server::state::retry_contracts() {
-    constexpr auto retry_period = std::chrono::milliseconds{1000};
-    contract_retry_.expires_after(retry_period);
-    contract_retry_.async_wait([this](const boost::system::error_code& cancelled) {
-        if (!cancelled) {
-            list_contracts({});
-        }
-    });
+    auto& call = std::get<numbered_call>(work);
+    platform_client_.execute(std::move(call.call), call.priority,
+                             [this, number = call.number](const result<platform_reply>& answer) {
+                                 reply(exchange_answer{number, answer});
+                             });
 }
 
 // The public face.
