Exact test of the margins between two lease holders

Trial breaks showed that the random test of two controllers does not find a holder that ignores its clock or a successor that does not wait, since its timing rarely meets the few seconds that matter.

--- a/tests/backend_states_test.cpp
+++ b/tests/backend_states_test.cpp
@@ -72,6 +72,7 @@
 RC_GTEST_PROP(backend_states_property, entries_agree_whatever_the_order_of_news, ()) {
     const auto raw = *rc::gen::container<std::vector<unsigned>>(12, rc::gen::inRange(0U, 12U));
     std::vector<backend_state_message> news;
+    news.reserve(raw.size());
     for (const auto value : raw) {
         news.push_back({"engine-1", value % 2 == 0 ? host_state::live : host_state::leaving,
                         1 + value / 2, "entry-2"});
--- a/tests/lease_test.cpp
+++ b/tests/lease_test.cpp
@@ -103,6 +103,22 @@
     EXPECT_TRUE(first.may_act_unfenced(now));
 }
 
+TEST_F(lease_test, an_old_order_sent_late_ends_before_the_first_new_unfenced_one) {
+    const lease_settings settings;
+    run(first);
+    run(second);
+    time_point last_allowed = now;
+    while (!second.may_act_unfenced(now)) {
+        now += milliseconds{10};
+        run(second);
+        // The first holder is cut off from the store, and asks as often as it likes.
+        static_cast<void>(first.poll(now));
+        last_allowed = first.may_act(now) ? now : last_allowed;
+        ASSERT_LT(now, time_point{seconds{60}});
+    }
+    EXPECT_LE(last_allowed + 2 * settings.order_time, now);
+}
+
 TEST(fenced_orders, loads_only_with_weights_granted_and_one_step_at_a_time) {
     const engine_handle engine{0};
     fenced_orders orders{{}};
@@ -142,10 +158,7 @@
 public:
     explicit control_world(bool checks_fencing) : engine_{settings(checks_fencing), parts_} {
         for (std::uint32_t index = 0; index < 2; ++index) {
-            wanted_engine wanted;
-            wanted.models = {{"model", std::to_string(index + 2), 0}};
-            wanted.checks_fencing = checks_fencing;
-            processes_[index].orders.set_wanted(engine_handle{0}, wanted);
+            want(processes_[index], index);
         }
     }
 
@@ -154,15 +167,19 @@
         auto& process = processes_[which];
         const auto kind = choice / 2 % 16;
         if (kind == 0 && choice % 3 == 0) {
-            process.paused_until = now_ + seconds{choice % 40};
+            process.paused_until = now_ + seconds{choice / 32 % 40};
         } else if (kind == 1) {
             process.loses_answers = 1;
         } else if (kind == 2 && choice % 5 == 0) {
             restart(which);
-        } else if (kind == 3) {
-            deliver_late();
+        } else if (kind > 12) {
+            want(process, choice / 32 % 8);
+        } else if (kind == 7 && choice % 3 == 0) {
+            process.cut_off_until = now_ + seconds{choice / 32 % 30};
+        } else if (kind == 3 || kind == 4) {
+            deliver_late(choice);
         } else {
-            now_ += milliseconds{choice % 1500};
+            now_ += milliseconds{choice / 32 % 1000};
         }
         static_cast<void>(engine_.advance(now_));
         run(processes_[0]);
@@ -176,11 +193,13 @@
         lease hold;
         fenced_orders orders{{}};
         time_point paused_until{};
+        /// No call reaches the store.
+        time_point cut_off_until{};
         unsigned loses_answers = 0;
     };
     struct late_order {
         engine_order order;
-        time_point sent_at{};
+        time_point asked_at{};
     };
 
     static fakes::engine_model_settings settings(bool checks_fencing) {
@@ -190,6 +209,13 @@
         return value;
     }
 
+    void want(process& value, unsigned version) const {
+        wanted_engine wanted;
+        wanted.models = {{"model", std::to_string(version), 0}};
+        wanted.checks_fencing = engine_.settings().checks_fencing;
+        value.orders.set_wanted(engine_handle{0}, wanted);
+    }
+
     lease new_lease(unsigned which) {
         auto settings = settings_of(which == 0 ? "a" : "b");
         settings.boot = ++boots_;
@@ -208,7 +234,8 @@
             return;
         }
         while (const auto call = value.hold.poll(now_)) {
-            auto reply = answer(store_, *call);
+            auto reply = value.cut_off_until > now_ ? fail(error_code::platform_down)
+                                                    : answer(store_, *call);
             if (value.loses_answers > 0) {
                 --value.loses_answers;
                 reply = fail(error_code::platform_down);
@@ -231,16 +258,17 @@
         }
     }
 
-    /// An order takes effect within its order time, or never.
-    void deliver_late() {
-        const auto order_time = lease_settings{}.order_time;
+    /// An order is sent up to an order time after the lease was asked, and takes effect within
+    /// another, or never.
+    void deliver_late(unsigned choice) {
+        const auto longest = 2 * lease_settings{}.order_time;
         std::erase_if(late_,
-                      [&](const late_order& item) { return now_ - item.sent_at > order_time; });
+                      [&](const late_order& item) { return now_ - item.asked_at > longest; });
         if (!late_.empty()) {
-            const auto order = late_.back().order;
-            late_.pop_back();
+            const auto place = late_.begin() + choice / 32 % static_cast<unsigned>(late_.size());
+            const auto order = place->order;
+            late_.erase(place);
             static_cast<void>(engine_.order(order, now_));
-            // An engine that ignores fencing still counts what it would have refused.
         }
     }
 
@@ -257,7 +285,7 @@
     control_world world{checks_fencing};
     for (int part = 0; part < 20; ++part) {
         const auto choices =
-            *rc::gen::container<std::vector<unsigned>>(25, rc::gen::inRange(0U, 1U << 16U));
+            *rc::gen::container<std::vector<unsigned>>(100, rc::gen::inRange(0U, 1U << 20U));
         for (const auto choice : choices) {
             world.step(choice);
         }
