--- a/fakes/engine_server.cpp
+++ b/fakes/engine_server.cpp
@@ -17,14 +17,6 @@
 constexpr http_server_limits server_limits{.max_body_bytes = config::max_body_bytes,
                                            .max_total_body_bytes = std::size_t{1} << 30U};
 
-bool use(std::uint32_t& count) {
-    if (count == 0) {
-        return false;
-    }
-    --count;
-    return true;
-}
-
 bool is_last(const engine_event& event) {
     return std::holds_alternative<engine_finished>(event) ||
            std::holds_alternative<engine_part_ready>(event) ||
@@ -147,7 +139,7 @@
         const auto order = read_order(request);
         const auto taken =
             order ? engine.model.order(*order, now()) : result<void>{tl::unexpected{order.error()}};
-        if (use(engine.faults.lost_answers)) {
+        if (use_one(engine.faults.lost_answers)) {
             responder.abort();
         } else {
             responder.send(taken ? json_response(200, "{}") : refusal(taken.error()));
@@ -168,16 +160,16 @@
     }
     const auto& command = received->command;
     const auto id = std::visit([](const auto& value) { return value.id; }, command);
-    if (use(engine.faults.refusals)) {
+    if (use_one(engine.faults.refusals)) {
         responder.send(refusal({error_code::overloaded, {}, {}}));
         return;
     }
-    if (use(engine.faults.vague_refusals)) {
+    if (use_one(engine.faults.vague_refusals)) {
         responder.send(json_response(503, "{}"));
         return;
     }
     const auto taken = engine.model.submit(command, received->owner, now());
-    if (use(engine.faults.lost_answers)) {
+    if (use_one(engine.faults.lost_answers)) {
         responder.abort();
     } else if (!taken) {
         responder.send(refusal(taken.error()));
@@ -219,23 +211,23 @@
     }
     const auto responder = found->second;
     const bool is_tokens = std::holds_alternative<engine_tokens>(event);
-    if (is_tokens && use(engine.faults.missing_lines)) {
+    if (is_tokens && use_one(engine.faults.missing_lines)) {
         return;
     }
-    if (is_tokens && use(engine.faults.crossed_lines)) {
+    if (is_tokens && use_one(engine.faults.crossed_lines)) {
         auto other = std::get<engine_tokens>(event);
         ++other.id.request.sequence;
         responder.write(line_of(other));
     }
     const auto line = line_of(event);
     responder.write(line);
-    if (is_tokens && use(engine.faults.repeated_lines)) {
+    if (is_tokens && use_one(engine.faults.repeated_lines)) {
         responder.write(line);
     }
     if (is_last(event)) {
         engine.streams.erase(found);
         responder.finish();
-    } else if (is_tokens && use(engine.faults.broken_streams)) {
+    } else if (is_tokens && use_one(engine.faults.broken_streams)) {
         responder.abort();
     }
 }
--- a/fakes/fake_control.cpp
+++ b/fakes/fake_control.cpp
@@ -16,4 +16,12 @@
             number(target, 0), number("count", 1)};
 }
 
+bool use_one(std::uint32_t& count) {
+    if (count == 0) {
+        return false;
+    }
+    --count;
+    return true;
+}
+
 } // namespace magnolia::fakes
--- a/fakes/fake_control.h
+++ b/fakes/fake_control.h
@@ -16,4 +16,7 @@
 /// @param target  name of the query parameter that chooses the back end.
 [[nodiscard]] fault_order read_fault(const http_request& request, std::string_view target);
 
+/// Uses one of the counted faults up; false if none is left.
+[[nodiscard]] bool use_one(std::uint32_t& count);
+
 } // namespace magnolia::fakes
--- a/fakes/service_model.cpp
+++ b/fakes/service_model.cpp
@@ -1,5 +1,7 @@
 #include "service_model.h"
 
+#include "fake_control.h"
+
 #include <xxhash.h>
 
 namespace magnolia::fakes {
@@ -8,14 +10,6 @@
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_unavailable = 503;
 
-bool use(std::uint32_t& count) {
-    if (count == 0) {
-        return false;
-    }
-    --count;
-    return true;
-}
-
 } // namespace
 
 std::string service_model::answer(std::string_view path, std::string_view body,
@@ -30,17 +24,17 @@
     if (is_draining_) {
         return {status_unavailable, R"({"ran":false,"leaving":true})", {}};
     }
-    if (use(faults_.refusals)) {
+    if (use_one(faults_.refusals)) {
         return {status_unavailable, R"({"ran":false})", {}};
     }
-    if (use(faults_.vague_refusals)) {
+    if (use_one(faults_.vague_refusals)) {
         return {status_unavailable, {}, {}};
     }
-    if (use(faults_.crashes_before)) {
+    if (use_one(faults_.crashes_before)) {
         return {};
     }
     const auto execution = ++executions_[idempotency_key];
-    if (use(faults_.lost_answers)) {
+    if (use_one(faults_.lost_answers)) {
         return {std::nullopt, {}, delay_};
     }
     return {status_ok, answer(path, body, execution), delay_};
--- a/src/engine_client.cpp
+++ b/src/engine_client.cpp
@@ -64,6 +64,12 @@
            (failed != nullptr && !failed->reservation.empty());
 }
 
+http_request get(std::string target) {
+    http_request request;
+    request.target = std::move(target);
+    return request;
+}
+
 attempt_id attempt_of(const engine_event& event) {
     return std::visit([](const auto& value) { return value.id; }, event);
 }
@@ -93,9 +99,8 @@
     }
 
     template <class T, class Decode>
-    void ask(engine_handle engine, std::string target, Decode decode,
+    void ask(engine_handle engine, http_request request, Decode decode,
              std::function<void(result<T>)> done);
-    void order(const engine_order& value, std::function<void(result<void>)> done);
 
     engine_event_sink event_sink;
     engine_report_sink report_sink;
@@ -431,7 +436,7 @@
 }
 
 template <class T, class Decode>
-void engine_client::state::ask(engine_handle engine, std::string target, Decode decode,
+void engine_client::state::ask(engine_handle engine, http_request request, Decode decode,
                                std::function<void(result<T>)> done) {
     const auto* address = address_of(engine);
     if (address == nullptr) {
@@ -440,8 +445,6 @@
         });
         return;
     }
-    http_request request;
-    request.target = std::move(target);
     http_->call(
         *address, std::move(request), limits(),
         [decode, done = std::move(done)](const tl::expected<http_response, http_failure>& answer) {
@@ -455,27 +458,6 @@
         });
 }
 
-void engine_client::state::order(const engine_order& value,
-                                 std::function<void(result<void>)> done) {
-    const auto* address = address_of(value.engine);
-    if (address == nullptr) {
-        boost::asio::post(context_, [done = std::move(done)] {
-            done(fail(error_code::no_capacity, "engine is not known"));
-        });
-        return;
-    }
-    http_->call(*address, encode(value), limits(),
-                [done = std::move(done)](const tl::expected<http_response, http_failure>& answer) {
-                    if (!answer) {
-                        done(tl::unexpected{lost(answer.error())});
-                    } else if (answer->status != status_ok) {
-                        done(tl::unexpected{decode_refusal(answer->status, answer->body).failure});
-                    } else {
-                        done({});
-                    }
-                });
-}
-
 void engine_client::state::ask_later() {
     if (is_asking_ || settings_.load_interval.count() == 0) {
         return;
@@ -521,7 +503,7 @@
             self->report_sink({engine, std::move(load)});
         }
     };
-    ask<engine_load>(engine, "/v1/load", decode_load, done);
+    ask<engine_load>(engine, get("/v1/load"), decode_load, done);
 }
 
 engine_client::engine_client(boost::asio::io_context& context, engine_client_settings settings)
@@ -554,16 +536,19 @@
 }
 
 void engine_client::order(const engine_order& order, std::function<void(result<void>)> done) {
-    state_->order(order, std::move(done));
+    state_->ask<void>(
+        order.engine, encode(order), [](std::string_view) { return result<void>{}; },
+        std::move(done));
 }
 
 void engine_client::status(engine_handle engine, std::function<void(result<engine_status>)> done) {
-    state_->ask<engine_status>(engine, "/v1/status", decode_status, std::move(done));
+    state_->ask<engine_status>(engine, get("/v1/status"), decode_status, std::move(done));
 }
 
 void engine_client::memory(engine_handle engine,
                            std::function<void(result<std::vector<held_memory>>)> done) {
-    state_->ask<std::vector<held_memory>>(engine, "/v1/memory", decode_memory, std::move(done));
+    state_->ask<std::vector<held_memory>>(engine, get("/v1/memory"), decode_memory,
+                                          std::move(done));
 }
 
 std::size_t engine_client::active_streams() const {
