Demo's contract has deadlines for long prompts

The demo's contract named no deadlines, so the default of 60 s to the end held, and prompts of 512k and 1M tokens were refused at once as deadline_unreachable.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -11,6 +11,9 @@
 QUICK_LENGTHS = LENGTHS[:4]
 ANSWER_TOKENS = 32
 DEADLINE_MS = 600000
+DEADLINES = [{"up_to_tokens": 20000, "first_token": 5000, "finish": 30000},
+             {"up_to_tokens": 300000, "first_token": 60000, "finish": 120000},
+             {"up_to_tokens": 1100000, "first_token": 550000, "finish": DEADLINE_MS}]
 WORKSPACE = "repair-shops"
 KEY = "demo-key"
 
@@ -61,7 +64,7 @@
 def main():
     lengths = QUICK_LENGTHS if "--quick" in sys.argv else LENGTHS
     with cluster.Cluster(DEPLOYMENT) as running:
-        status, answer = running.put_contract(cluster.make_contract(WORKSPACE, KEY))
+        status, answer = running.put_contract(cluster.make_contract(WORKSPACE, KEY, deadlines=DEADLINES))
         if status != 200:
             print(f"the contract was refused: {status} {answer}", file=sys.stderr)
             return 1
