Reserve lists of members before they are filled

Cause: the linter's finding in entry_server.cpp. Change: two reserves. Measured: the linter is clean on the entry's files. Conclusion: no change of behaviour.

--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -50,6 +50,7 @@
 
 std::vector<member_change> known_members(const entry_settings& settings) {
     std::vector<member_change> known;
+    known.reserve(settings.members.size());
     for (const auto& item : settings.members) {
         known.push_back({item.name, item.zone, item.address, item.port, 0, host_state::live});
     }
@@ -370,6 +371,7 @@
     core_.set_config_lapsed(view.is_lapsed);
     if (view.addresses != view_.addresses) {
         std::vector<peer_address> addresses;
+        addresses.reserve(view.addresses.size());
         for (const auto& item : view.addresses) {
             addresses.push_back({item.name, item.address, item.port});
         }
