Scale of the exchange, and fewer renewals of limits

Bytes, processor time, memory and seconds until a change is in force have to be known at 8 to 380 nodes. bench/exchange_scale runs the real membership, configuration and limit code of many entries over a counted network in memory. Shares with less than one request a second renewed each second, which was most of the traffic; they now renew every 2 s.

--- /dev/null
+++ b/bench/exchange_scale.cpp
@@ -0,0 +1,382 @@
+/// The real exchange code (membership, configuration, limits, codec) of many entries in one
+/// process, over a network in memory with a virtual clock.
+/// Usage: exchange_scale [NODES [CONTRACTS [OUTAGE_SECONDS]]]; prints one JSON object.
+#include "contract_relay.h"
+#include "limiter.h"
+#include "membership.h"
+#include "memory_net.h"
+#include "memory_store.h"
+#include "peer_codec.h"
+
+#include <nlohmann/json.hpp>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <ctime>
+#include <fstream>
+#include <memory>
+#include <numeric>
+
+namespace magnolia {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr time_point start{1h};
+constexpr duration tick = 50ms;
+constexpr duration platform_delay = 5ms;
+constexpr std::size_t zone_count = 8;
+/// Requests a second of one entry: 2,000 over 380.
+constexpr double requests_per_node = 2000.0 / 380;
+/// Time between two changes of contracts; far more often than 1,300 a day.
+constexpr duration change_period = 2s;
+
+double cpu_seconds() {
+    timespec now{};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &now);
+    return static_cast<double>(now.tv_sec) + static_cast<double>(now.tv_nsec) / 1e9;
+}
+
+std::size_t resident_bytes() {
+    std::ifstream file{"/proc/self/statm"};
+    std::size_t total = 0;
+    std::size_t resident = 0;
+    file >> total >> resident;
+    return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+}
+
+double quantile(std::vector<double>& values, double part) {
+    if (values.empty()) {
+        return 0;
+    }
+    std::ranges::sort(values);
+    return values[static_cast<std::size_t>(part * static_cast<double>(values.size() - 1))];
+}
+
+/// One entry's exchange.
+struct node {
+    member_change self;
+    std::unique_ptr<membership> members;
+    std::unique_ptr<contract_relay> relay;
+    std::unique_ptr<limiter> limits;
+    std::vector<std::pair<numbered_call, time_point>> calls;
+    std::vector<std::pair<limit_ticket, time_point>> running;
+    bool was_cut_off = false;
+};
+
+/// A change on its way.
+struct pending_change {
+    std::string workspace;
+    std::uint64_t version = 0;
+    time_point at{};
+    std::vector<bool> arrived;
+    std::size_t missing = 0;
+};
+
+class fleet {
+public:
+    fleet(std::size_t nodes, std::size_t contracts) : contracts_{contracts}, random_{1} {
+        for (std::size_t index = 0; index < nodes; ++index) {
+            seeds_.push_back({"entry-" + std::to_string(index),
+                              "zone-" + std::to_string(index % zone_count), "10.0.0.1", 7000, 0,
+                              host_state::live});
+            index_[seeds_.back().name] = index;
+        }
+        for (std::size_t index = 0; index < contracts_; ++index) {
+            write_contract(index);
+        }
+        for (std::size_t index = 0; index < nodes; ++index) {
+            add_node(index);
+        }
+    }
+
+    void run(duration span, bool has_changes) {
+        for (const auto end = now_ + span; now_ < end; now_ += tick) {
+            if (has_changes && now_ >= next_change_) {
+                next_change_ = now_ + change_period;
+                change();
+            }
+            for (auto& delivery : net_.take_due(now_)) {
+                deliver(delivery);
+            }
+            for (auto& each : nodes_) {
+                step(each);
+            }
+        }
+    }
+
+    /// Runs a scenario and reports it per node and second.
+    nlohmann::json measure(duration span, bool has_changes) {
+        net_.reset_traffic();
+        delays_.clear();
+        pending_.clear();
+        const auto cpu = cpu_seconds();
+        const auto calls = store_.calls() + failed_calls_;
+        const auto began = now_;
+        run(span, has_changes);
+        const auto seconds = std::chrono::duration<double>(now_ - began).count();
+        const auto count = static_cast<double>(nodes_.size());
+        std::vector<double> bytes;
+        for (const auto& [name, traffic] : net_.traffic()) {
+            bytes.push_back(static_cast<double>(traffic.bytes_in + traffic.bytes_out) / seconds);
+        }
+        const auto total = std::accumulate(bytes.begin(), bytes.end(), 0.0);
+        std::size_t missing = 0;
+        for (const auto& change : pending_) {
+            missing += now_ - change.at > 11s ? change.missing : 0;
+        }
+        std::size_t lapsed = 0;
+        for (const auto& each : nodes_) {
+            lapsed += each.relay->is_lapsed(now_) ? 1U : 0U;
+        }
+        return {{"virtual_seconds", seconds},
+                {"bytes_per_second_mean", total / count},
+                {"bytes_per_second_p99", quantile(bytes, 0.99)},
+                {"bytes_per_second_most", quantile(bytes, 1)},
+                {"core_percent_per_node", (cpu_seconds() - cpu) / seconds / count * 100},
+                {"in_force_seconds_p50", quantile(delays_, 0.5)},
+                {"in_force_seconds_p99", quantile(delays_, 0.99)},
+                {"in_force_seconds_worst", quantile(delays_, 1)},
+                {"not_in_force_after_11_s", missing},
+                {"entries_lapsed_at_end", lapsed},
+                {"platform_calls_per_second",
+                 static_cast<double>(store_.calls() + failed_calls_ - calls) / seconds}};
+    }
+
+    /// Bytes a node and second if every entry told every other one each second.
+    nlohmann::json measure_all_to_all() {
+        std::string frame;
+        const auto bytes = append_frame(ping_message{1, {}, 1, {1, 1}}, frame).value_or(0);
+        const auto others = static_cast<double>(nodes_.size() - 1);
+        const auto cpu = cpu_seconds();
+        constexpr int samples = 20000;
+        for (int index = 0; index < samples; ++index) {
+            frame.clear();
+            (void)append_frame(ping_message{1, {}, 1, {1, 1}}, frame);
+            (void)read_frame(std::span{reinterpret_cast<const std::uint8_t*>(frame.data()) + 4,
+                                       frame.size() - 4});
+        }
+        const auto each = (cpu_seconds() - cpu) / samples;
+        return {{"bytes_per_second", 2 * others * static_cast<double>(bytes)},
+                {"core_percent_per_node", others * each * 100},
+                {"platform_calls_per_second_if_each_entry_watches",
+                 static_cast<double>(nodes_.size())}};
+    }
+
+    void set_loss(double loss) { net_.set_loss(loss); }
+    void cut_zone(const std::string& zone) {
+        cut_zone_ = zone;
+        net_.set_cut([this, zone](const std::string& from, const std::string& to) {
+            return !zone.empty() && (zone_of(from) == zone) != (zone_of(to) == zone);
+        });
+    }
+    void set_platform(bool is_up) { is_platform_up_ = is_up; }
+    /// Virtual seconds until every table agrees and none is lapsed.
+    double settle() {
+        const auto began = now_;
+        while (!is_settled() && now_ - began < 120s) {
+            run(100ms, false);
+        }
+        return std::chrono::duration<double>(now_ - began).count();
+    }
+
+private:
+    const std::string& zone_of(const std::string& name) const {
+        return seeds_[index_.at(name)].zone;
+    }
+
+    void add_node(std::size_t index) {
+        node fresh;
+        fresh.self = seeds_[index];
+        fresh.self.incarnation = 1;
+        fresh.members = std::make_unique<membership>(fresh.self, index + 1);
+        fresh.members->add_known(seeds_, true, now_);
+        fresh.relay = std::make_unique<contract_relay>(fresh.self.name, fresh.self.zone, index + 1);
+        fresh.limits = std::make_unique<limiter>(fresh.self.name, fresh.self.zone, index + 1);
+        nodes_.push_back(std::move(fresh));
+    }
+
+    void write_contract(std::size_t number) {
+        contract value;
+        value.workspace = "workspace-" + std::to_string(number);
+        value.key_hashes = {std::string(64, 'a')};
+        value.models = {"model-a", "model-b"};
+        store_.write({"contract", value.workspace}, nlohmann::json(value).dump());
+    }
+
+    void change() {
+        const auto number = random_() % contracts_;
+        write_contract(number);
+        const auto name = "workspace-" + std::to_string(number);
+        const auto page = store_.answer(object_get{{"contract", name}});
+        std::erase_if(pending_, [&](const auto& each) { return each.workspace == name; });
+        pending_.push_back({name, std::get<stored_object>(*page).version, now_,
+                            std::vector<bool>(nodes_.size(), false), nodes_.size()});
+    }
+
+    void deliver(const memory_delivery& delivery) {
+        auto& to = nodes_[index_.at(delivery.to)];
+        to.members->on_message(delivery.from, delivery.message, now_);
+        to.relay->on_message(delivery.from, delivery.message, now_);
+        to.limits->on_message(delivery.from, delivery.message, now_);
+    }
+
+    void step(node& each) {
+        answer_calls(each);
+        std::vector<outgoing_message> messages = each.members->poll(now_);
+        std::vector<numbered_call> calls;
+        update_members(each);
+        each.relay->poll(now_, messages, calls);
+        for (auto& call : calls) {
+            each.calls.emplace_back(std::move(call), now_);
+        }
+        for (const auto& peer : each.members->take_config_differences()) {
+            each.relay->on_difference(peer, now_);
+        }
+        note_changes(each);
+        load(each);
+        std::ranges::move(each.limits->poll(now_), std::back_inserter(messages));
+        for (auto& message : messages) {
+            net_.send(each.self.name, std::move(message), now_);
+        }
+    }
+
+    void update_members(node& each) {
+        const bool is_cut_off = each.members->is_cut_off(now_) || each.relay->is_lapsed(now_);
+        if (each.members->take_events().empty() && is_cut_off == each.was_cut_off) {
+            return;
+        }
+        each.was_cut_off = is_cut_off;
+        const auto members = each.members->members();
+        each.relay->set_members(members, now_);
+        std::vector<limit_member> seen{{each.self.name, each.self.zone, host_state::live}};
+        for (const auto& member : members) {
+            seen.push_back({member.name, member.zone, member.state});
+        }
+        each.limits->set_members(seen, is_cut_off, now_);
+    }
+
+    void note_changes(node& each) {
+        const auto changes = each.relay->take_changes();
+        if (changes.empty()) {
+            return;
+        }
+        each.members->set_config_digest(each.relay->table().digest());
+        const auto place = index_.at(each.self.name);
+        for (const auto& value : changes) {
+            each.limits->put_contract(value.value, value.version, now_);
+            for (auto& change : pending_) {
+                if (change.workspace == value.value.workspace && value.version >= change.version &&
+                    !change.arrived[place]) {
+                    change.arrived[place] = true;
+                    --change.missing;
+                    delays_.push_back(std::chrono::duration<double>(now_ - change.at).count());
+                }
+            }
+        }
+    }
+
+    /// Requests of workspaces of which few are large.
+    void load(node& each) {
+        std::erase_if(each.running, [&](const auto& item) {
+            if (now_ < item.second) {
+                return false;
+            }
+            each.limits->settle(item.first, item.first.prompt_tokens, 100, now_);
+            return true;
+        });
+        std::poisson_distribution<int> count{requests_per_node *
+                                             std::chrono::duration<double>(tick).count()};
+        for (int left = count(random_); left > 0; --left) {
+            const auto spread = std::uniform_real_distribution<double>{0, 1}(random_);
+            const auto number = static_cast<std::size_t>(spread * spread * spread *
+                                                         static_cast<double>(contracts_));
+            auto ticket =
+                each.limits->admit("workspace-" + std::to_string(number), 2000, 400, now_);
+            if (ticket) {
+                each.running.emplace_back(std::move(*ticket), now_ + 5s);
+            }
+        }
+    }
+
+    void answer_calls(node& each) {
+        const bool is_reachable = is_platform_up_ && each.self.zone != cut_zone_;
+        auto calls = std::exchange(each.calls, {});
+        for (auto& [call, sent] : calls) {
+            const auto* watch = std::get_if<object_watch>(&call.call);
+            const bool waits =
+                is_reachable && watch && now_ - sent < watch->wait && !store_.has_changes(*watch);
+            if (waits || now_ - sent < platform_delay) {
+                each.calls.emplace_back(std::move(call), sent);
+                continue;
+            }
+            failed_calls_ += is_reachable ? 0 : 1;
+            each.relay->on_reply(
+                call.number,
+                is_reachable ? store_.answer(call.call) : fail(error_code::platform_down), now_);
+        }
+    }
+
+    bool is_settled() const {
+        return std::ranges::all_of(nodes_, [&](const auto& each) {
+            return !each.relay->is_lapsed(now_) &&
+                   each.relay->table().digest() == nodes_.front().relay->table().digest();
+        });
+    }
+
+    std::size_t contracts_;
+    std::mt19937_64 random_;
+    memory_net net_{{0, 0, 500us, 8ms, true}, 7};
+    memory_store store_;
+    std::vector<member_change> seeds_;
+    std::map<std::string, std::size_t> index_;
+    std::vector<node> nodes_;
+    std::vector<pending_change> pending_;
+    std::vector<double> delays_;
+    std::string cut_zone_;
+    bool is_platform_up_ = true;
+    std::uint64_t failed_calls_ = 0;
+    time_point next_change_{};
+    time_point now_ = start;
+};
+
+nlohmann::json run_all(std::size_t nodes, std::size_t contracts, int outage_seconds) {
+    nlohmann::json report;
+    const auto before = resident_bytes();
+    fleet entries{nodes, contracts};
+    report["nodes"] = nodes;
+    report["zones"] = zone_count;
+    report["contracts"] = contracts;
+    report["start_settle_seconds"] = entries.settle();
+    entries.run(10s, false);
+    report["normal"] = entries.measure(40s, true);
+    report["memory_bytes_per_node"] = (resident_bytes() - before) / nodes;
+    report["plain_ways"] = entries.measure_all_to_all();
+    entries.set_loss(0.05);
+    report["loss_5_percent"] = entries.measure(40s, true);
+    entries.set_loss(0);
+    entries.cut_zone("zone-1");
+    report["zone_cut"] = entries.measure(30s, true);
+    entries.cut_zone("");
+    report["zone_cut"]["settle_seconds"] = entries.settle();
+    entries.set_platform(false);
+    report["platform_down"] = entries.measure(std::chrono::seconds{outage_seconds}, false);
+    entries.set_platform(true);
+    report["platform_down"]["settle_seconds"] = entries.settle();
+    return report;
+}
+
+} // namespace
+} // namespace magnolia
+
+int main(int argc, char** argv) {
+    constexpr std::size_t default_nodes = 8;
+    constexpr std::size_t default_contracts = 500;
+    constexpr int default_outage_seconds = 600;
+    const std::size_t nodes = argc > 1 ? std::stoul(argv[1]) : default_nodes;
+    const std::size_t contracts = argc > 2 ? std::stoul(argv[2]) : default_contracts;
+    const int outage = argc > 3 ? std::stoi(argv[3]) : default_outage_seconds;
+    std::puts(magnolia::run_all(nodes, contracts, outage).dump(2).c_str());
+    return 0;
+}
--- a/src/limiter.cpp
+++ b/src/limiter.cpp
@@ -21,6 +21,8 @@
 constexpr std::chrono::milliseconds borrowing_period{25};
 /// Time between two demands of a share in use.
 constexpr std::chrono::milliseconds renew_period{1000};
+/// The same for a workspace with less than one request a second here.
+constexpr std::chrono::milliseconds slow_renew_period{2000};
 /// Time without requests after which a share is forgotten.
 constexpr std::chrono::seconds idle_time{5};
 constexpr std::chrono::seconds forget_period{1};
@@ -359,7 +361,9 @@
 
     void renew(std::string_view name, local_share& share, const std::string& member,
                limit_source& source, time_point now) {
-        const bool is_due = !source.asked_at() || now - *source.asked_at() >= renew_period;
+        const bool is_frequent = share.demand.requests * fill_seconds >= 1;
+        const auto period = is_frequent ? renew_period : slow_renew_period;
+        const bool is_due = !source.asked_at() || now - *source.asked_at() >= period;
         const bool is_used = source.under_way() > 0 || source.has_returns() ||
                              source.slots(now) > 0 || now - share.used < renew_period;
         if (is_due && is_used && !member.empty()) {
