Metrics of an entry; no route that is not served

Cause: an entry exported no metric of its own, and GET /v1/requests/ID/stream was documented but answered not_found for every request. Change: counters, gauges and histograms fed by the time line's events; the route, its type and its page are gone until streams can be resumed at another entry.

--- a/src/caller_http.cpp
+++ b/src/caller_http.cpp
@@ -20,7 +20,6 @@
 
 constexpr std::string_view service_prefix = "/v1/services/";
 constexpr std::string_view outcome_prefix = "/v1/outcomes/";
-constexpr std::string_view request_prefix = "/v1/requests/";
 constexpr std::string_view bearer_prefix = "Bearer ";
 
 template <class Number>
@@ -32,16 +31,6 @@
     return is_whole ? std::optional{value} : std::nullopt;
 }
 
-std::optional<request_id> parse_request_id(std::string_view text) {
-    const auto dash = text.find('-');
-    if (dash == std::string_view::npos) {
-        return std::nullopt;
-    }
-    const auto origin = parse_number<std::uint64_t>(text.substr(0, dash), 16);
-    const auto sequence = parse_number<std::uint64_t>(text.substr(dash + 1), 16);
-    return origin && sequence ? std::optional{request_id{*origin, *sequence}} : std::nullopt;
-}
-
 /// Milliseconds since 1970 that a UUID of version 7 begins with.
 std::optional<std::int64_t> time_of_uuid(std::string_view key) {
     constexpr std::size_t uuid_length = 36;
@@ -213,9 +202,6 @@
             }
             return read_call{outcome_request{{}, identity, *timed}, {}};
         }
-        if (request.method == "GET" && path.starts_with(request_prefix)) {
-            return read_resume(request, path, identity);
-        }
         return fail(error_code::not_found, path);
     }
 
@@ -271,17 +257,6 @@
         return read_call{std::move(event), {}};
     }
 
-    result<read_call> read_resume(const http_request& request, const std::string& path,
-                                  const caller_identity& identity) {
-        auto rest = std::string_view{path}.substr(request_prefix.size());
-        const auto id = parse_request_id(rest.substr(0, rest.find('/')));
-        const auto offset = parse_number<std::uint32_t>(query_parameter(request.target, "offset"));
-        if (!id || !offset || !rest.ends_with("/stream")) {
-            return fail(error_code::bad_request, path);
-        }
-        return read_call{resume_request{{}, identity, *id, *offset}, {"", true}};
-    }
-
     void open(caller_event event, call_form form, http_responder responder) {
         const caller_handle caller{next_caller_};
         next_caller_ = next_caller_ + 1 == caller_handle::invalid ? 0 : next_caller_ + 1;
--- a/src/caller_port.h
+++ b/src/caller_port.h
@@ -53,21 +53,13 @@
     idempotency_key key;
 };
 
-/// Continues a stream from an offset, on a new connection.
-struct resume_request {
-    caller_handle caller;
-    caller_identity identity;
-    request_id request;
-    std::uint32_t offset = 0;
-};
-
 /// The caller closed its connection, or reads too slowly.
 struct caller_gone {
     caller_handle caller;
 };
 
 using caller_event =
-    std::variant<completion_request, service_request, outcome_request, resume_request, caller_gone>;
+    std::variant<completion_request, service_request, outcome_request, caller_gone>;
 
 /// Generated text; tokens are consecutive from the offset.
 struct caller_text {
--- a/src/entry_completion.cpp
+++ b/src/entry_completion.cpp
@@ -299,9 +299,4 @@
     timers_.emplace(next, record.id);
 }
 
-void entry_core::state::on(const resume_request& event, event_time /*at*/) {
-    refuse(event.caller, event.request, event.identity.workspace,
-           {error_code::not_found, to_string(event.request), {}});
-}
-
 } // namespace magnolia
--- a/src/entry_core.cpp
+++ b/src/entry_core.cpp
@@ -129,7 +129,8 @@
 
 void entry_core::state::note(event_kind kind, const request_record& record, std::string subject,
                              std::string detail) {
-    emit(timeline_note{kind, record.id, record.workspace, std::move(subject), std::move(detail)});
+    emit(timeline_note{kind, record.id, record.workspace, std::move(subject), std::move(detail),
+                       now_ - record.received});
 }
 
 void entry_core::state::take_step(request_record& record, request_step step) {
@@ -238,6 +239,7 @@
 // Time.
 
 void entry_core::state::tick(event_time at) {
+    now_ = at.now;
     while (!timers_.empty() && timers_.begin()->first <= at.now) {
         auto* record = find(timers_.begin()->second);
         timers_.erase(timers_.begin());
@@ -366,28 +368,33 @@
 }
 
 void entry_core::handle(const caller_event& event, event_time at) {
+    state_->now_ = at.now;
     std::visit([&](const auto& item) { state_->on(item, at); }, event);
     state_->drain_claims(at);
 }
 
 void entry_core::handle(const engine_event& event, event_time at) {
+    state_->now_ = at.now;
     state_->tell_group(event, at);
     std::visit([&](const auto& item) { state_->on(item, at); }, event);
     state_->follow(event, at);
 }
 
 void entry_core::handle(const service_event& event, event_time at) {
+    state_->now_ = at.now;
     std::visit([&](const auto& item) { state_->on(item, at); }, event);
     state_->drain_claims(at);
 }
 
 void entry_core::handle_reply(std::uint64_t call, const result<platform_reply>& reply,
                               event_time at) {
+    state_->now_ = at.now;
     state_->claims_.on_reply(call, reply, at.now, at.wall_ms);
     state_->drain_claims(at);
 }
 
 void entry_core::handle_message(std::string_view from, const peer_message& message, event_time at) {
+    state_->now_ = at.now;
     state_->limiter_.on_message(from, message, at.now);
     state_->admit_waiting(at);
 }
--- a/src/entry_core.h
+++ b/src/entry_core.h
@@ -42,6 +42,8 @@
     std::string workspace;
     std::string subject;
     std::string detail;
+    /// Time since the request arrived; zero for events of no request.
+    duration elapsed{0};
 };
 
 using entry_command = std::variant<caller_command, engine_command, service_call, claim_call,
--- a/src/entry_core_p.h
+++ b/src/entry_core_p.h
@@ -103,7 +103,6 @@
     void on(const completion_request& event, event_time at);
     void on(const service_request& event, event_time at);
     void on(const outcome_request& event, event_time at);
-    void on(const resume_request& event, event_time at);
     void on(const caller_gone& event, event_time at);
     void on(const engine_accepted& event, event_time at);
     void on(const engine_tokens& event, event_time at);
@@ -217,6 +216,8 @@
     claim_book claims_;
     std::vector<entry_command> commands_;
     std::unordered_map<request_id, std::unique_ptr<request_record>> requests_;
+    /// Time of the event that is being handled.
+    time_point now_{};
     bool is_stopping_ = false;
     bool is_config_lapsed_ = false;
     std::unordered_map<std::string, contract_in_force> contracts_;
--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -4,6 +4,7 @@
 #include "engine_client.h"
 #include "entry_core.h"
 #include "entry_exchange.h"
+#include "entry_metrics.h"
 #include "outbox.h"
 #include "peer_links.h"
 #include "platform_client.h"
@@ -163,6 +164,7 @@
     // Owned by the duty of decisions.
     entry_core core_;
     entry_exchange exchange_;
+    entry_metrics metrics_;
     std::unordered_map<std::string, engine_handle> engine_of_name_;
     std::vector<std::string> engine_names_;
     time_point next_exchange_{};
@@ -206,15 +208,15 @@
              .max_requests = settings.max_requests,
              .claim_retention = settings.claim_retention}},
       exchange_{self_of(settings), known_members(settings), owner.boot(), steady_now()},
-      caller_http_{
-          callers_.context(),
-          {.max_total_body_bytes = settings.body_memory, .read_timeout = settings.body_timeout},
-          [this](caller_event event) -> result<void> {
-              if (!has_room()) {
-                  return fail(error_code::ring_full);
-              }
-              return decision_inbox_.push(std::move(event));
-          }},
+      metrics_{owner.metrics()}, caller_http_{callers_.context(),
+                                              {.max_total_body_bytes = settings.body_memory,
+                                               .read_timeout = settings.body_timeout},
+                                              [this](caller_event event) -> result<void> {
+                                                  if (!has_room()) {
+                                                      return fail(error_code::ring_full);
+                                                  }
+                                                  return decision_inbox_.push(std::move(event));
+                                              }},
       engines_{backends_.context(), {.owner = settings.process.name}},
       services_{backends_.context(), {}},
       platform_client_{platform_.context(), settings.process.platform, {}, owner.boot()},
@@ -369,6 +371,7 @@
 void entry_server::state::take_view(exchange_view view, event_time at) {
     core_.set_members(view.members, view.is_cut_off, at);
     core_.set_config_lapsed(view.is_lapsed);
+    metrics_.set_members(view.members.size(), view.is_cut_off, view.is_lapsed);
     if (view.addresses != view_.addresses) {
         std::vector<peer_address> addresses;
         addresses.reserve(view.addresses.size());
@@ -404,6 +407,7 @@
                    std::move(command));
     }
     open_requests_.store(core_.open_requests());
+    metrics_.set_open_requests(core_.open_requests());
     is_congested_.store(to_callers_.is_blocked() || to_backends_.is_blocked() ||
                         to_platform_.is_blocked());
 }
@@ -414,6 +418,7 @@
 }
 
 void entry_server::state::carry_out(const timeline_note& note) {
+    metrics_.count(note);
     event_fields fields;
     fields.workspace = note.workspace;
     fields.subject = note.subject;
