A release that was sent before a doubt ended proves nothing

Change: the ledger keeps the time at which the last release was sent and forgets only if that is past the doubt; the entry releases what is granted for a request that it no longer knows.

--- a/src/entry_group.cpp
+++ b/src/entry_group.cpp
@@ -45,6 +45,10 @@
     auto* record = find(id);
     auto* work = record == nullptr ? nullptr : std::get_if<completion_work>(&record->work);
     if (work == nullptr || !work->group) {
+        if (const auto* late = std::get_if<engine_reserved>(&event)) {
+            // Granted after everything about the request was forgotten.
+            emit(engine_command{engine_release{late->id, late->engine, late->reservation}});
+        }
         return;
     }
     record->has_run = record->has_run || std::holds_alternative<engine_part_ready>(event);
--- a/src/memory_ledger.cpp
+++ b/src/memory_ledger.cpp
@@ -92,7 +92,8 @@
     }
     auto& value = found->second;
     value.is_releasing = false;
-    if (!value.is_asking && value.doubtful_until <= now) {
+    // The answer may be read late: only a release sent after the doubt proves anything.
+    if (!value.is_asking && value.doubtful_until <= value.released_at) {
         items_.erase(found);
         return;
     }
@@ -167,6 +168,7 @@
             continue;
         }
         value.is_releasing = true;
+        value.released_at = now;
         value.due = now + settings_.linger;
         commands.emplace_back(engine_release{value.id, key.first, key.second});
     }
--- a/src/memory_ledger.h
+++ b/src/memory_ledger.h
@@ -78,8 +78,9 @@
         /// A reserve without its answer, and when it was sent.
         bool is_asking = false;
         time_point asked_at{};
-        /// A release without its answer.
+        /// A release without its answer, and when the last one was sent.
         bool is_releasing = false;
+        time_point released_at{};
         /// The engine may still take a reserve that was given up until then.
         time_point doubtful_until{};
         /// The engine keeps it at least until then.
--- a/tests/memory_ledger_test.cpp
+++ b/tests/memory_ledger_test.cpp
@@ -81,6 +81,16 @@
     EXPECT_EQ(ledger.size(), 0U);
 }
 
+TEST_F(memory_ledger_test, a_release_confirmed_late_does_not_end_a_doubt_that_it_came_before) {
+    const auto name = ledger.reserve(id, engine, 1000, now);
+    static_cast<void>(ledger.poll(now));
+    ledger.on_event(broken(name, run_certainty::unknown), now);
+    static_cast<void>(only<engine_release>(ledger.poll(now)));
+    now += seconds{60};
+    ledger.on_event(engine_released{id, engine, name}, now);
+    EXPECT_EQ(ledger.size(), 1U);
+}
+
 TEST_F(memory_ledger_test, a_refused_reserve_leaves_nothing) {
     const auto name = ledger.reserve(id, engine, 1000, now);
     static_cast<void>(ledger.poll(now));
