--- /dev/null
+++ b/bench/queue_engine.h
@@ -0,0 +1,218 @@
+/// One engine of the queue experiment: continuous batching with chunked prefill by urgency.
+#pragma once
+
+#include "engine_port.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <list>
+#include <vector>
+
+namespace magnolia::bench {
+
+/// Costs that the experiment assumes.
+inline constexpr double prefill_tokens_per_second = 12'000;
+inline constexpr double attention_tokens = 500'000;
+inline constexpr std::uint32_t chunk_tokens = 300;
+inline constexpr double decode_step_seconds = 0.025;
+inline constexpr double decode_per_sequence_seconds = 0.0001;
+inline constexpr std::uint32_t engine_memory_tokens = 450'000;
+inline constexpr std::uint32_t cache_tokens = 120'000;
+inline constexpr std::size_t max_running = 64;
+
+/// Seconds of prefill up to a position.
+[[nodiscard]] inline double prefill_until(double tokens) {
+    return tokens / prefill_tokens_per_second * (1 + tokens / attention_tokens);
+}
+
+struct queue_job {
+    std::size_t request = 0;
+    urgency_level urgency = urgency_level::standard;
+    std::uint64_t arrival = 0;
+    std::uint32_t next_prefill = 0;
+    std::uint32_t end_prefill = 0;
+    std::uint32_t to_generate = 0;
+    std::uint32_t memory = 0;
+    std::uint64_t prefix = 0;
+    std::uint32_t prefix_tokens = 0;
+    bool is_part = false;
+    bool is_running = false;
+
+    [[nodiscard]] bool is_prefilling() const { return next_prefill < end_prefill; }
+};
+
+/// What a step brought.
+struct step_result {
+    std::vector<std::size_t> first_tokens;
+    std::vector<std::size_t> finished;
+    std::vector<std::size_t> parts;
+};
+
+class queue_engine {
+public:
+    void add(queue_job job) {
+        job.arrival = ++arrivals_;
+        const auto place = std::ranges::find_if(
+            jobs_, [&job](const queue_job& other) { return other.urgency > job.urgency; });
+        jobs_.insert(place, job);
+    }
+
+    void remove(std::size_t request) {
+        std::erase_if(jobs_, [request](const queue_job& job) { return job.request == request; });
+    }
+
+    /// Starts what fits, by urgency and arrival. Returns those that started.
+    std::vector<std::pair<std::size_t, std::uint32_t>> admit() {
+        std::vector<std::pair<std::size_t, std::uint32_t>> started;
+        std::uint64_t used = reserved;
+        std::size_t running = 0;
+        for (const auto& job : jobs_) {
+            used += job.is_running ? job.memory : 0;
+            running += job.is_running ? 1 : 0;
+        }
+        for (auto& job : jobs_) {
+            if (job.is_running) {
+                continue;
+            }
+            if (used + job.memory > engine_memory_tokens || running >= max_running) {
+                break;
+            }
+            job.is_running = true;
+            used += job.memory;
+            ++running;
+            const auto cached = job.is_part ? 0 : cached_tokens(job.prefix, job.prefix_tokens);
+            job.next_prefill += cached;
+            started.emplace_back(job.request, cached);
+        }
+        return started;
+    }
+
+    /// Length of the next step in seconds; zero if there is nothing to do.
+    double begin_step() {
+        double prefill = 0;
+        std::size_t decoding = 0;
+        chosen_ = nullptr;
+        for (auto& job : jobs_) {
+            if (!job.is_running) {
+                continue;
+            }
+            if (!job.is_prefilling()) {
+                ++decoding;
+                job.in_step = true;
+            } else if (chosen_ == nullptr) {
+                chosen_ = &job;
+                chunk_ = std::min(chunk_tokens, job.end_prefill - job.next_prefill);
+                prefill =
+                    prefill_until(job.next_prefill + chunk_) - prefill_until(job.next_prefill);
+            }
+        }
+        const double decode =
+            decoding == 0
+                ? 0
+                : decode_step_seconds + decode_per_sequence_seconds * static_cast<double>(decoding);
+        is_stepping = chosen_ != nullptr || decoding > 0;
+        return is_stepping ? std::max(prefill, decode) : 0;
+    }
+
+    step_result end_step();
+
+    [[nodiscard]] engine_load load() const {
+        engine_load value;
+        std::uint64_t used = reserved;
+        for (const auto& job : jobs_) {
+            value.running_requests += job.is_running ? 1 : 0;
+            value.waiting_requests += job.is_running ? 0 : 1;
+            value.pending_prefill_tokens += job.end_prefill - job.next_prefill;
+            used += job.is_running ? job.memory : 0;
+        }
+        value.free_memory_tokens = static_cast<std::uint32_t>(
+            engine_memory_tokens - std::min<std::uint64_t>(used, engine_memory_tokens));
+        return value;
+    }
+
+    /// True seconds of prefill of an urgency and those before it, and true free memory.
+    [[nodiscard]] double backlog(urgency_level urgency) const {
+        double sum = 0;
+        for (const auto& job : jobs_) {
+            if (job.urgency <= urgency) {
+                sum += prefill_until(job.end_prefill) - prefill_until(job.next_prefill);
+            }
+        }
+        return sum;
+    }
+
+    std::uint32_t reserved = 0;
+    bool is_stepping = false;
+
+private:
+    struct slot : queue_job {
+        slot(const queue_job& job) : queue_job{job} {} // NOLINT(google-explicit-constructor)
+        bool in_step = false;
+    };
+    struct cached_prefix {
+        std::uint64_t prefix = 0;
+        std::uint32_t tokens = 0;
+    };
+
+    std::uint32_t cached_tokens(std::uint64_t prefix, std::uint32_t tokens) {
+        const auto found = std::ranges::find(cache_, prefix, &cached_prefix::prefix);
+        if (prefix == 0 || found == cache_.end()) {
+            return 0;
+        }
+        cache_.splice(cache_.begin(), cache_, found);
+        return std::min(found->tokens, tokens);
+    }
+
+    void remember(const queue_job& job) {
+        if (job.prefix == 0) {
+            return;
+        }
+        std::erase_if(cache_, [&job](const auto& item) { return item.prefix == job.prefix; });
+        cache_.push_front({job.prefix, job.prefix_tokens});
+        std::uint64_t sum = 0;
+        for (auto item = cache_.begin(); item != cache_.end();) {
+            sum += item->tokens;
+            item = sum > cache_tokens ? cache_.erase(item) : std::next(item);
+        }
+    }
+
+    std::list<slot> jobs_;
+    std::list<cached_prefix> cache_;
+    slot* chosen_ = nullptr;
+    std::uint32_t chunk_ = 0;
+    std::uint64_t arrivals_ = 0;
+};
+
+inline step_result queue_engine::end_step() {
+    step_result result;
+    is_stepping = false;
+    for (auto& job : jobs_) {
+        const bool prefilled = &job == chosen_;
+        if (prefilled) {
+            job.next_prefill += chunk_;
+            if (job.is_prefilling()) {
+                continue;
+            }
+            if (job.is_part) {
+                result.parts.push_back(job.request);
+                continue;
+            }
+            remember(job);
+            result.first_tokens.push_back(job.request);
+        }
+        if ((prefilled || job.in_step) && --job.to_generate == 0) {
+            result.finished.push_back(job.request);
+        }
+        job.in_step = false;
+    }
+    chosen_ = nullptr;
+    for (const auto request : result.parts) {
+        remove(request);
+    }
+    for (const auto request : result.finished) {
+        remove(request);
+    }
+    return result;
+}
+
+} // namespace magnolia::bench
