Reserve memory for every long prompt before it is sent

At 80% load 9 of 23 million-token prompts finished: prompts of 256k waited inside engines for memory that a group's reservation held, and the group's next part waited behind them, until both deadlines passed. Every prompt over 98k now runs under a reservation, alone or in a group, group shares leave 15% of an engine to others, and members are engines without another long prompt.

--- a/src/engine_table.cpp
+++ b/src/engine_table.cpp
@@ -11,7 +11,8 @@
 
 /// Longest prompts of the classes, tokens.
 constexpr std::uint32_t short_limit = 8'192;
-constexpr std::uint32_t medium_limit = 98'304;
+constexpr std::uint32_t medium_limit = 32'768;
+constexpr std::uint32_t large_limit = 98'304;
 /// Time from the start of an attempt until reports can show it.
 constexpr duration start_delay = std::chrono::milliseconds{10};
 /// Tokens that a waiting prompt of another entry is taken to have if there is no better clue.
@@ -44,7 +45,7 @@
     const double waiting = std::max(1U, engine.report.waiting_requests);
     const double short_tokens = std::min(tokens, waiting * typical_short_tokens);
     const double rest = tokens - short_tokens;
-    const bool is_long = rest > medium_limit;
+    const bool is_long = rest > large_limit;
     const double rest_seconds = costs.prefill_seconds(0, rest);
     engine.others[0] = costs.prefill_seconds(0, short_tokens);
     engine.others[1] = is_long ? 0 : rest_seconds;
@@ -57,7 +58,10 @@
     if (tokens <= short_limit) {
         return length_class::short_prompt;
     }
-    return tokens <= medium_limit ? length_class::medium_prompt : length_class::long_prompt;
+    if (tokens <= medium_limit) {
+        return length_class::medium_prompt;
+    }
+    return tokens <= large_limit ? length_class::large_prompt : length_class::long_prompt;
 }
 
 void advance(engine_record& engine, time_point now) {
--- a/src/engine_table.h
+++ b/src/engine_table.h
@@ -19,7 +19,9 @@
 using work_by_urgency = std::array<double, urgency_count>;
 
 /// Lengths that are treated alike.
-enum class length_class : std::uint8_t { short_prompt, medium_prompt, long_prompt };
+enum class length_class : std::uint8_t { short_prompt, medium_prompt, large_prompt, long_prompt };
+
+inline constexpr std::size_t length_class_count = 4;
 
 /// Class of a prompt by the tokens that have to be computed.
 [[nodiscard]] length_class classify(std::uint32_t tokens);
--- a/src/route_decision.cpp
+++ b/src/route_decision.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 #include <ranges>
 
 namespace magnolia {
@@ -17,14 +18,26 @@
 constexpr duration slow_start = std::chrono::seconds{20};
 /// Largest factor on the score of a new engine.
 constexpr double slow_start_factor = 3;
+/// Cost of delaying a prompt of lower urgency, per second of own work.
+constexpr double displacement_cost = 1;
 /// Rest of a step that a lower urgency has begun, seconds.
 constexpr double step_rest = 0.03;
 /// Largest share of an engine's time that higher urgencies are taken to need.
 constexpr double largest_interference = 0.8;
 /// Seconds of waiting for memory of which nothing is known.
-constexpr double memory_wait = 5;
-/// Share of an engine's memory that a group asks for.
-constexpr double group_fill = 0.97;
+constexpr double memory_wait = 100;
+/// Memory left for what other entries have sent since the last report, tokens.
+constexpr double memory_reserve = 8'000;
+/// Largest share of an engine's memory that one prompt takes; the rest is left to shorter ones. A
+/// longer prompt goes to a group.
+constexpr double single_fill = 0.75;
+constexpr double group_fill = 0.85;
+/// Members beyond the fewest possible.
+constexpr std::size_t extra_members = 3;
+/// An engine with this share of its memory free holds no other long prompt.
+constexpr double fresh_share = 0.75;
+/// Seconds until a group may expect memory if there is none now.
+constexpr double group_memory_wait = 60;
 /// Share of the work of short prompts to which the engines kept for them are sized.
 constexpr std::size_t least_engines_for_classes = 4;
 /// Engines named beside a group to take over from a member.
@@ -33,6 +46,14 @@
 constexpr double import_tokens_per_second = 400'000;
 constexpr duration shortest_retry = std::chrono::milliseconds{100};
 
+/// A prompt that would fill an engine is shared, so that shorter ones find memory there.
+std::size_t fewest_members(const route_context& context) {
+    const double largest = context.model.largest_memory;
+    const bool fits_one = context.memory_tokens <= single_fill * largest;
+    const auto count = std::ceil(context.memory_tokens / (group_fill * largest));
+    return fits_one ? 1 : std::max<std::size_t>(2, static_cast<std::size_t>(count));
+}
+
 duration to_duration(double value) {
     return std::chrono::duration_cast<duration>(seconds{value});
 }
@@ -43,7 +64,8 @@
     if (!settings_.size_classes || policy_ != route_policy::length_aware) {
         return query.urgency;
     }
-    const auto by_length = static_cast<int>(classify(query.prompt_tokens));
+    // Short and medium prompts are kept apart by engines, not by urgency.
+    const auto by_length = std::max(0, static_cast<int>(classify(query.prompt_tokens)) - 1);
     const int shift = query.urgency == urgency_level::background ? 1 : 0;
     return static_cast<urgency_level>(std::min(by_length + shift, 2));
 }
@@ -98,14 +120,14 @@
     double wait = wait_seconds(engine, context.urgency, context.now);
     if (context.urgency != urgency_level::interactive && settings_.size_classes) {
         const auto& by_class = context.model.work;
-        const double total = by_class[0] + by_class[1] + by_class[2] + 1e-9;
+        const double total = std::accumulate(by_class.begin(), by_class.end(), 1e-9);
         const double above =
             context.urgency == urgency_level::standard ? by_class[0] : by_class[0] + by_class[1];
         const double busy =
             std::min(largest_interference, context.model.busy_share * above / total);
         work /= 1 - busy;
     }
-    if (engine.free_memory + cached < context.memory_tokens) {
+    if (engine.free_memory + cached < context.memory_tokens + memory_reserve) {
         wait += memory_wait + engine.ahead[urgency_count - 1];
     }
     if (engine.late.is_known()) {
@@ -113,6 +135,13 @@
     }
     candidate result{.engine = handle, .first_token = wait + work + zone_seconds(engine)};
     result.score = result.first_token;
+    const auto index = static_cast<std::size_t>(context.urgency);
+    const double elapsed = seconds{context.now - engine.as_of}.count();
+    if (settings_.size_classes && context.length != length_class::short_prompt &&
+        engine.ahead[urgency_count - 1] - engine.ahead[index] > elapsed) {
+        // A longer prompt there would hold its memory for longer.
+        result.score += displacement_cost * work;
+    }
     const auto age = context.now - engine.live_since;
     if (age < slow_start) {
         const double share = 1 - seconds{age} / seconds{slow_start};
@@ -127,8 +156,11 @@
         return route_refused{{error_code::model_unknown, std::string{query.model}, {}}};
     }
     const auto context = context_of(query, *model, now);
-    return context.memory_tokens > model->largest_memory ? decide_group(context)
-                                                         : decide_single(context);
+    const double limit = single_fill * model->largest_memory;
+    const bool is_shared = context.length == length_class::long_prompt && settings_.size_classes &&
+                           policy_ == route_policy::length_aware;
+    return is_shared || context.memory_tokens > limit ? decide_group(context)
+                                                      : decide_single(context);
 }
 
 route_refused router::state::refuse(const route_context& context, double best) const {
@@ -159,59 +191,88 @@
                         to_duration(finish)};
 }
 
-std::optional<group_route> router::state::plan_group(const route_context& context,
-                                                     std::uint32_t zone) const {
-    struct member_option {
-        engine_handle engine;
-        double wait = 0;
-        std::uint32_t memory = 0;
-    };
+std::vector<member_option> router::state::member_options(const route_context& context,
+                                                         std::uint32_t zone) const {
     std::vector<member_option> options;
     for (const auto handle : context.model.engines) {
         const auto& engine = engines_[handle.value];
-        const bool is_in_zone = zone == UINT32_MAX || engine.zone == zone;
+        const bool is_in_zone = zone == any_zone || engine.zone == zone;
         if (!is_in_zone || !is_usable(engine, context.query, context.now)) {
             continue;
         }
-        const auto memory = static_cast<std::uint32_t>(group_fill * engine.free_memory);
-        const double kept = engine.is_kept && settings_.size_classes ? memory_wait : 0;
-        const double wait = wait_seconds(engine, context.urgency, context.now) + kept;
-        options.push_back({handle, wait, memory});
-    }
-    // The fewest members first; among engines with room, those with the least work.
-    std::ranges::sort(options, std::greater{}, &member_option::memory);
-    std::uint64_t room = 0;
-    std::size_t count = 0;
-    while (count < options.size() && room < context.memory_tokens) {
-        room += options[count++].memory;
+        if (engine.is_kept && settings_.size_classes) {
+            continue;
+        }
+        const double wait = wait_seconds(engine, context.urgency, context.now);
+        options.push_back({handle, wait,
+                           std::min(group_fill * engine.info.memory_tokens,
+                                    static_cast<double>(engine.free_memory))});
     }
-    if (room < context.memory_tokens) {
+    std::ranges::sort(options, {}, &member_option::wait);
+    return options;
+}
+
+std::optional<group_route> router::state::plan_group(const route_context& context,
+                                                     std::span<const member_option> options,
+                                                     std::size_t count) const {
+    const auto share = (context.memory_tokens + count - 1) / count;
+    std::vector<member_option> chosen;
+    std::ranges::copy_if(options, std::back_inserter(chosen), [share](const member_option& option) {
+        return option.room >= static_cast<double>(share);
+    });
+    if (chosen.size() < count) {
         return std::nullopt;
     }
     group_route group;
     group.engine_urgency = context.urgency;
     double ready = 0;
     std::uint32_t done = 0;
-    const auto total = context.query.prompt_tokens;
     for (std::size_t index = 0; index < count; ++index) {
-        const auto& option = options[index];
-        const double share = static_cast<double>(option.memory) / static_cast<double>(room);
         const bool is_last = index + 1 == count;
-        const auto tokens = is_last ? total - done : static_cast<std::uint32_t>(share * total);
-        ready = std::max(ready, option.wait) + done / import_tokens_per_second +
+        const auto left = context.query.prompt_tokens - done;
+        const auto tokens = is_last ? left : static_cast<std::uint32_t>(share);
+        ready = std::max(ready, chosen[index].wait) + done / import_tokens_per_second +
                 context.model.costs.prefill_seconds(done, done + tokens);
-        group.members.push_back({option.engine, done, tokens});
+        group.members.push_back({chosen[index].engine, done, tokens});
         done += tokens;
     }
-    for (std::size_t index = count; index < std::min(options.size(), count + group_spares);
-         ++index) {
-        group.spares.push_back(options[index].engine);
+    const auto spares = std::min(chosen.size(), count + group_spares);
+    for (std::size_t index = count; index < spares; ++index) {
+        group.spares.push_back(chosen[index].engine);
     }
     group.predicted_first_token = to_duration(ready);
     group.predicted_finish = to_duration(ready + context.generation);
     return group;
 }
 
+std::optional<group_route> router::state::plan_group(const route_context& context,
+                                                     std::uint32_t zone) const {
+    const auto options = member_options(context, zone);
+    const auto fewest = fewest_members(context);
+    // Members that are free of other long prompts, so that groups do not wait for each other.
+    auto fresh = options;
+    std::erase_if(fresh, [&](const member_option& option) {
+        return fewest > 1 && option.room < fresh_share * context.model.largest_memory;
+    });
+    for (const auto& from : {fresh, options}) {
+        for (auto count = fewest; count <= fewest + extra_members; ++count) {
+            if (auto group = plan_group(context, from, count)) {
+                return group;
+            }
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<group_route> router::state::plan_waiting_group(const route_context& context) const {
+    auto options = member_options(context, any_zone);
+    for (auto& option : options) {
+        option.room = group_fill * engines_[option.engine.value].info.memory_tokens;
+        option.wait += group_memory_wait;
+    }
+    return plan_group(context, options, fewest_members(context));
+}
+
 route_decision router::state::decide_group(const route_context& context) {
     std::optional<group_route> best;
     for (std::uint32_t zone = 0; zone < zones_.size(); ++zone) {
@@ -221,7 +282,10 @@
         }
     }
     if (!best) {
-        best = plan_group(context, UINT32_MAX);
+        best = plan_group(context, any_zone);
+    }
+    if (!best) {
+        best = plan_waiting_group(context);
     }
     if (!best) {
         return route_refused{{error_code::no_capacity, std::string{context.query.model},
@@ -237,7 +301,7 @@
 
 void router::state::update_kept(model_record& model) {
     const auto size = model.engines.size();
-    const double total = model.work[0] + model.work[1] + model.work[2];
+    const double total = std::accumulate(model.work.begin(), model.work.end(), 0.0);
     std::size_t wanted = 0;
     if (size >= least_engines_for_classes) {
         // Engines busy with short prompts on average, and twice the deviation of a Poisson count.
--- a/src/router.h
+++ b/src/router.h
@@ -52,7 +52,9 @@
     std::uint32_t token_count = 0;
 };
 
-/// Several engines hold the prompt together; the last one generates.
+/// Several engines hold the prompt together; the last one generates. A long prompt that fits one
+/// engine has one member: its memory is reserved first, so that it never waits inside an engine for
+/// memory that another reservation holds.
 struct group_route {
     std::vector<group_member> members;
     /// Engines of the same zones that could take over a member's share.
--- a/src/router_p.h
+++ b/src/router_p.h
@@ -20,7 +20,7 @@
     /// Tokens per byte of text.
     double tokens_per_byte = 0.25;
     /// Decayed work of the prompts that were started, seconds by length class.
-    std::array<double, 3> work{};
+    std::array<double, length_class_count> work{};
     /// Share of a home engine's prefix that its cache held when nothing was known.
     double home_hit_share = 0.3;
     std::uint32_t largest_memory = 0;
@@ -90,6 +90,18 @@
     double score = 0;
 };
 
+/// An engine that could be a member of a group.
+struct member_option {
+    engine_handle engine;
+    /// Seconds until it comes to the prompt.
+    double wait = 0;
+    /// Tokens that it can take.
+    double room = 0;
+};
+
+/// Stands for all zones.
+inline constexpr std::uint32_t any_zone = UINT32_MAX;
+
 class router::state {
 public:
     state(std::string zone, route_policy policy, std::uint64_t seed, route_settings settings);
@@ -129,8 +141,17 @@
                                     double cached) const;
     [[nodiscard]] route_decision decide_single(const route_context& context);
     [[nodiscard]] route_decision decide_group(const route_context& context);
+    /// Engines of a zone that could be members, those with the least work first.
+    [[nodiscard]] std::vector<member_option> member_options(const route_context& context,
+                                                            std::uint32_t zone) const;
+    /// Group with equal shares on `count` members.
+    [[nodiscard]] std::optional<group_route> plan_group(const route_context& context,
+                                                        std::span<const member_option> options,
+                                                        std::size_t count) const;
     [[nodiscard]] std::optional<group_route> plan_group(const route_context& context,
                                                         std::uint32_t zone) const;
+    /// Group for which memory has yet to become free.
+    [[nodiscard]] std::optional<group_route> plan_waiting_group(const route_context& context) const;
     [[nodiscard]] route_refused refuse(const route_context& context, double best) const;
     void update_kept(model_record& model);
     void judge(engine_record& engine, const model_record& model, time_point now);
