Give medium and large prompts one urgency, and leave 15% of an engine's memory to them

Groups also stacked until engines had no memory left for anything else. Short prompts now have an urgency of their own, groups take only what leaves 15% free, and unknown work of other entries is taken to come first.

--- a/src/engine_table.cpp
+++ b/src/engine_table.cpp
@@ -45,11 +45,11 @@
     const double waiting = std::max(1U, engine.report.waiting_requests);
     const double short_tokens = std::min(tokens, waiting * typical_short_tokens);
     const double rest = tokens - short_tokens;
-    const bool is_long = rest > large_limit;
-    const double rest_seconds = costs.prefill_seconds(0, rest);
+    // Which urgency the rest has is unknown; as much as may come before a medium prompt does.
+    const double large = std::min<double>(rest, large_limit);
     engine.others[0] = costs.prefill_seconds(0, short_tokens);
-    engine.others[1] = is_long ? 0 : rest_seconds;
-    engine.others[2] = is_long ? rest_seconds : 0;
+    engine.others[1] = costs.prefill_seconds(0, large);
+    engine.others[2] = costs.prefill_seconds(large, rest);
 }
 
 } // namespace
--- a/src/route_decision.cpp
+++ b/src/route_decision.cpp
@@ -64,8 +64,11 @@
     if (!settings_.size_classes || policy_ != route_policy::length_aware) {
         return query.urgency;
     }
-    // Short and medium prompts are kept apart by engines, not by urgency.
-    const auto by_length = std::max(0, static_cast<int>(classify(query.prompt_tokens)) - 1);
+    const auto length = classify(query.prompt_tokens);
+    // Medium and large prompts share an urgency: engines know three.
+    const int by_length = length == length_class::short_prompt  ? 0
+                          : length == length_class::long_prompt ? 2
+                                                                : 1;
     const int shift = query.urgency == urgency_level::background ? 1 : 0;
     return static_cast<urgency_level>(std::min(by_length + shift, 2));
 }
@@ -204,9 +207,8 @@
             continue;
         }
         const double wait = wait_seconds(engine, context.urgency, context.now);
-        options.push_back({handle, wait,
-                           std::min(group_fill * engine.info.memory_tokens,
-                                    static_cast<double>(engine.free_memory))});
+        const double left_to_others = (1 - group_fill) * engine.info.memory_tokens;
+        options.push_back({handle, wait, engine.free_memory - left_to_others});
     }
     std::ranges::sort(options, {}, &member_option::wait);
     return options;
@@ -255,7 +257,7 @@
         return fewest > 1 && option.room < fresh_share * context.model.largest_memory;
     });
     for (const auto& from : {fresh, options}) {
-        for (auto count = fewest; count <= fewest + extra_members; ++count) {
+        for (auto count = fewest; count <= std::min(2 * fewest, fewest + extra_members); ++count) {
             if (auto group = plan_group(context, from, count)) {
                 return group;
             }
