Hedge late attempts, hold 64k behind shorter prompts, and make the ablation real

The in-flight ablation changed nothing because nothing read its switch; 16k prompts waited behind 64k ones; an attempt whose engine had taken unseen work missed its deadline. The switch now leaves the plain report; large prompts share the lowest urgency with long ones; an attempt at twice its prediction moves to another engine within the token budget; an attempt that the entry gives up no longer counts against the engine.

--- a/bench/route_experiment.cpp
+++ b/bench/route_experiment.cpp
@@ -1,6 +1,7 @@
 /// Queue model of a fleet: engines as servers with a stated cost model, entries with lagging load
 /// reports, open-loop arrivals. Compares routing policies in one run on a virtual clock.
 #include "queue_engine.h"
+#include "retry_budget.h"
 #include "router.h"
 
 #include <cxxopts.hpp>
@@ -76,6 +77,7 @@
     std::uint32_t tokens = 0;
     std::uint32_t generated = 0;
     double arrived = 0;
+    std::uint32_t cached = 0;
     double first_token = -1;
     double finished = -1;
     bool is_refused = false;
@@ -84,6 +86,9 @@
     std::vector<std::uint64_t> hashes;
     urgency_level urgency = urgency_level::standard;
     std::vector<group_member> members;
+    std::uint32_t attempt = 1;
+    double started = 0;
+    duration predicted{0};
     std::size_t next_part = 0;
     /// Its memory is reserved.
     bool is_group = false;
@@ -122,7 +127,8 @@
     accepted,
     part,
     deadline,
-    retry
+    retry,
+    hedge
 };
 
 struct event {
@@ -246,6 +252,10 @@
         return result;
     }
 
+    [[nodiscard]] attempt_id attempt_of(std::size_t index) const {
+        return {{1, index}, requests_[index].attempt};
+    }
+
     void handle(const event& item) {
         switch (item.type) {
         case event_type::arrival:
@@ -260,6 +270,9 @@
                 route(item.subject);
             }
             return;
+        case event_type::hedge:
+            hedge(item.subject);
+            return;
         case event_type::deliver:
             deliver(item.subject, item.detail);
             return;
@@ -271,7 +284,7 @@
             return;
         case event_type::accepted:
             routers_[requests_[item.subject].entry].on_accepted(
-                {{1, item.subject}, 1}, requests_[item.subject].tokens,
+                attempt_of(item.subject), requests_[item.subject].tokens,
                 static_cast<std::uint32_t>(item.detail), at(now_));
             return;
         case event_type::first_token:
@@ -297,7 +310,12 @@
         if (const auto* const single = std::get_if<single_route>(&decision)) {
             value.urgency = single->engine_urgency;
             value.members = {{single->engine, 0, value.tokens}};
-            router.on_started({{1, index}, 1}, single->engine, asked, at(now_));
+            value.started = now_;
+            value.predicted = single->predicted_first_token;
+            router.on_started(attempt_of(index), single->engine, asked, at(now_));
+            budgets_[value.entry].on_first_attempt(value.tokens, at(now_));
+            const auto patience = std::chrono::duration_cast<seconds>(value.predicted).count();
+            push(now_ + 2 * patience + 0.25, event_type::hedge, index);
             push(now_ + delay(value.entry, single->engine.value), event_type::deliver, index,
                  single->engine.value);
         } else if (const auto* const group = std::get_if<group_route>(&decision)) {
@@ -307,6 +325,36 @@
         }
     }
 
+    /// Moves a late attempt to another engine if that still makes the deadline.
+    void hedge(std::size_t index) {
+        auto& value = requests_[index];
+        if (value.is_over || value.first_token >= 0 || value.is_group ||
+            setting_.variant.policy != route_policy::length_aware) {
+            return;
+        }
+        auto asked = query(index);
+        const std::array excluded{value.members.front().engine};
+        asked.excluded = excluded;
+        const auto decision = routers_[value.entry].decide(asked, at(now_));
+        const auto* const other = std::get_if<single_route>(&decision);
+        const hedge_query late{
+            .is_repeatable = true,
+            .has_first_token = false,
+            .prompt_tokens = value.tokens,
+            .elapsed = at(now_) - at(value.started),
+            .predicted_first_token = value.predicted,
+            .time_left = asked.first_token_in,
+            .other_first_token = other == nullptr ? duration::max() : other->predicted_first_token};
+        if (!should_hedge(late, budgets_[value.entry], at(now_))) {
+            push(now_ + 0.1 * lengths[value.length].first_token, event_type::hedge, index);
+            return;
+        }
+        engines_[value.members.front().engine.value].remove(index);
+        routers_[value.entry].on_cancelled(attempt_of(index), at(now_));
+        ++value.attempt;
+        route(index);
+    }
+
     void refuse(std::size_t index, const error& failure) {
         auto& value = requests_[index];
         if (failure.code == error_code::no_capacity &&
@@ -351,7 +399,7 @@
         for (const auto& member : group.members) {
             engines_[member.engine.value].reserved += needed(member);
         }
-        routers_[value.entry].on_group_started({{1, index}, 1}, group, asked, at(now_));
+        routers_[value.entry].on_group_started(attempt_of(index), group, asked, at(now_));
         value.members = group.members;
         value.is_group = true;
         value.urgency = group.engine_urgency;
@@ -372,7 +420,8 @@
 
     void deliver(std::size_t index, std::size_t engine) {
         auto& value = requests_[index];
-        if (value.is_over) {
+        const bool is_current = value.is_group || value.members.front().engine.value == engine;
+        if (value.is_over || !is_current) {
             return;
         }
         const bool is_group = value.is_group;
@@ -394,7 +443,8 @@
     void step(std::size_t engine) {
         auto& target = engines_[engine];
         for (const auto& [index, cached] : target.admit()) {
-            const auto& value = requests_[index];
+            auto& value = requests_[index];
+            value.cached = cached;
             if (!value.is_group) {
                 push(now_ + delay(value.entry, engine), event_type::accepted, index, cached);
             }
@@ -441,7 +491,7 @@
         auto& value = requests_[index];
         if (!value.is_over) {
             value.first_token = now_;
-            routers_[value.entry].on_first_token({{1, index}, 1}, at(now_));
+            routers_[value.entry].on_first_token(attempt_of(index), at(now_));
         }
     }
 
@@ -469,13 +519,14 @@
                     member.token_count + (is_last ? generated_limit : 0);
             }
         }
-        routers_[value.entry].on_ended({{1, index}, 1}, succeeded, value.generated, at(now_));
+        routers_[value.entry].on_ended(attempt_of(index), succeeded, value.generated, at(now_));
     }
 
     run_setting setting_;
     std::vector<queue_engine> engines_;
     std::vector<router> routers_;
     std::vector<request> requests_;
+    std::array<retry_budget, entries> budgets_;
     std::map<std::size_t, engine_load> last_;
     std::priority_queue<event> queue_;
     std::uint64_t order_ = 0;
@@ -507,6 +558,8 @@
     std::size_t longest = 0;
     std::size_t longest_done = 0;
     double tokens = 0;
+    double cached = 0;
+    double cacheable = 0;
     for (std::size_t length = 0; length < lengths.size(); ++length) {
         std::vector<double> times;
         std::size_t offered = 0;
@@ -517,6 +570,8 @@
                 continue;
             }
             ++offered;
+            cached += value.cached;
+            cacheable += value.prefix == 0 ? 0 : lengths[length].tokens / 2.0;
             class_refused += value.is_refused ? 1 : 0;
             false_refused += value.is_false_refusal ? 1 : 0;
             const bool is_hit = value.finished > 0;
@@ -545,6 +600,7 @@
     out["false_refused"] = false_refused;
     out["admitted"] = admitted;
     out["deadline_hits"] = hits;
+    out["cached_share"] = cached / std::max(1.0, cacheable);
     out["longest_offered"] = longest;
     out["longest_finished"] = longest_done;
     out["goodput_tokens_per_second"] = tokens / (result.setting.length - warm_up);
@@ -562,11 +618,11 @@
     const auto percent = [&run](const char* part, const char* whole) {
         return 100.0 * run[part].get<double>() / std::max(1.0, run[whole].get<double>());
     };
-    std::printf(" | hits %.2f%% refused %.2f%% false %.2f%% longest %u/%u goodput %.0f",
+    std::printf(" | hits %.2f%% refused %.2f%% false %.2f%% longest %u/%u goodput %.0f cached %.2f",
                 percent("deadline_hits", "admitted"), percent("refused", "offered"),
                 percent("false_refused", "offered"), run["longest_finished"].get<unsigned>(),
                 run["longest_offered"].get<unsigned>(),
-                run["goodput_tokens_per_second"].get<double>());
+                run["goodput_tokens_per_second"].get<double>(), run["cached_share"].get<double>());
     for (std::size_t length = 0; alone != nullptr && length < short_classes; ++length) {
         std::printf(" hol%zu %.2f", length,
                     run["classes"][length]["p95"].get<double>() /
--- a/src/engine_table.cpp
+++ b/src/engine_table.cpp
@@ -115,6 +115,7 @@
     engine.report = load;
     engine.reported_at = reported_at;
     engine.has_report = true;
+    engine.reported_work = costs.prefill_seconds(0, load.pending_prefill_tokens);
     double own = 0;
     for (const auto& work : engine.own) {
         own += shown_by(work, reported_at) ? tokens_left(work) : 0;
--- a/src/engine_table.h
+++ b/src/engine_table.h
@@ -65,6 +65,8 @@
     /// Seconds of work of an urgency and of those before it, at as_of.
     work_by_urgency ahead{};
     std::uint32_t free_memory = 0;
+    /// Work that the last report shows, uncorrected, seconds.
+    double reported_work = 0;
     std::uint32_t outstanding = 0;
     std::uint32_t long_prompts = 0;
     bool has_report = false;
--- a/src/route_decision.cpp
+++ b/src/route_decision.cpp
@@ -21,7 +21,7 @@
 /// Cost of delaying a prompt of lower urgency, per second of own work.
 constexpr double displacement_cost = 1;
 /// Rest of a step that a lower urgency has begun, seconds.
-constexpr double step_rest = 0.03;
+constexpr double step_rest = 0.02;
 /// Largest share of an engine's time that higher urgencies are taken to need.
 constexpr double largest_interference = 0.8;
 /// Seconds of waiting for memory of which nothing is known.
@@ -65,10 +65,10 @@
         return query.urgency;
     }
     const auto length = classify(query.prompt_tokens);
-    // Medium and large prompts share an urgency: engines know three.
-    const int by_length = length == length_class::short_prompt  ? 0
-                          : length == length_class::long_prompt ? 2
-                                                                : 1;
+    // Large and long prompts share an urgency: engines know three.
+    const int by_length = length == length_class::short_prompt   ? 0
+                          : length >= length_class::large_prompt ? 2
+                                                                 : 1;
     const int shift = query.urgency == urgency_level::background ? 1 : 0;
     return static_cast<urgency_level>(std::min(by_length + shift, 2));
 }
@@ -102,6 +102,9 @@
 
 double router::state::wait_seconds(const engine_record& engine, urgency_level urgency,
                                    time_point now) const {
+    if (!settings_.in_flight_correction) {
+        return engine.reported_work;
+    }
     const auto index = static_cast<std::size_t>(urgency);
     const double elapsed = seconds{now - engine.as_of}.count();
     double wait = std::max(0.0, engine.ahead[index] - elapsed);
--- a/src/route_policies.cpp
+++ b/src/route_policies.cpp
@@ -105,9 +105,9 @@
     const bool has_affinity = settings.prefix_affinity && !context.query.prefix_hashes.empty();
     const auto known = has_affinity ? look_up(state.prefixes_, context) : known_prefixes{};
     const auto home_prefix = has_affinity ? context.query.prefix_hashes.front() : 0;
+    const double tokens = context.query.prompt_tokens;
     const double home_gain =
-        has_affinity ? context.model.home_hit_share *
-                           context.model.costs.prefill_seconds(0, context.query.prompt_tokens / 2.0)
+        has_affinity ? context.model.costs.prefill_seconds(0, context.model.home_saving * tokens)
                      : 0;
     const bool avoids_kept = settings.size_classes && context.length != length_class::short_prompt;
     candidate preferred;
@@ -135,7 +135,7 @@
             home = item;
         }
     }
-    if (home.engine.is_valid() && known.count == 0) {
+    if (home.engine.is_valid()) {
         home.score -= home_gain;
         keep_better(preferred, home);
     }
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -113,7 +113,7 @@
     attempt.model = model;
     attempt.prompt_tokens = query.prompt_tokens;
     attempt.max_generated_tokens = query.max_generated_tokens;
-    attempt.prefix_hashes.assign(query.prefix_hashes.begin(), query.prefix_hashes.end());
+    attempt.has_prefix = !query.prefix_hashes.empty();
     attempt.started = now;
     const auto length = classify(query.prompt_tokens);
     for (const auto& member : members) {
@@ -183,12 +183,11 @@
 }
 
 void router::state::learn_prefix(const attempt_record& attempt) {
-    if (attempt.expected_cached == 0) {
+    if (!attempt.has_prefix || attempt.prompt_tokens == 0) {
         return;
     }
-    const double share =
-        std::min(1.0, static_cast<double>(attempt.cached_tokens) / attempt.expected_cached);
-    attempt.model->home_hit_share += hit_gain * (share - attempt.model->home_hit_share);
+    const double share = static_cast<double>(attempt.cached_tokens) / attempt.prompt_tokens;
+    attempt.model->home_saving += hit_gain * (share - attempt.model->home_saving);
 }
 
 void router::state::on_first_token(attempt_id id, time_point now) {
@@ -227,17 +226,16 @@
     }
 }
 
-void router::state::on_ended(attempt_id id, bool succeeded, std::uint32_t generated_tokens,
-                             time_point now) {
+std::optional<attempt_record> router::state::take(attempt_id id, time_point now) {
     const auto request = attempts_.find(id.request);
     if (request == attempts_.end()) {
-        return;
+        return std::nullopt;
     }
     const auto found = request->second.find(id.number);
     if (found == request->second.end()) {
-        return;
+        return std::nullopt;
     }
-    const auto attempt = std::move(found->second);
+    auto attempt = std::move(found->second);
     request->second.erase(found);
     if (request->second.empty()) {
         attempts_.erase(request);
@@ -248,22 +246,42 @@
         std::erase_if(engine.own, [id](const own_work& work) { return work.id == id; });
         summarize(engine);
     }
+    return attempt;
+}
+
+void router::state::judge_overdue(const attempt_record& attempt, time_point now) {
+    const double elapsed = seconds_between(attempt.started, now);
+    if (attempt.has_first_token || elapsed <= overdue_factor * attempt.predicted + 1) {
+        return;
+    }
     auto& engine = at(attempt.engines.back());
+    engine.late.observe(elapsed / (attempt.predicted + 0.05));
+    judge(engine, *attempt.model, now);
+}
+
+void router::state::on_cancelled(attempt_id id, time_point now) {
+    if (const auto attempt = take(id, now)) {
+        judge_overdue(*attempt, now);
+    }
+}
+
+void router::state::on_ended(attempt_id id, bool succeeded, std::uint32_t generated_tokens,
+                             time_point now) {
+    const auto attempt = take(id, now);
+    if (!attempt) {
+        return;
+    }
+    auto& engine = at(attempt->engines.back());
     if (!succeeded) {
-        const bool is_overdue =
-            seconds_between(attempt.started, now) > overdue_factor * attempt.predicted + 1;
-        if (!attempt.has_first_token && is_overdue) {
-            engine.late.observe(seconds_between(attempt.started, now) / attempt.predicted);
-            judge(engine, *attempt.model, now);
-        }
+        judge_overdue(*attempt, now);
         engine.failures.on_failure(now);
         return;
     }
     engine.failures.on_success();
-    attempt.model->costs.observe_generated(generated_tokens, attempt.max_generated_tokens);
-    if (attempt.has_first_token && generated_tokens > 1) {
-        attempt.model->costs.observe_decode(generated_tokens - 1,
-                                            seconds_between(attempt.first_token, now));
+    attempt->model->costs.observe_generated(generated_tokens, attempt->max_generated_tokens);
+    if (attempt->has_first_token && generated_tokens > 1) {
+        attempt->model->costs.observe_decode(generated_tokens - 1,
+                                             seconds_between(attempt->first_token, now));
     }
 }
 
@@ -336,6 +354,10 @@
     state_->on_ended(id, succeeded, generated_tokens, now);
 }
 
+void router::on_cancelled(attempt_id id, time_point now) {
+    state_->on_cancelled(id, now);
+}
+
 std::uint32_t router::estimate_tokens(std::string_view model, std::size_t bytes) const {
     const auto* const found = state_->find_model(model);
     const double share =
--- a/src/router.h
+++ b/src/router.h
@@ -118,6 +118,10 @@
     void on_first_token(attempt_id id, time_point now);
     void on_ended(attempt_id id, bool succeeded, std::uint32_t generated_tokens, time_point now);
 
+    /// Ends an attempt that this entry gave up: its caller left, or another attempt took over. It
+    /// says nothing against the engine unless the first token was overdue.
+    void on_cancelled(attempt_id id, time_point now);
+
     /// Estimated tokens of a text for a model, corrected by what its engines counted.
     [[nodiscard]] std::uint32_t estimate_tokens(std::string_view model, std::size_t bytes) const;
 
--- a/src/router_p.h
+++ b/src/router_p.h
@@ -21,8 +21,8 @@
     double tokens_per_byte = 0.25;
     /// Decayed work of the prompts that were started, seconds by length class.
     std::array<double, length_class_count> work{};
-    /// Share of a home engine's prefix that its cache held when nothing was known.
-    double home_hit_share = 0.3;
+    /// Share of its prompts' tokens that a home engine turns out to have cached.
+    double home_saving = 0.1;
     std::uint32_t largest_memory = 0;
     /// Position of the round robin.
     std::size_t next = 0;
@@ -39,10 +39,8 @@
     model_record* model = nullptr;
     std::uint32_t prompt_tokens = 0;
     std::uint32_t max_generated_tokens = 0;
-    /// Cached tokens that the decision counted on.
-    std::uint32_t expected_cached = 0;
     std::uint32_t cached_tokens = 0;
-    std::vector<std::uint64_t> prefix_hashes;
+    bool has_prefix = false;
     time_point started{};
     time_point accepted{};
     time_point first_token{};
@@ -114,6 +112,7 @@
                      time_point now);
     void on_first_token(attempt_id id, time_point now);
     void on_ended(attempt_id id, bool succeeded, std::uint32_t generated_tokens, time_point now);
+    void on_cancelled(attempt_id id, time_point now);
     void on_load(engine_handle engine, const engine_load& load, time_point now);
     void set_state(engine_handle engine, host_state state, time_point now);
 
@@ -154,6 +153,10 @@
     [[nodiscard]] std::optional<group_route> plan_waiting_group(const route_context& context) const;
     [[nodiscard]] route_refused refuse(const route_context& context, double best) const;
     void update_kept(model_record& model);
+    /// Takes an attempt out of all accounts.
+    [[nodiscard]] std::optional<attempt_record> take(attempt_id id, time_point now);
+    /// Counts an attempt that has no first token long after the prediction against the engine.
+    void judge_overdue(const attempt_record& attempt, time_point now);
     void judge(engine_record& engine, const model_record& model, time_point now);
     void learn_prefix(const attempt_record& attempt);
 
