--- a/include/magnolia/schema.h
+++ b/include/magnolia/schema.h
@@ -183,6 +183,9 @@
 /// HTTP status that callers and operators get for the error.
 [[nodiscard]] unsigned http_status(error_code code);
 
+/// Sentence that tells a person what the error means.
+[[nodiscard]] std::string_view description(error_code code);
+
 /// Kinds of events in the time line.
 enum class event_kind : std::uint16_t {
     /// A process is ready.
@@ -404,6 +407,8 @@
     std::string address{};
     /// HTTP port. [1..65535]
     std::uint16_t port{};
+    /// Beginnings of the paths whose calls must not be repeated. [0..64]
+    std::vector<std::string> unrepeatable_paths{};
 
     bool operator==(const service_settings&) const = default;
 };
@@ -492,7 +497,12 @@
     std::uint32_t generated_tokens{32};
     /// Weight among the arrivals. [0..1000000]
     double share{};
-    /// Time to the first token that counts as met. [1..86400000 ms]
+    /// Plain service that is called instead of a model, each time under a new idempotency key, and
+    /// again under the same key at the next entry. [0..64 characters]
+    std::string service{};
+    /// Path of the service that is called. [1..200 characters]
+    std::string path{"/"};
+    /// Time to the first token that counts as met; for a service, to its answer. [1..86400000 ms]
     std::chrono::milliseconds first_token{1400};
     /// Deadline sent with the request. [1..86400000 ms]
     std::chrono::milliseconds finish{60000};
