--- /dev/null
+++ b/bench/route_bench.cpp
@@ -0,0 +1,114 @@
+/// Time of one routing decision, by number of engines, with its 99th percentile.
+#include "router.h"
+
+#include <benchmark/benchmark.h>
+
+#include <algorithm>
+#include <chrono>
+#include <random>
+#include <vector>
+
+namespace magnolia {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t zones = 8;
+constexpr std::size_t workspaces = 36'000;
+constexpr std::size_t prefix_depth = 12;
+constexpr std::size_t started_attempts = 4'000;
+
+struct fixture {
+    explicit fixture(std::size_t count) {
+        for (std::size_t index = 0; index < count; ++index) {
+            engines.push_back(made.put_engine({"engine" + std::to_string(index),
+                                               "zone" + std::to_string(index % zones),
+                                               {"m"},
+                                               {},
+                                               450'000,
+                                               {}},
+                                              now));
+        }
+        now += 60s;
+        for (std::size_t index = 0; index < workspaces * prefix_depth; ++index) {
+            hashes.push_back(random());
+        }
+        for (std::size_t index = 0; index < started_attempts; ++index) {
+            const auto query = next(index);
+            const auto decision = made.decide(query, now);
+            if (const auto* const single = std::get_if<single_route>(&decision)) {
+                made.on_started({query.request, 1}, single->engine, query, now);
+                made.on_first_token({query.request, 1}, now);
+                made.on_ended({query.request, 1}, true, 100, now);
+            }
+        }
+        for (const auto engine : engines) {
+            const auto pending = static_cast<std::uint32_t>(random() % 20'000);
+            made.on_load(engine,
+                         {.running_requests = 8,
+                          .pending_prefill_tokens = pending,
+                          .free_memory_tokens = 300'000,
+                          .age = 300ms},
+                         now);
+        }
+    }
+
+    route_query next(std::uint64_t sequence) {
+        const auto workspace = random() % workspaces;
+        route_query query;
+        query.request = {1, sequence};
+        query.model = "m";
+        query.prompt_tokens = sequence % 50 == 0 ? 200'000 : 1'000 + random() % 16'000;
+        query.max_generated_tokens = 300;
+        query.prefix_hashes = std::span{hashes}.subspan(workspace * prefix_depth, prefix_depth);
+        query.first_token_in = 600s;
+        query.finish_in = 900s;
+        return query;
+    }
+
+    router made{"zone0", route_policy::length_aware, 1};
+    time_point now{1h};
+    std::mt19937_64 random{1};
+    std::vector<engine_handle> engines;
+    std::vector<std::uint64_t> hashes;
+};
+
+void decide(benchmark::State& state) {
+    fixture given{static_cast<std::size_t>(state.range(0))};
+    std::vector<double> times;
+    std::uint64_t sequence = started_attempts;
+    for (auto unused : state) {
+        static_cast<void>(unused);
+        const auto query = given.next(++sequence);
+        const auto begin = std::chrono::steady_clock::now();
+        benchmark::DoNotOptimize(given.made.decide(query, given.now));
+        times.push_back(
+            std::chrono::duration<double, std::micro>(std::chrono::steady_clock::now() - begin)
+                .count());
+    }
+    const auto place = times.begin() + static_cast<std::ptrdiff_t>(times.size() * 99 / 100);
+    std::ranges::nth_element(times, place);
+    state.counters["p99_us"] = *place;
+}
+
+void start_and_end(benchmark::State& state) {
+    fixture given{static_cast<std::size_t>(state.range(0))};
+    std::uint64_t sequence = started_attempts;
+    for (auto unused : state) {
+        static_cast<void>(unused);
+        const auto query = given.next(++sequence);
+        const attempt_id id{query.request, 1};
+        given.made.on_started(id, given.engines[sequence % given.engines.size()], query, given.now);
+        given.made.on_accepted(id, query.prompt_tokens, 0, given.now);
+        given.made.on_first_token(id, given.now);
+        given.made.on_ended(id, true, 100, given.now);
+    }
+}
+
+BENCHMARK(decide)->Arg(16)->Arg(100)->Arg(670)->Iterations(200'000);
+BENCHMARK(start_and_end)->Arg(16)->Arg(100)->Arg(670);
+
+} // namespace
+} // namespace magnolia
+
+BENCHMARK_MAIN();
