--- /dev/null
+++ b/src/admin_api.cpp
@@ -0,0 +1,270 @@
+#include "admin_api.h"
+
+#include "contract_rules.h"
+#include "key_hash.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace magnolia {
+namespace {
+
+using json = nlohmann::json;
+
+constexpr std::string_view contracts_path = "/v1/contracts";
+constexpr std::string_view contract_root = "/v1/contracts/";
+constexpr std::string_view history_suffix = "/history";
+constexpr std::string_view bearer = "Bearer ";
+
+/// Each waiting watch counts at the platform.
+constexpr std::size_t max_watches = 8;
+constexpr auto watch_wait = std::chrono::milliseconds{10000};
+constexpr auto watch_retry = std::chrono::milliseconds{5000};
+
+std::string dump(const json& value) {
+    return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+json to_value(const stored_contract& item) {
+    return {{"version", item.version}, {"contract", item.value}};
+}
+
+json to_value(const std::vector<stored_contract>& items) {
+    auto list = json::array();
+    std::ranges::transform(items, std::back_inserter(list),
+                           [](const stored_contract& item) { return to_value(item); });
+    return list;
+}
+
+http_response to_response(const contract_failure& failure) {
+    json body{{"type", to_string(failure.failure.code)},
+              {"subject", failure.failure.subject},
+              {"may_have_effect", failure.may_have_effect}};
+    if (failure.failure.retry_after.count() > 0) {
+        body["retry_after_ms"] = failure.failure.retry_after.count();
+    }
+    json document{{"error", body}};
+    if (failure.current) {
+        document["current"] = to_value(*failure.current);
+    }
+    return json_response(http_status(failure.failure.code), dump(document));
+}
+
+void send(const http_responder& responder, unsigned status,
+          const contract_result<stored_contract>& outcome) {
+    responder.send(outcome ? json_response(status, dump(to_value(*outcome)))
+                           : to_response(outcome.error()));
+}
+
+std::optional<std::uint64_t> number_parameter(std::string_view target, std::string_view name) {
+    const auto text = query_parameter(target, name);
+    std::uint64_t value = 0;
+    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), value);
+    const bool is_whole = failure == std::errc{} && end == text.data() + text.size();
+    return is_whole && !text.empty() ? std::optional{value} : std::nullopt;
+}
+
+result<contract> read_body(const http_request& request) {
+    const auto document = json::parse(request.body, nullptr, false);
+    if (document.is_discarded()) {
+        return fail(error_code::bad_request, "the body is not JSON");
+    }
+    return read_contract_document(document);
+}
+
+} // namespace
+
+admin_api::admin_api(platform_client& platform, const admin_settings& settings,
+                     std::function<std::int64_t()> wall_ms, std::uint64_t seed)
+    : platform_{platform}, settings_{settings}, wall_ms_{std::move(wall_ms)},
+      store_{[this](platform_call call, contract_store::reply_handler done) {
+                 platform_.execute(std::move(call), call_priority::configuration, std::move(done));
+             },
+             steady_now, seed} {}
+
+void admin_api::handle(const http_request& request, const http_responder& responder) {
+    const auto* known = operator_of(request);
+    if (known == nullptr) {
+        responder.send(error_response({error_code::unauthorized, "operator's key", {}}));
+        return;
+    }
+    handle_contracts({request, responder, known->name});
+}
+
+const operator_settings* admin_api::operator_of(const http_request& request) const {
+    const auto field = find_header(request.headers, "authorization");
+    if (!field.starts_with(bearer)) {
+        return nullptr;
+    }
+    const auto hash = key_hash(field.substr(bearer.size()));
+    const auto found = std::ranges::find_if(settings_.operators, [&](const auto& item) {
+        return is_same_hash(item.key_hash, hash);
+    });
+    return found == settings_.operators.end() ? nullptr : &*found;
+}
+
+change_context admin_api::context_of(const call& asked) const {
+    return {asked.changed_by, wall_ms_(), steady_now() + settings_.change_timeout};
+}
+
+void admin_api::handle_contracts(const call& asked) {
+    const auto path = target_path(asked.request.target);
+    const auto& method = asked.request.method;
+    if (path == contracts_path && method == "GET") {
+        list(asked);
+    } else if (path == contracts_path && method == "POST") {
+        create(asked);
+    } else if (path == "/v1/validate" && method == "POST") {
+        validate(asked);
+    } else if (path == "/v1/watch" && method == "GET") {
+        watch(asked);
+    } else if (path == "/v1/status" && method == "GET") {
+        status(asked);
+    } else if (path.starts_with(contract_root)) {
+        handle_contract(asked, std::string{path.substr(contract_root.size())});
+    } else {
+        asked.responder.send(error_response({error_code::not_found, std::string{path}, {}}));
+    }
+}
+
+void admin_api::handle_contract(const call& asked, const std::string& workspace) {
+    const auto& method = asked.request.method;
+    if (method == "GET" && workspace.ends_with(history_suffix)) {
+        const auto name = workspace.substr(0, workspace.size() - history_suffix.size());
+        history(asked, percent_decode(name));
+    } else if (method == "GET") {
+        show(asked, percent_decode(workspace));
+    } else if (method == "PUT") {
+        change(asked, percent_decode(workspace));
+    } else if (method == "DELETE") {
+        retire(asked, percent_decode(workspace));
+    } else {
+        asked.responder.send(error_response({error_code::bad_request, method, {}}));
+    }
+}
+
+void admin_api::list(const call& asked) {
+    store_.list(query_parameter(asked.request.target, "after"),
+                [responder = asked.responder](const contract_result<contract_page>& page) {
+                    if (!page) {
+                        responder.send(to_response(page.error()));
+                        return;
+                    }
+                    const json body{{"contracts", to_value(page->items)},
+                                    {"revision", page->revision},
+                                    {"more", page->more}};
+                    responder.send(json_response(200, dump(body)));
+                });
+}
+
+void admin_api::create(const call& asked) {
+    const auto value = read_body(asked.request);
+    if (!value) {
+        asked.responder.send(error_response(value.error()));
+        return;
+    }
+    store_.create(*value, context_of(asked), [responder = asked.responder](const auto& outcome) {
+        send(responder, 201, outcome);
+    });
+}
+
+void admin_api::validate(const call& asked) {
+    const auto value = read_body(asked.request);
+    asked.responder.send(value ? json_response(200, dump({{"contract", *value}}))
+                               : error_response(value.error()));
+}
+
+void admin_api::show(const call& asked, const std::string& workspace) {
+    store_.get(workspace, [responder = asked.responder](const auto& outcome) {
+        send(responder, 200, outcome);
+    });
+}
+
+void admin_api::change(const call& asked, const std::string& workspace) {
+    const auto expected = number_parameter(asked.request.target, "expected_version");
+    auto value = read_body(asked.request);
+    if (value && value->workspace != workspace) {
+        value = fail(error_code::bad_contract, "workspace is " + value->workspace +
+                                                   "; allowed: " + workspace);
+    }
+    if (value && !expected) {
+        value = fail(error_code::bad_request, "expected_version");
+    }
+    if (!value) {
+        asked.responder.send(error_response(value.error()));
+        return;
+    }
+    store_.change(*value, *expected, context_of(asked),
+                  [responder = asked.responder](const auto& outcome) {
+                      send(responder, 200, outcome);
+                  });
+}
+
+void admin_api::retire(const call& asked, const std::string& workspace) {
+    const auto expected = number_parameter(asked.request.target, "expected_version");
+    if (!expected) {
+        asked.responder.send(error_response({error_code::bad_request, "expected_version", {}}));
+        return;
+    }
+    store_.retire(workspace, *expected, context_of(asked),
+                  [responder = asked.responder](const auto& outcome) {
+                      send(responder, 200, outcome);
+                  });
+}
+
+void admin_api::history(const call& asked, const std::string& workspace) {
+    store_.history(workspace, [responder = asked.responder](
+                                  const contract_result<std::vector<stored_contract>>& versions) {
+        responder.send(versions
+                           ? json_response(200, dump({{"versions", to_value(*versions)}}))
+                           : to_response(versions.error()));
+    });
+}
+
+void admin_api::watch(const call& asked) {
+    const auto revision = number_parameter(asked.request.target, "after_revision");
+    if (!revision) {
+        asked.responder.send(error_response({error_code::bad_request, "after_revision", {}}));
+        return;
+    }
+    if (watches_ >= max_watches) {
+        asked.responder.send(error_response({error_code::overloaded, "watches", watch_retry}));
+        return;
+    }
+    ++watches_;
+    store_.watch(*revision, watch_wait,
+                 [this, responder = asked.responder](
+                     const contract_result<contract_changes>& changes) {
+                     --watches_;
+                     if (!changes) {
+                         responder.send(to_response(changes.error()));
+                         return;
+                     }
+                     const json body{{"contracts", to_value(changes->items)},
+                                     {"revision", changes->revision},
+                                     {"gap", changes->gap}};
+                     responder.send(json_response(200, dump(body)));
+                 });
+}
+
+/// What the zones have written of themselves, as it is.
+void admin_api::status(const call& asked) {
+    platform_.execute(
+        object_list{"status", {}, 0}, call_priority::status,
+        [responder = asked.responder](const result<platform_reply>& reply) {
+            if (!reply) {
+                responder.send(error_response(reply.error()));
+                return;
+            }
+            auto list = json::array();
+            for (const auto& item : std::get<object_page>(*reply).items) {
+                const auto value = json::parse(item.value, nullptr, false);
+                list.push_back({{"name", item.id.name},
+                                {"version", item.version},
+                                {"status", value.is_discarded() ? json(item.value) : value}});
+            }
+            responder.send(json_response(200, dump({{"status", list}})));
+        });
+}
+
+} // namespace magnolia
--- /dev/null
+++ b/tests/contracts_test.cpp
@@ -0,0 +1,186 @@
+#include "admin_api.h"
+#include "contract_rules.h"
+#include "key_hash.h"
+#include "platform_server.h"
+
+#include <gtest/gtest.h>
+
+#include <optional>
+
+namespace magnolia {
+namespace {
+
+using json = nlohmann::json;
+using std::chrono::milliseconds;
+
+contract sample() {
+    contract value;
+    value.workspace = "parts";
+    value.models = {"m"};
+    return value;
+}
+
+TEST(contract_rules, errors_name_field_and_bound) {
+    auto value = sample();
+    value.deadlines = {{4000, milliseconds{100}, milliseconds{50}},
+                       {1000, milliseconds{1}, milliseconds{2}}};
+    value.prompt_token_burst = 10;
+    value.key_hashes = {"abc"};
+    const auto errors = contract_errors(value);
+    std::vector<std::string> paths;
+    for (const auto& item : errors) {
+        paths.push_back(item.path);
+        EXPECT_FALSE(item.bound.empty());
+    }
+    EXPECT_EQ(paths, (std::vector<std::string>{"key_hashes", "prompt_token_burst",
+                                               "deadlines[0].first_token",
+                                               "deadlines[1].up_to_tokens", "deadlines"}));
+    const auto read = read_contract_document(json(value));
+    ASSERT_FALSE(read);
+    EXPECT_EQ(read.error().code, error_code::bad_contract);
+    EXPECT_TRUE(read_contract_document(json(sample())));
+}
+
+TEST(key_hash, is_sha_256) {
+    EXPECT_EQ(key_hash("abc"), "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
+    EXPECT_TRUE(is_same_hash("ab", "ab"));
+    EXPECT_FALSE(is_same_hash("ab", "abc"));
+}
+
+const object_put first_write{{"k", "n"}, 3, "mine"};
+
+bool is_mine(const stored_object& object) {
+    return object.value.find("mine") != std::string::npos;
+}
+
+result<platform_reply> object_reply(std::uint64_t version, std::string value) {
+    return platform_reply{stored_object{{"k", "n"}, version, std::move(value), false}};
+}
+
+TEST(conditional_write, a_lost_answer_is_judged_by_the_token) {
+    const time_point now{};
+    conditional_write write{first_write, is_mine, now + milliseconds{100}};
+    const auto lost = fail(error_code::platform_down);
+    EXPECT_TRUE(std::holds_alternative<platform_call>(write.on_reply(lost, now)));
+    const auto done = write.on_reply(object_reply(5, "theirs after mine"), now);
+    ASSERT_TRUE(std::holds_alternative<write_done>(done));
+    EXPECT_EQ(std::get<write_done>(done).version, 5U);
+}
+
+TEST(conditional_write, an_unchanged_version_is_written_again) {
+    const time_point now{};
+    conditional_write write{first_write, is_mine, now + milliseconds{100}};
+    (void)write.on_reply(fail(error_code::platform_down), now);
+    const auto again = write.on_reply(object_reply(3, "old"), now);
+    ASSERT_TRUE(std::holds_alternative<platform_call>(again));
+    EXPECT_TRUE(std::holds_alternative<object_put>(std::get<platform_call>(again)));
+    (void)write.on_reply(fail(error_code::conflict), now);
+    EXPECT_TRUE(std::holds_alternative<write_done>(write.on_reply(object_reply(4, "mine"), now)));
+}
+
+TEST(conditional_write, a_conflict_shows_the_current_value_and_doubt_is_told) {
+    const time_point now{};
+    conditional_write write{first_write, is_mine, now + milliseconds{100}};
+    (void)write.on_reply(fail(error_code::conflict), now);
+    EXPECT_TRUE(
+        std::holds_alternative<write_conflict>(write.on_reply(object_reply(4, "theirs"), now)));
+    conditional_write doubtful{first_write, is_mine, now};
+    const auto failed = doubtful.on_reply(fail(error_code::platform_down), now);
+    ASSERT_TRUE(std::holds_alternative<write_failed>(failed));
+    EXPECT_TRUE(std::get<write_failed>(failed).may_have_effect);
+}
+
+/// The API, the platform and a caller on one context.
+class admin_pair : public testing::Test {
+protected:
+    void SetUp() override {
+        ASSERT_TRUE(platform_.listen(endpoint{}));
+        settings_.operators = {{"ana", key_hash("secret")}};
+        platform_budget budget;
+        budget.timeout = milliseconds{200};
+        client_.emplace(context_, endpoint{"127.0.0.1", platform_.port()}, budget, 1);
+        api_.emplace(*client_, settings_, [] { return std::int64_t{42}; }, 1);
+        server_.emplace(context_, http_server_limits{},
+                        [this](const http_request& request, const http_responder& responder) {
+                            api_->handle(request, responder);
+                        });
+        ASSERT_TRUE(server_->listen(endpoint{}));
+    }
+
+    std::pair<unsigned, json> call(const std::string& method, const std::string& target,
+                                   const json& body = {}, const std::string& key = "secret") {
+        std::optional<http_response> answer;
+        http_request request{method, target, {{"Authorization", "Bearer " + key}}, body.dump()};
+        caller_.call({"127.0.0.1", server_->port()}, std::move(request), {},
+                     [&](const auto& received) { answer = received.value(); });
+        while (!answer && context_.run_one() > 0) {
+        }
+        return {answer->status, json::parse(answer->body)};
+    }
+
+    boost::asio::io_context context_{1};
+    platform_server platform_{context_, 1};
+    admin_settings settings_;
+    std::optional<platform_client> client_;
+    std::optional<admin_api> api_;
+    std::optional<http_server> server_;
+    http_client caller_{context_};
+};
+
+TEST_F(admin_pair, a_contract_lives_from_creation_to_its_tombstone) {
+    EXPECT_EQ(call("GET", "/v1/contracts", {}, "wrong").first, 401U);
+    const auto [created, first] = call("POST", "/v1/contracts", sample());
+    ASSERT_EQ(created, 201U);
+    EXPECT_EQ(first["contract"]["changed_by"], "ana");
+    EXPECT_EQ(first["contract"]["changed_at_ms"], 42);
+    EXPECT_EQ(call("POST", "/v1/contracts", sample()).first, 409U);
+    auto value = sample();
+    value.concurrency = 3;
+    const auto version = first["version"].get<std::uint64_t>();
+    const auto target = "/v1/contracts/parts?expected_version=" + std::to_string(version);
+    const auto [changed, second] = call("PUT", target, value);
+    ASSERT_EQ(changed, 200U);
+    const auto [raced, conflict] = call("PUT", target, value);
+    EXPECT_EQ(raced, 409U);
+    EXPECT_EQ(conflict["current"]["version"], second["version"]);
+    const auto newest = std::to_string(second["version"].get<std::uint64_t>());
+    ASSERT_EQ(call("DELETE", "/v1/contracts/parts?expected_version=" + newest).first, 200U);
+    const auto [shown, tombstone] = call("GET", "/v1/contracts/parts");
+    EXPECT_EQ(tombstone["contract"]["state"], "retired");
+    const auto last = std::to_string(tombstone["version"].get<std::uint64_t>());
+    EXPECT_EQ(call("PUT", "/v1/contracts/parts?expected_version=" + last, value).first, 403U);
+    EXPECT_EQ(call("POST", "/v1/contracts", sample()).first, 409U);
+    const auto [listed, history] = call("GET", "/v1/contracts/parts/history");
+    ASSERT_EQ(history["versions"].size(), 2U);
+    EXPECT_EQ(history["versions"][0]["version"], first["version"]);
+}
+
+TEST_F(admin_pair, a_change_whose_answer_is_lost_is_read_back) {
+    platform_.model().faults().lost_kind = "contract";
+    platform_.model().faults().lost_answers = 0.5;
+    int accepted = 0;
+    for (int number = 0; number < 10; ++number) {
+        auto value = sample();
+        value.workspace = "w" + std::to_string(number);
+        accepted += call("POST", "/v1/contracts", value).first == 201U ? 1 : 0;
+    }
+    EXPECT_EQ(accepted, 10);
+}
+
+TEST_F(admin_pair, bad_contracts_and_paths_are_refused_by_type) {
+    auto bad = sample();
+    bad.prompt_token_burst = 1;
+    const auto [status, body] = call("POST", "/v1/contracts", bad);
+    EXPECT_EQ(status, 422U);
+    EXPECT_NE(body["error"]["subject"].get<std::string>().find("prompt_token_burst"),
+              std::string::npos);
+    EXPECT_EQ(call("POST", "/v1/validate", sample()).first, 200U);
+    EXPECT_EQ(call("GET", "/v1/contracts/none").first, 404U);
+    EXPECT_EQ(call("GET", "/v1/nothing").first, 404U);
+    EXPECT_EQ(call("PUT", "/v1/contracts/parts", sample()).first, 400U);
+    platform_.model().faults().outage = outage_form::refuse;
+    EXPECT_EQ(call("GET", "/v1/contracts/parts").first, 503U);
+}
+
+} // namespace
+} // namespace magnolia
