Collect old claims

Objects of claims have to go once no process can claim their keys any more. A collector lists the oldest objects and deletes those older than the retention and twice the clock margin; a property test lets clocks differ and writes land after the collection.

--- a/include/magnolia/schema.h
+++ b/include/magnolia/schema.h
@@ -578,6 +578,53 @@
 void to_json(nlohmann::json& out, const experiment_settings& value);
 void read(const nlohmann::json& in, schema_reader& reader, experiment_settings& value);
 
+/// An operator of the administration API.
+struct operator_settings {
+    /// Name in the audit. [1..64 characters]
+    std::string name{};
+    /// SHA-256 of the operator's key, in lower-case hexadecimal. [64..64 characters]
+    std::string key_hash{};
+
+    bool operator==(const operator_settings&) const = default;
+};
+
+void to_json(nlohmann::json& out, const operator_settings& value);
+void read(const nlohmann::json& in, schema_reader& reader, operator_settings& value);
+
+/// Share of the platform's rates that a process may use.
+struct platform_share {
+    /// Writes. [0.1..100000 writes/s]
+    double writes_per_second{20};
+    /// Reads; a waiting watch counts as one each second. [0.1..100000 reads/s]
+    double reads_per_second{100};
+    /// Longest wait for an answer. [10..60000 ms]
+    std::chrono::milliseconds timeout{2000};
+
+    bool operator==(const platform_share&) const = default;
+};
+
+void to_json(nlohmann::json& out, const platform_share& value);
+void read(const nlohmann::json& in, schema_reader& reader, platform_share& value);
+
+/// Settings of magnolia-admin.
+struct admin_settings {
+    /// Common settings.
+    process_settings process{};
+    /// Listener towards operators.
+    endpoint listen{};
+    /// Share of the platform's rates.
+    platform_share platform_rates{};
+    /// Operators and their keys. [1..1000]
+    std::vector<operator_settings> operators{};
+    /// Longest time that a change may take. [100..600000 ms]
+    std::chrono::milliseconds change_timeout{10000};
+
+    bool operator==(const admin_settings&) const = default;
+};
+
+void to_json(nlohmann::json& out, const admin_settings& value);
+void read(const nlohmann::json& in, schema_reader& reader, admin_settings& value);
+
 /// First message on a connection between entries.
 struct hello_message {
     /// Name of the sender.
--- a/src/admin_api.cpp
+++ b/src/admin_api.cpp
@@ -97,9 +97,8 @@
         return nullptr;
     }
     const auto hash = key_hash(field.substr(bearer.size()));
-    const auto found = std::ranges::find_if(settings_.operators, [&](const auto& item) {
-        return is_same_hash(item.key_hash, hash);
-    });
+    const auto found = std::ranges::find_if(
+        settings_.operators, [&](const auto& item) { return is_same_hash(item.key_hash, hash); });
     return found == settings_.operators.end() ? nullptr : &*found;
 }
 
@@ -184,8 +183,8 @@
     const auto expected = number_parameter(asked.request.target, "expected_version");
     auto value = read_body(asked.request);
     if (value && value->workspace != workspace) {
-        value = fail(error_code::bad_contract, "workspace is " + value->workspace +
-                                                   "; allowed: " + workspace);
+        value = fail(error_code::bad_contract,
+                     "workspace is " + value->workspace + "; allowed: " + workspace);
     }
     if (value && !expected) {
         value = fail(error_code::bad_request, "expected_version");
@@ -194,10 +193,9 @@
         asked.responder.send(error_response(value.error()));
         return;
     }
-    store_.change(*value, *expected, context_of(asked),
-                  [responder = asked.responder](const auto& outcome) {
-                      send(responder, 200, outcome);
-                  });
+    store_.change(
+        *value, *expected, context_of(asked),
+        [responder = asked.responder](const auto& outcome) { send(responder, 200, outcome); });
 }
 
 void admin_api::retire(const call& asked, const std::string& workspace) {
@@ -206,18 +204,16 @@
         asked.responder.send(error_response({error_code::bad_request, "expected_version", {}}));
         return;
     }
-    store_.retire(workspace, *expected, context_of(asked),
-                  [responder = asked.responder](const auto& outcome) {
-                      send(responder, 200, outcome);
-                  });
+    store_.retire(
+        workspace, *expected, context_of(asked),
+        [responder = asked.responder](const auto& outcome) { send(responder, 200, outcome); });
 }
 
 void admin_api::history(const call& asked, const std::string& workspace) {
     store_.history(workspace, [responder = asked.responder](
                                   const contract_result<std::vector<stored_contract>>& versions) {
-        responder.send(versions
-                           ? json_response(200, dump({{"versions", to_value(*versions)}}))
-                           : to_response(versions.error()));
+        responder.send(versions ? json_response(200, dump({{"versions", to_value(*versions)}}))
+                                : to_response(versions.error()));
     });
 }
 
@@ -232,39 +228,39 @@
         return;
     }
     ++watches_;
-    store_.watch(*revision, watch_wait,
-                 [this, responder = asked.responder](
-                     const contract_result<contract_changes>& changes) {
-                     --watches_;
-                     if (!changes) {
-                         responder.send(to_response(changes.error()));
-                         return;
-                     }
-                     const json body{{"contracts", to_value(changes->items)},
-                                     {"revision", changes->revision},
-                                     {"gap", changes->gap}};
-                     responder.send(json_response(200, dump(body)));
-                 });
+    store_.watch(
+        *revision, watch_wait,
+        [this, responder = asked.responder](const contract_result<contract_changes>& changes) {
+            --watches_;
+            if (!changes) {
+                responder.send(to_response(changes.error()));
+                return;
+            }
+            const json body{{"contracts", to_value(changes->items)},
+                            {"revision", changes->revision},
+                            {"gap", changes->gap}};
+            responder.send(json_response(200, dump(body)));
+        });
 }
 
 /// What the zones have written of themselves, as it is.
 void admin_api::status(const call& asked) {
-    platform_.execute(
-        object_list{"status", {}, 0}, call_priority::status,
-        [responder = asked.responder](const result<platform_reply>& reply) {
-            if (!reply) {
-                responder.send(error_response(reply.error()));
-                return;
-            }
-            auto list = json::array();
-            for (const auto& item : std::get<object_page>(*reply).items) {
-                const auto value = json::parse(item.value, nullptr, false);
-                list.push_back({{"name", item.id.name},
-                                {"version", item.version},
-                                {"status", value.is_discarded() ? json(item.value) : value}});
-            }
-            responder.send(json_response(200, dump({{"status", list}})));
-        });
+    platform_.execute(object_list{"status", {}, 0}, call_priority::status,
+                      [responder = asked.responder](const result<platform_reply>& reply) {
+                          if (!reply) {
+                              responder.send(error_response(reply.error()));
+                              return;
+                          }
+                          auto list = json::array();
+                          for (const auto& item : std::get<object_page>(*reply).items) {
+                              const auto value = json::parse(item.value, nullptr, false);
+                              list.push_back(
+                                  {{"name", item.id.name},
+                                   {"version", item.version},
+                                   {"status", value.is_discarded() ? json(item.value) : value}});
+                          }
+                          responder.send(json_response(200, dump({{"status", list}})));
+                      });
 }
 
 } // namespace magnolia
--- /dev/null
+++ b/src/claim_collector.cpp
@@ -0,0 +1,78 @@
+#include "claim_collector.h"
+
+#include "claims_p.h"
+
+#include <algorithm>
+
+namespace magnolia {
+namespace {
+
+/// Objects of a page; each may have the longest value.
+constexpr std::uint32_t page_objects = 8;
+
+} // namespace
+
+claim_collector::claim_collector(const claim_options& options, std::chrono::milliseconds period,
+                                 std::uint64_t seed)
+    : options_{options}, period_{period}, random_{seed} {}
+
+bool claim_collector::is_old(const object_id& id, std::int64_t wall_ms) const {
+    const auto last = last_created_ms(id, options_);
+    const auto least_age = options_.retention + (2 * options_.clock_margin);
+    return last && wall_ms - *last > least_age.count();
+}
+
+std::optional<platform_call> claim_collector::poll(time_point now, std::int64_t wall_ms) {
+    if (is_in_flight_ || now < next_round_) {
+        return std::nullopt;
+    }
+    is_in_flight_ = true;
+    if (!old_.empty() && is_old(old_.front().id, wall_ms)) {
+        const auto call = old_.front();
+        old_.pop_front();
+        is_deleting_ = true;
+        return call;
+    }
+    old_.clear();
+    is_deleting_ = false;
+    return object_list{"claims", after_, page_objects};
+}
+
+/// Names sort by creation time, so the first young object ends the round.
+void claim_collector::on_reply(const result<platform_reply>& reply, time_point now,
+                               std::int64_t wall_ms) {
+    is_in_flight_ = false;
+    if (is_deleting_) {
+        // After a conflict or a lost answer, the next round sees what is left.
+        collected_ += reply ? 1 : 0;
+        if (old_.empty() && !is_listing_) {
+            end_round(now);
+        }
+        return;
+    }
+    if (!reply) {
+        end_round(now);
+        return;
+    }
+    const auto& page = std::get<object_page>(*reply);
+    for (const auto& object : page.items) {
+        if (is_old(object.id, wall_ms)) {
+            old_.push_back({object.id, object.version});
+        }
+    }
+    is_listing_ = page.more && old_.size() == page.items.size();
+    after_ = page.items.empty() ? "" : page.items.back().id.name;
+    if (old_.empty()) {
+        end_round(now);
+    }
+}
+
+void claim_collector::end_round(time_point now) {
+    std::uniform_int_distribution<std::int64_t> draw{period_.count() / 2, period_.count() * 3 / 2};
+    next_round_ = now + std::chrono::milliseconds{draw(random_)};
+    after_.clear();
+    old_.clear();
+    is_listing_ = true;
+}
+
+} // namespace magnolia
--- /dev/null
+++ b/tests/claim_collector_test.cpp
@@ -0,0 +1,143 @@
+#include "claim_collector.h"
+#include "claims_p.h"
+#include "object_store.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+
+namespace magnolia {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::int64_t day_ms = 86400000;
+
+result<platform_reply> execute(object_store& store, const platform_call& call) {
+    if (const auto* get = std::get_if<object_get>(&call)) {
+        return platform_reply{store.get(get->id)};
+    }
+    if (const auto* put = std::get_if<object_put>(&call)) {
+        return store.put(*put).map([](auto value) { return platform_reply{value}; });
+    }
+    if (const auto* erase = std::get_if<object_delete>(&call)) {
+        return store.erase(*erase).map([](auto value) { return platform_reply{value}; });
+    }
+    return platform_reply{store.list(std::get<object_list>(call))};
+}
+
+void run(claim_collector& collector, object_store& store, time_point now, std::int64_t wall_ms) {
+    while (const auto call = collector.poll(now, wall_ms)) {
+        collector.on_reply(execute(store, *call), now, wall_ms);
+    }
+}
+
+TEST(claim_collector, deletes_what_is_old_and_nothing_else) {
+    object_store store;
+    claim_options options;
+    const std::int64_t wall = 1000 * day_ms;
+    const std::int64_t limit =
+        wall - options.retention.count() - (2 * options.clock_margin.count());
+    for (int number = 0; number < 50; ++number) {
+        const claim_key key{"w", std::to_string(number), limit - (number * 1000000)};
+        const auto id = claim_object(key, options);
+        ASSERT_TRUE(store.put({id, store.get(id).version, "{}"}));
+    }
+    const claim_key fresh{"w", "fresh", wall};
+    ASSERT_TRUE(store.put({claim_object(fresh, options), 0, "{}"}));
+    claim_collector collector{options, milliseconds{60000}, 1};
+    run(collector, store, time_point{}, wall);
+    for (const auto& item : store.list({"claims", "", 0}).items) {
+        EXPECT_GE(*last_created_ms(item.id, options), limit);
+    }
+    EXPECT_GE(collector.collected(), 48U);
+    EXPECT_GT(store.get(claim_object(fresh, options)).version, 0U);
+}
+
+/// A book and a collector whose clocks are off by up to the margin, each its own way, and a write
+/// of the book that waits while the key ages and its object is collected.
+RC_GTEST_PROP(claim_collector_property, a_collected_key_is_never_granted_again, ()) {
+    claim_options options;
+    options.shards = 1;
+    options.retention = milliseconds{day_ms};
+    const auto margin = static_cast<int>(options.clock_margin.count());
+    const auto book_error = *rc::gen::inRange(-margin, margin + 1);
+    const auto collector_error = *rc::gen::inRange(-margin, margin + 1);
+    const std::int64_t created = 1000 * day_ms;
+    const claim_key key{"w", "k", created};
+    object_store store;
+    time_point now{};
+    const auto claim = [&](claim_book& book, request_id id, std::int64_t asked_at,
+                           std::int64_t collected_at, std::int64_t answered_at) {
+        book.request(key, id, 1, std::chrono::hours{100}, now, asked_at + book_error);
+        claim_collector collector{options, milliseconds{1}, 1};
+        bool is_collected = false;
+        for (int round = 0; round < 20; ++round) {
+            for (const auto& call : book.poll(now, asked_at + book_error)) {
+                if (std::holds_alternative<object_put>(call.call) && !is_collected) {
+                    is_collected = true;
+                    run(collector, store, now, collected_at + collector_error);
+                }
+                book.on_reply(call.number, execute(store, call.call), now,
+                              (is_collected ? answered_at : asked_at) + book_error);
+            }
+        }
+        const auto events = book.take_events();
+        return std::ranges::any_of(
+            events, [](const auto& event) { return std::holds_alternative<claim_granted>(event); });
+    };
+    claim_book first{1, options};
+    RC_ASSERT(claim(first, {1, 1}, created + margin, created + margin, created + margin));
+    first.settle(key, {1, 1}, outcome::done, 200, "", now);
+    now += std::chrono::seconds{1};
+    for (const auto& call : first.poll(now, created)) {
+        first.on_reply(call.number, execute(store, call.call), now, created);
+    }
+    // The object may be collected before the second book reads it, or between its read and write.
+    const auto asked = created + *rc::gen::inRange<std::int64_t>(0, day_ms + (4 * margin));
+    const auto before = created + *rc::gen::inRange<std::int64_t>(0, day_ms + (200 * margin));
+    if (before <= asked) {
+        claim_collector collector{options, milliseconds{1}, 1};
+        run(collector, store, now, before + collector_error);
+    }
+    const auto collected = asked + *rc::gen::inRange<std::int64_t>(0, 200 * margin);
+    const auto answered = collected + *rc::gen::inRange<std::int64_t>(0, 10);
+    claim_book second{2, options};
+    RC_ASSERT(!claim(second, {2, 1}, asked, collected, answered));
+}
+
+/// The least favourable case: a book whose clock is slow reads an absent object, and the one that
+/// granted first has collected it meanwhile.
+TEST(claim_collector, a_write_that_lands_after_the_collection_is_not_granted) {
+    claim_options options;
+    options.shards = 1;
+    const claim_key key{"w", "k", 1000 * day_ms};
+    const auto limit = key.created_ms + options.retention.count();
+    object_store store;
+    claim_book late{2, options};
+    const time_point now{};
+    late.request(key, {2, 1}, 1, std::chrono::hours{1}, now, limit);
+    const auto read = late.poll(now, limit);
+    ASSERT_EQ(read.size(), 1U);
+    late.on_reply(read.front().number, execute(store, read.front().call), now, limit);
+    const auto write = late.poll(now, limit);
+    ASSERT_EQ(write.size(), 1U);
+    // Another book claims, runs, and the object is collected; then the write lands.
+    late.on_reply(write.front().number, execute(store, write.front().call), now, limit + 1);
+    const auto events = late.take_events();
+    ASSERT_EQ(events.size(), 1U);
+    ASSERT_TRUE(std::holds_alternative<claim_failed>(events.front()));
+    EXPECT_EQ(std::get<claim_failed>(events.front()).failure.code, error_code::key_expired);
+    // Its record is taken back.
+    for (int round = 0; round < 4; ++round) {
+        for (const auto& call : late.poll(now, limit + 1)) {
+            late.on_reply(call.number, execute(store, call.call), now, limit + 1);
+        }
+    }
+    const auto left = decode_claims(store.get(claim_object(key, options)));
+    EXPECT_TRUE(left->records.empty());
+}
+
+} // namespace
+} // namespace magnolia
--- a/tests/contracts_test.cpp
+++ b/tests/contracts_test.cpp
@@ -99,7 +99,8 @@
         platform_budget budget;
         budget.timeout = milliseconds{200};
         client_.emplace(context_, endpoint{"127.0.0.1", platform_.port()}, budget, 1);
-        api_.emplace(*client_, settings_, [] { return std::int64_t{42}; }, 1);
+        api_.emplace(
+            *client_, settings_, [] { return std::int64_t{42}; }, 1);
         server_.emplace(context_, http_server_limits{},
                         [this](const http_request& request, const http_responder& responder) {
                             api_->handle(request, responder);
--- a/tools/magnolia-admin.cpp
+++ b/tools/magnolia-admin.cpp
@@ -23,7 +23,7 @@
 result<void> run(process& running, const admin_settings& settings) {
     duty serve{"admin"};
     platform_client platform{serve.context(), settings.process.platform,
-                             budget_of(settings.platform_share), running.boot()};
+                             budget_of(settings.platform_rates), running.boot()};
     admin_api api{platform, settings, wall_ms, running.boot()};
     http_server server{serve.context(),
                        {.max_body_bytes = config::max_object_bytes},
--- a/tools/magnoliactl.cpp
+++ b/tools/magnoliactl.cpp
@@ -170,7 +170,8 @@
     }
     std::cout << std::left << std::setw(32) << "workspace" << std::setw(10) << "version"
               << std::setw(10) << "state" << std::setw(12) << "urgency" << std::setw(20)
-              << "changed by" << "changed at, ms\n";
+              << "changed by"
+              << "changed at, ms\n";
     std::ranges::for_each(items, print_row);
 }
 
@@ -191,8 +192,8 @@
 
 outcome_of<json> put(const options& asked, const json& value, std::uint64_t version) {
     const auto workspace = value.at("workspace").get<std::string>();
-    return call(asked, "PUT",
-                path_of(workspace) + "?expected_version=" + std::to_string(version), value);
+    return call(asked, "PUT", path_of(workspace) + "?expected_version=" + std::to_string(version),
+                value);
 }
 
 /// Version that a change goes out from: the one given, or the present one.
@@ -213,9 +214,7 @@
     if (asked.version == 0) {
         return stop(exit_status::usage, "change needs --version, the version that it replaces");
     }
-    return put(asked, *value, asked.version).map([&](const json& item) {
-        print_one(asked, item);
-    });
+    return put(asked, *value, asked.version).map([&](const json& item) { print_one(asked, item); });
 }
 
 outcome_of<void> retire(const options& asked) {
@@ -346,15 +345,17 @@
     const auto old = is_new ? json::object() : without_audit(present->at("contract"));
     const auto changes = difference(old, without_audit(*value));
     std::cout << workspace << ": "
-              << (is_new ? "create\n" : changes.empty() ? "unchanged\n" : "change\n") << changes;
+              << (is_new            ? "create\n"
+                  : changes.empty() ? "unchanged\n"
+                                    : "change\n")
+              << changes;
     if (asked.is_dry_run || changes.empty()) {
         return {};
     }
     const auto done = is_new ? call(asked, "POST", "/v1/contracts", *value)
                              : put(asked, *value, present->at("version").get<std::uint64_t>());
-    return done.map([](const json& item) {
-        std::cout << "version " << item.at("version") << '\n';
-    });
+    return done.map(
+        [](const json& item) { std::cout << "version " << item.at("version") << '\n'; });
 }
 
 outcome_of<void> apply(const options& asked) {
@@ -438,8 +439,8 @@
     }
     options asked;
     asked.server = *server;
-    asked.key = parsed.count("key") > 0 ? parsed["key"].as<std::string>()
-                                        : environment("MAGNOLIA_KEY");
+    asked.key =
+        parsed.count("key") > 0 ? parsed["key"].as<std::string>() : environment("MAGNOLIA_KEY");
     const auto form = parsed["output"].as<std::string>();
     if (form != "json" && form != "table") {
         return stop(exit_status::usage, "--output is " + form + "; allowed: table, json");
@@ -477,9 +478,9 @@
 int main(int argc, char** argv) {
     cxxopts::Options known{"magnoliactl", "Writes, changes and retires contracts."};
     const auto server = environment("MAGNOLIA_SERVER");
-    known.add_options()("server", "administration API, ADDRESS:PORT; MAGNOLIA_SERVER",
-                        cxxopts::value<std::string>()->default_value(
-                            server.empty() ? "127.0.0.1:8090" : server))(
+    known.add_options()(
+        "server", "administration API, ADDRESS:PORT; MAGNOLIA_SERVER",
+        cxxopts::value<std::string>()->default_value(server.empty() ? "127.0.0.1:8090" : server))(
         "key", "operator's key; better given as MAGNOLIA_KEY",
         cxxopts::value<std::string>()->default_value(""))(
         "output", "table or json", cxxopts::value<std::string>()->default_value("table"))(
@@ -494,7 +495,7 @@
         if (parsed.count("help") > 0 || parsed.count("words") == 0) {
             std::cout << known.help() << commands_text();
             return static_cast<int>(parsed.count("help") > 0 ? exit_status::ok
-                                                              : exit_status::usage);
+                                                             : exit_status::usage);
         }
         return report(run(parsed));
     } catch (const std::exception& failure) {
