--- a/src/claims.h
+++ b/src/claims.h
@@ -71,7 +71,7 @@
     std::chrono::milliseconds bucket = config::claim_bucket;
     std::chrono::milliseconds clock_margin = config::clock_margin;
     /// Longest wait of an outcome for a write that it can share.
-    std::chrono::milliseconds settle_gather{200};
+    std::chrono::milliseconds settle_gather{1000};
     /// First and longest pause after a failed call.
     std::chrono::milliseconds first_pause{50};
     std::chrono::milliseconds longest_pause{1000};
--- a/src/conditional_write.cpp
+++ b/src/conditional_write.cpp
@@ -3,8 +3,9 @@
 namespace magnolia {
 namespace {
 
-/// Calls after which a write is given up, whatever time is left.
-constexpr std::uint32_t max_calls = 32;
+/// Calls after which a write is given up, whatever time is left. Calls that could not be sent
+/// count, so it is well above what the deadline allows.
+constexpr std::uint32_t max_calls = 1000;
 
 } // namespace
 
--- a/tests/contracts_test.cpp
+++ b/tests/contracts_test.cpp
@@ -98,6 +98,8 @@
         settings_.operators = {{"ana", key_hash("secret")}};
         platform_budget budget;
         budget.timeout = milliseconds{200};
+        budget.first_pause = milliseconds{1};
+        budget.longest_pause = milliseconds{20};
         client_.emplace(context_, endpoint{"127.0.0.1", platform_.port()}, budget, 1);
         api_.emplace(
             *client_, settings_, [] { return std::int64_t{42}; }, 1);
