--- a/src/admin_api.cpp
+++ b/src/admin_api.cpp
@@ -4,7 +4,6 @@
 #include "key_hash.h"
 
 #include <algorithm>
-#include <charconv>
 
 namespace magnolia {
 namespace {
@@ -56,14 +55,6 @@
                            : to_response(outcome.error()));
 }
 
-std::optional<std::uint64_t> number_parameter(std::string_view target, std::string_view name) {
-    const auto text = query_parameter(target, name);
-    std::uint64_t value = 0;
-    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), value);
-    const bool is_whole = failure == std::errc{} && end == text.data() + text.size();
-    return is_whole && !text.empty() ? std::optional{value} : std::nullopt;
-}
-
 result<contract> read_body(const http_request& request) {
     const auto document = json::parse(request.body, nullptr, false);
     if (document.is_discarded()) {
--- a/src/http_types.cpp
+++ b/src/http_types.cpp
@@ -6,6 +6,7 @@
 #include <boost/url/rfc/unreserved_chars.hpp>
 
 #include <algorithm>
+#include <charconv>
 #include <ranges>
 
 namespace magnolia {
@@ -39,6 +40,14 @@
     return {};
 }
 
+std::optional<std::uint64_t> number_parameter(std::string_view target, std::string_view name) {
+    const auto text = query_parameter(target, name);
+    std::uint64_t value = 0;
+    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), value);
+    const bool is_whole = failure == std::errc{} && end == text.data() + text.size();
+    return is_whole && !text.empty() ? std::optional{value} : std::nullopt;
+}
+
 std::string percent_encode(std::string_view text) {
     return boost::urls::encode(text, boost::urls::unreserved_chars);
 }
--- a/src/http_types.h
+++ b/src/http_types.h
@@ -1,6 +1,8 @@
 /// Plain HTTP messages, as the server and the client hand them to the other parts.
 #pragma once
 
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -46,6 +48,10 @@
 /// Decoded value of a query parameter of a target; empty if there is none.
 [[nodiscard]] std::string query_parameter(std::string_view target, std::string_view name);
 
+/// Query parameter that is a whole number; none if it is absent or malformed.
+[[nodiscard]] std::optional<std::uint64_t> number_parameter(std::string_view target,
+                                                            std::string_view name);
+
 /// Percent-encodes one path segment or query value.
 [[nodiscard]] std::string percent_encode(std::string_view text);
 
--- a/src/platform_wire.cpp
+++ b/src/platform_wire.cpp
@@ -5,7 +5,6 @@
 #include <boost/algorithm/string/predicate.hpp>
 
 #include <algorithm>
-#include <charconv>
 #include <optional>
 
 namespace magnolia {
@@ -69,16 +68,6 @@
     return {"POST", std::string{weight_path}, {}, dump({{"bytes", call.bytes}})};
 }
 
-std::optional<std::uint64_t> number_parameter(std::string_view target, std::string_view name) {
-    const auto text = query_parameter(target, name);
-    std::uint64_t value = 0;
-    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (text.empty() || failure != std::errc{} || end != text.data() + text.size()) {
-        return std::nullopt;
-    }
-    return value;
-}
-
 result<platform_call> decode_object_call(const http_request& request, std::string_view path) {
     const auto slash = path.find('/');
     const auto kind = percent_decode(path.substr(0, slash));
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -228,6 +228,9 @@
     EXPECT_EQ(target_path("/a/b?c=d"), "/a/b");
     EXPECT_EQ(query_parameter("/a?x=1&after=b%2Fc", "after"), "b/c");
     EXPECT_EQ(query_parameter("/a?x=1", "y"), "");
+    EXPECT_EQ(number_parameter("/a?x=12&y=1z&z=", "x"), 12U);
+    EXPECT_FALSE(number_parameter("/a?x=12&y=1z&z=", "y"));
+    EXPECT_FALSE(number_parameter("/a?x=12&y=1z&z=", "z"));
     EXPECT_EQ(percent_decode(percent_encode("a b/%ü")), "a b/%ü");
     EXPECT_EQ(percent_decode("%zz"), "%zz");
 }
