--- a/src/router.h
+++ b/src/router.h
@@ -52,7 +52,9 @@
     std::uint32_t token_count = 0;
 };
 
-/// Several engines hold the prompt together; the last one generates.
+/// Several engines hold the prompt together; the last one generates. A long prompt that fits one
+/// engine has one member: its memory is reserved first, so that it never waits inside an engine for
+/// memory that another reservation holds.
 struct group_route {
     std::vector<group_member> members;
     /// Engines of the same zones that could take over a member's share.
@@ -116,6 +118,10 @@
     void on_first_token(attempt_id id, time_point now);
     void on_ended(attempt_id id, bool succeeded, std::uint32_t generated_tokens, time_point now);
 
+    /// Ends an attempt that this entry gave up: its caller left, or another attempt took over. It
+    /// says nothing against the engine unless the first token was overdue.
+    void on_cancelled(attempt_id id, time_point now);
+
     /// Estimated tokens of a text for a model, corrected by what its engines counted.
     [[nodiscard]] std::uint32_t estimate_tokens(std::string_view model, std::size_t bytes) const;
 
