Collect old claims, wait for outcomes at a stop, tell cancels from failures

Cause: claim_collector was polled by no process, so claims were never deleted; a planned stop did not wait for outcomes that were still to be written; attempts that the entry itself gave up counted against the engine's breaker; the hash of a key stood twice. Change: the holder of a zone's lease collects; the stop waits while outcomes are unsettled, up to its bound; router::on_cancelled for own cancels; key_hash serves both.

--- a/include/magnolia/schema.h
+++ b/include/magnolia/schema.h
@@ -668,6 +668,11 @@
     std::chrono::milliseconds plan_interval{2000};
     /// Engines that load weights at once. [1..1000 engines]
     std::uint32_t max_loads{2};
+    /// Time for which an idempotency key is remembered; at least that of every entry.
+    /// [60000..2592000000 ms]
+    std::chrono::milliseconds claim_retention{86400000};
+    /// Time between two rounds of deleting claims that are too old. [1000..86400000 ms]
+    std::chrono::milliseconds claim_collect_interval{600000};
 
     bool operator==(const control_settings&) const = default;
 };
--- a/src/entry_completion.cpp
+++ b/src/entry_completion.cpp
@@ -171,7 +171,11 @@
     if (work->group) {
         return;
     }
-    router_.on_ended(record.attempt, succeeded, work->next_offset, at.now);
+    if (succeeded) {
+        router_.on_ended(record.attempt, true, work->next_offset, at.now);
+    } else {
+        router_.on_cancelled(record.attempt, at.now);
+    }
     note(event_kind::attempt_ended, record, router_.info(work->engine).name,
          succeeded ? "done" : "cancelled");
     if (!succeeded) {
--- a/src/entry_core.cpp
+++ b/src/entry_core.cpp
@@ -1,9 +1,7 @@
 #include "entry_core_p.h"
-
-#include <openssl/evp.h>
+#include "key_hash.h"
 
 #include <algorithm>
-#include <array>
 #include <ranges>
 
 namespace magnolia {
@@ -14,20 +12,6 @@
 
 } // namespace
 
-std::string hash_key(std::string_view key) {
-    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
-    unsigned length = 0;
-    EVP_Digest(key.data(), key.size(), digest.data(), &length, EVP_sha256(), nullptr);
-    static constexpr std::string_view digits = "0123456789abcdef";
-    std::string text;
-    text.reserve(std::size_t{2} * length);
-    for (const auto byte : std::span{digest}.first(length)) {
-        text += digits[byte >> 4U];
-        text += digits[byte & 15U];
-    }
-    return text;
-}
-
 // Construction and back ends.
 
 entry_core::state::state(entry_options options)
@@ -87,7 +71,7 @@
 // Admission, common to both kinds of work.
 
 result<const contract*> entry_core::state::authorize(const caller_identity& identity) const {
-    const auto owner = workspace_of_key_.find(hash_key(identity.key));
+    const auto owner = workspace_of_key_.find(key_hash(identity.key));
     if (owner == workspace_of_key_.end()) {
         return fail(error_code::unauthorized);
     }
@@ -415,6 +399,10 @@
     state_->abandon_all(at);
 }
 
+bool entry_core::has_unsettled() const {
+    return state_->claims_.has_unsettled();
+}
+
 std::size_t entry_core::open_requests() const {
     return state_->requests_.size();
 }
--- a/src/entry_core.h
+++ b/src/entry_core.h
@@ -98,6 +98,8 @@
     void abandon_all(event_time at);
     /// Requests that have not ended.
     [[nodiscard]] std::size_t open_requests() const;
+    /// Whether outcomes of orders wait to be recorded; a planned stop waits for them.
+    [[nodiscard]] bool has_unsettled() const;
 
     /// Commands since the last call, in order.
     [[nodiscard]] std::vector<entry_command> take_commands();
@@ -107,7 +109,4 @@
     std::unique_ptr<state> state_;
 };
 
-/// SHA-256 of a key in hexadecimal, as contracts hold it.
-[[nodiscard]] std::string hash_key(std::string_view key);
-
 } // namespace magnolia
--- a/src/entry_group.cpp
+++ b/src/entry_group.cpp
@@ -105,8 +105,10 @@
     if (work == nullptr || !work->group) {
         return;
     }
-    router_.on_ended(work->group_account, succeeded, work->next_offset, at.now);
-    if (!succeeded) {
+    if (succeeded) {
+        router_.on_ended(work->group_account, true, work->next_offset, at.now);
+    } else {
+        router_.on_cancelled(work->group_account, at.now);
         emit_all(work->group->cancel(at.now));
     }
     closing_groups_[record.id] = std::move(work->group);
--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -146,7 +146,8 @@
     entry_settings settings_;
     logger log_{"entry"};
     std::atomic<bool> is_congested_{false};
-    std::atomic<std::size_t> open_requests_{0};
+    /// Requests under way, and one more while outcomes wait to be recorded.
+    std::atomic<std::size_t> work_left_{0};
 
     duty callers_{"callers"};
     duty decisions_{"decisions"};
@@ -293,11 +294,11 @@
     static_cast<void>(decision_inbox_.push(stop_request{}));
     const auto give_up = steady_now() + settings_.stop_timeout;
     std::this_thread::sleep_for(stop_poll_period);
-    while (open_requests_.load() > 0 && steady_now() < give_up) {
+    while (work_left_.load() > 0 && steady_now() < give_up) {
         std::this_thread::sleep_for(stop_poll_period);
     }
-    if (open_requests_.load() > 0) {
-        log_.warn("Ends " + std::to_string(open_requests_.load()) +
+    if (work_left_.load() > 0) {
+        log_.warn("Ends " + std::to_string(work_left_.load()) +
                   " requests at the bound of the stop.");
         static_cast<void>(decision_inbox_.push(abandon_request{}));
     }
@@ -406,7 +407,7 @@
         std::visit([this](auto&& item) { carry_out(std::forward<decltype(item)>(item)); },
                    std::move(command));
     }
-    open_requests_.store(core_.open_requests());
+    work_left_.store(core_.open_requests() + (core_.has_unsettled() ? 1 : 0));
     metrics_.set_open_requests(core_.open_requests());
     is_congested_.store(to_callers_.is_blocked() || to_backends_.is_blocked() ||
                         to_platform_.is_blocked());
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -1,6 +1,7 @@
 /// Runs the scenarios of tests/scenarios/*.yaml. CONTRIBUTING.md describes the language: a line of
 /// `steps` says who does what when, a line of `expect` says what must hold. The oracle's promises
 /// hold in every scenario besides.
+#include "key_hash.h"
 #include "settings.h"
 #include "world.h"
 
@@ -76,7 +77,7 @@
     schema_reader reader{unknown_keys::reject};
     read(merged, reader, value);
     EXPECT_TRUE(reader.errors().empty()) << merged;
-    value.key_hashes = {hash_key(value.workspace + "-key")};
+    value.key_hashes = {key_hash(value.workspace + "-key")};
     return value;
 }
 
--- a/tests/world_fuzz_test.cpp
+++ b/tests/world_fuzz_test.cpp
@@ -1,5 +1,6 @@
 /// Random calls and faults over the whole decision code, judged by the oracle of the test world.
 /// RC_PARAMS sets seed and number of cases; scripts/fuzz runs it for longer and says how to replay.
+#include "key_hash.h"
 #include "world.h"
 
 #include <gtest/gtest.h>
@@ -71,7 +72,7 @@
     value.workspace = "shop";
     value.models = {"model"};
     value.services = {"orders"};
-    value.key_hashes = {hash_key("shop-key")};
+    value.key_hashes = {key_hash("shop-key")};
     value.deadlines = {{1'100'000, std::chrono::seconds{4}, std::chrono::seconds{10}}};
     return value;
 }
--- a/tools/magnolia-control.cpp
+++ b/tools/magnolia-control.cpp
@@ -1,5 +1,6 @@
 /// Control process of a zone: takes the zone's lease and orders what the platform's objects of kind
 /// engine want of each engine.
+#include "claim_collector.h"
 #include "duty.h"
 #include "engine_client.h"
 #include "fenced_orders.h"
@@ -37,6 +38,8 @@
     void on_wanted(const object_page& page);
     void read_status(time_point now);
     void step_orders(time_point now);
+    /// Deletes claims that are too old; only the holder of the lease does, to save calls.
+    void step_claims(time_point now);
     void send(const weight_request& request);
     void send(const engine_order& order);
     void note_holder(time_point now);
@@ -49,6 +52,7 @@
     engine_client engines_;
     lease lease_;
     fenced_orders orders_;
+    claim_collector claims_;
     std::map<std::string, engine_handle> names_;
     std::map<engine_handle, bool> is_asked_;
     boost::asio::steady_timer timer_;
@@ -58,6 +62,11 @@
     std::function<void()> stopped_;
 };
 
+std::int64_t wall_ms() {
+    const auto wall = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(wall).count();
+}
+
 lease_settings lease_of(const process& running, const control_settings& settings) {
     return {.name = "zone-" + settings.process.zone,
             .holder = settings.process.name,
@@ -80,7 +89,10 @@
     : running_{running}, settings_{settings},
       platform_{context, settings.process.platform, {}, running.boot()},
       engines_{context, client_of(settings)}, lease_{lease_of(running, settings)},
-      orders_{{.max_loads = settings.max_loads}}, timer_{context} {
+      orders_{{.max_loads = settings.max_loads}},
+      claims_{
+          {.retention = settings.claim_retention}, settings.claim_collect_interval, running.boot()},
+      timer_{context} {
     for (const auto& engine : settings.engines) {
         const engine_handle handle{static_cast<std::uint32_t>(names_.size())};
         names_.emplace(engine.name, handle);
@@ -95,6 +107,7 @@
         read_wanted(now);
         read_status(now);
         step_orders(now);
+        step_claims(now);
     }
     note_holder(now);
     if (stopped_ && (lease_.is_stopped() || !platform_.is_up())) {
@@ -109,6 +122,15 @@
     });
 }
 
+void controller::step_claims(time_point now) {
+    if (auto call = claims_.poll(now, wall_ms())) {
+        platform_.execute(std::move(*call), call_priority::status,
+                          [this](const result<platform_reply>& reply) {
+                              claims_.on_reply(reply, steady_now(), wall_ms());
+                          });
+    }
+}
+
 void controller::step_lease(time_point now) {
     if (auto call = lease_.poll(now)) {
         platform_.execute(
