Sampled routing decisions, and long prompts in small fleets

Cause: a decision looked at all 670 engines (mean 32 us, p99 69 us), and a group decision looked at them once a zone and sorted them. A scenario with four engines showed that a prompt of a million tokens was refused no_capacity for ever, since two of the four are kept for short prompts. Change: single decisions look at the own zone and about 64 engines of the others, and at all before any refusal; group decisions look once and sort only members and spares; the lateness ratio is cached; a group that cannot be formed otherwise borrows the kept engines.

--- a/src/outlier_ejection.cpp
+++ b/src/outlier_ejection.cpp
@@ -21,15 +21,16 @@
 
 void lateness::observe(double ratio) {
     const double bounded = std::log(std::clamp(ratio, 1 / largest_ratio, largest_ratio));
-    log_ratio_ += gain * (bounded - log_ratio_);
+    set_log_ratio(log_ratio_ + gain * (bounded - log_ratio_));
     ++samples_;
-    if (is_known() && std::exp(log_ratio_) < 1.5) {
+    if (is_known() && ratio_ < 1.5) {
         ejections_ = 0;
     }
 }
 
-double lateness::ratio() const {
-    return std::exp(log_ratio_);
+void lateness::set_log_ratio(double value) {
+    log_ratio_ = value;
+    ratio_ = std::exp(value);
 }
 
 bool lateness::is_known() const {
@@ -37,7 +38,7 @@
 }
 
 void lateness::reset() {
-    log_ratio_ /= 2;
+    set_log_ratio(log_ratio_ / 2);
     samples_ = 0;
 }
 
--- a/src/outlier_ejection.h
+++ b/src/outlier_ejection.h
@@ -14,7 +14,7 @@
     /// @param ratio  measured time over predicted time.
     void observe(double ratio);
     /// Typical ratio, 1 if as predicted.
-    [[nodiscard]] double ratio() const;
+    [[nodiscard]] double ratio() const { return ratio_; }
     [[nodiscard]] bool is_known() const;
     /// Forgets half, so that an engine that comes back is judged by new answers.
     void reset();
@@ -25,7 +25,11 @@
     void eject(time_point now);
 
 private:
+    void set_log_ratio(double value);
+
     double log_ratio_ = 0;
+    /// Power of log_ratio_; read on every prediction.
+    double ratio_ = 1;
     unsigned samples_ = 0;
     unsigned ejections_ = 0;
     time_point ejected_until_{};
--- a/src/route_decision.cpp
+++ b/src/route_decision.cpp
@@ -44,6 +44,8 @@
 constexpr std::size_t group_spares = 2;
 /// KV cache that an engine imports, tokens/s.
 constexpr double import_tokens_per_second = 400'000;
+/// Engines of other zones that a decision looks at, about.
+constexpr std::size_t sampled_engines = 64;
 constexpr duration shortest_retry = std::chrono::milliseconds{100};
 
 /// A prompt that would fill an engine is shared, so that shorter ones find memory there.
@@ -178,10 +180,25 @@
     return {{error_code::deadline_unreachable, std::string{context.query.model}, retry_after}};
 }
 
-route_decision router::state::decide_single(const route_context& context) {
+candidate router::state::choose(const route_context& context) {
     const auto policy = make_policy(policy_);
-    const auto best =
-        std::visit([&](const auto& chosen) { return chosen.choose(*this, context); }, policy);
+    return std::visit([&](const auto& chosen) { return chosen.choose(*this, context); }, policy);
+}
+
+candidate router::state::choose_sampled(const route_context& context) {
+    const auto count = context.model.engines.size();
+    auto sampled = context;
+    sampled.stride = std::max<std::size_t>(1, count / sampled_engines);
+    sampled.sample_start = context.model.next++;
+    const auto best = choose(sampled);
+    const bool is_good = best.engine.is_valid() && best.first_token <= context.first_token_in &&
+                         best.first_token + context.generation <= context.finish_in;
+    // Nothing is refused before every engine was looked at.
+    return is_good || sampled.stride == 1 ? best : choose(context);
+}
+
+route_decision router::state::decide_single(const route_context& context) {
+    const auto best = choose_sampled(context);
     if (!best.engine.is_valid()) {
         return route_refused{{error_code::no_capacity, std::string{context.query.model},
                               std::chrono::milliseconds{1000}}};
@@ -198,22 +215,19 @@
 }
 
 std::vector<member_option> router::state::member_options(const route_context& context,
-                                                         std::uint32_t zone) const {
+                                                         bool borrows_kept) const {
     std::vector<member_option> options;
+    options.reserve(context.model.engines.size());
     for (const auto handle : context.model.engines) {
         const auto& engine = engines_[handle.value];
-        const bool is_in_zone = zone == any_zone || engine.zone == zone;
-        if (!is_in_zone || !is_usable(engine, context.query, context.now)) {
-            continue;
-        }
-        if (engine.is_kept && settings_.size_classes) {
+        if (!is_usable(engine, context.query, context.now) ||
+            (engine.is_kept && settings_.size_classes && !borrows_kept)) {
             continue;
         }
         const double wait = wait_seconds(engine, context.urgency, context.now);
         const double left_to_others = (1 - group_fill) * engine.info.memory_tokens;
-        options.push_back({handle, wait, engine.free_memory - left_to_others});
+        options.push_back({handle, engine.zone, wait, engine.free_memory - left_to_others});
     }
-    std::ranges::sort(options, {}, &member_option::wait);
     return options;
 }
 
@@ -228,6 +242,10 @@
     if (chosen.size() < count) {
         return std::nullopt;
     }
+    // Only members and spares have to be in order.
+    const auto needed = std::min(chosen.size(), count + group_spares);
+    std::ranges::partial_sort(chosen, chosen.begin() + static_cast<std::ptrdiff_t>(needed), {},
+                              &member_option::wait);
     group_route group;
     group.engine_urgency = context.urgency;
     double ready = 0;
@@ -241,8 +259,7 @@
         group.members.push_back({chosen[index].engine, done, tokens});
         done += tokens;
     }
-    const auto spares = std::min(chosen.size(), count + group_spares);
-    for (std::size_t index = count; index < spares; ++index) {
+    for (std::size_t index = count; index < needed; ++index) {
         group.spares.push_back(chosen[index].engine);
     }
     group.predicted_first_token = to_duration(ready);
@@ -250,16 +267,16 @@
     return group;
 }
 
-std::optional<group_route> router::state::plan_group(const route_context& context,
-                                                     std::uint32_t zone) const {
-    const auto options = member_options(context, zone);
+std::optional<group_route>
+router::state::plan_group(const route_context& context,
+                          const std::vector<member_option>& options) const {
     const auto fewest = fewest_members(context);
     // Members that are free of other long prompts, so that groups do not wait for each other.
     auto fresh = options;
     std::erase_if(fresh, [&](const member_option& option) {
         return fewest > 1 && option.room < fresh_share * context.model.largest_memory;
     });
-    for (const auto& from : {fresh, options}) {
+    for (const auto& from : {std::span{std::as_const(fresh)}, std::span{options}}) {
         for (auto count = fewest; count <= std::min(2 * fewest, fewest + extra_members); ++count) {
             if (auto group = plan_group(context, from, count)) {
                 return group;
@@ -269,8 +286,9 @@
     return std::nullopt;
 }
 
-std::optional<group_route> router::state::plan_waiting_group(const route_context& context) const {
-    auto options = member_options(context, any_zone);
+std::optional<group_route>
+router::state::plan_waiting_group(const route_context& context,
+                                  std::vector<member_option> options) const {
     for (auto& option : options) {
         option.room = group_fill * engines_[option.engine.value].info.memory_tokens;
         option.wait += group_memory_wait;
@@ -278,19 +296,29 @@
     return plan_group(context, options, fewest_members(context));
 }
 
-route_decision router::state::decide_group(const route_context& context) {
+std::optional<group_route>
+router::state::best_group(const route_context& context,
+                          const std::vector<member_option>& options) const {
     std::optional<group_route> best;
     for (std::uint32_t zone = 0; zone < zones_.size(); ++zone) {
-        auto group = plan_group(context, zone);
+        auto in_zone = options;
+        std::erase_if(in_zone, [zone](const member_option& item) { return item.zone != zone; });
+        auto group = plan_group(context, in_zone);
         if (group && (!best || group->predicted_first_token < best->predicted_first_token)) {
             best = std::move(group);
         }
     }
     if (!best) {
-        best = plan_group(context, any_zone);
+        best = plan_group(context, options);
     }
+    return best ? best : plan_waiting_group(context, options);
+}
+
+route_decision router::state::decide_group(const route_context& context) {
+    auto best = best_group(context, member_options(context, false));
     if (!best) {
-        best = plan_waiting_group(context);
+        // Without the engines kept for short prompts a small fleet could never hold the longest.
+        best = best_group(context, member_options(context, true));
     }
     if (!best) {
         return route_refused{{error_code::no_capacity, std::string{context.query.model},
--- a/src/route_policies.cpp
+++ b/src/route_policies.cpp
@@ -114,9 +114,11 @@
     candidate any;
     candidate home;
     std::uint64_t home_weight = 0;
+    auto index = context.sample_start;
     for (const auto handle : context.model.engines) {
         const auto& engine = state.at(handle);
-        if (!state.is_usable(engine, context.query, context.now) ||
+        const bool is_sampled = engine.zone == 0 || index++ % context.stride == 0;
+        if (!is_sampled || !state.is_usable(engine, context.query, context.now) ||
             engine.info.memory_tokens < context.memory_tokens) {
             continue;
         }
--- a/src/router_p.h
+++ b/src/router_p.h
@@ -78,6 +78,10 @@
     /// Seconds from the first token to the end.
     double generation = 0;
     std::uint32_t memory_tokens = 0;
+    /// Looks at the own zone and every stride-th engine of the others; 1 looks at all.
+    std::size_t stride = 1;
+    /// First engine of the sample; another one with each decision.
+    std::size_t sample_start = 0;
 };
 
 /// A candidate with its prediction.
@@ -91,15 +95,13 @@
 /// An engine that could be a member of a group.
 struct member_option {
     engine_handle engine;
+    std::uint32_t zone = 0;
     /// Seconds until it comes to the prompt.
     double wait = 0;
     /// Tokens that it can take.
     double room = 0;
 };
 
-/// Stands for all zones.
-inline constexpr std::uint32_t any_zone = UINT32_MAX;
-
 class router::state {
 public:
     state(std::string zone, route_policy policy, std::uint64_t seed, route_settings settings);
@@ -138,19 +140,27 @@
     [[nodiscard]] double zone_seconds(const engine_record& engine) const;
     [[nodiscard]] candidate predict(const route_context& context, engine_handle handle,
                                     double cached) const;
+    [[nodiscard]] candidate choose(const route_context& context);
+    /// Best of the own zone and a sample of the others; of all engines if that one is late.
+    [[nodiscard]] candidate choose_sampled(const route_context& context);
     [[nodiscard]] route_decision decide_single(const route_context& context);
     [[nodiscard]] route_decision decide_group(const route_context& context);
-    /// Engines of a zone that could be members, those with the least work first.
+    /// Engines that could be members. @param borrows_kept  also those kept for short prompts.
     [[nodiscard]] std::vector<member_option> member_options(const route_context& context,
-                                                            std::uint32_t zone) const;
+                                                            bool borrows_kept) const;
+    /// Group in one zone if one suffices, else over zones, else one that waits for memory.
+    [[nodiscard]] std::optional<group_route>
+    best_group(const route_context& context, const std::vector<member_option>& options) const;
     /// Group with equal shares on `count` members.
     [[nodiscard]] std::optional<group_route> plan_group(const route_context& context,
                                                         std::span<const member_option> options,
                                                         std::size_t count) const;
-    [[nodiscard]] std::optional<group_route> plan_group(const route_context& context,
-                                                        std::uint32_t zone) const;
+    /// Group with as few members as the options allow.
+    [[nodiscard]] std::optional<group_route>
+    plan_group(const route_context& context, const std::vector<member_option>& options) const;
     /// Group for which memory has yet to become free.
-    [[nodiscard]] std::optional<group_route> plan_waiting_group(const route_context& context) const;
+    [[nodiscard]] std::optional<group_route>
+    plan_waiting_group(const route_context& context, std::vector<member_option> options) const;
     [[nodiscard]] route_refused refuse(const route_context& context, double best) const;
     void update_kept(model_record& model);
     /// Takes an attempt out of all accounts.
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -50,6 +50,23 @@
     EXPECT_EQ(refusal(query(1000)).code, error_code::model_unknown);
 }
 
+TEST_F(router_fixture, the_one_idle_engine_of_a_large_fleet_is_found_before_a_refusal) {
+    add(20);
+    add(600, "howrah");
+    const auto idle = made.find("howrah377");
+    for (unsigned index = 0; index < 620; ++index) {
+        if (engine_handle{index} != idle) {
+            const engine_load busy{64, 50, 5'000'000, memory, {}, host_state::live};
+            made.on_load(engine_handle{index}, busy, now);
+        }
+    }
+    for (int turn = 0; turn < 20; ++turn) {
+        const auto decision = made.decide(query(1000, 2s), now);
+        ASSERT_TRUE(std::holds_alternative<single_route>(decision));
+        EXPECT_EQ(std::get<single_route>(decision).engine, idle);
+    }
+}
+
 TEST_F(router_fixture, a_cold_start_admits_the_feasible_and_refuses_the_impossible) {
     add(4);
     EXPECT_TRUE(std::holds_alternative<single_route>(made.decide(query(4000, 2s), now)));
