--- a/src/cost_model.cpp
+++ b/src/cost_model.cpp
@@ -10,6 +10,8 @@
 constexpr double prior_per_token = 1.0 / 10'000;
 constexpr double prior_per_square = 2.0e-10;
 constexpr double prior_weight = 2.0;
+/// Weight, in samples, of the prior's speed against the speed seen.
+constexpr double speed_weight = 0.5;
 /// Share of the old sums that an observation keeps.
 constexpr double memory = 0.98;
 /// Largest learnt factor over or under the prior.
@@ -47,10 +49,21 @@
     solve();
 }
 
+double cost_model::speed_factor() const {
+    const double p1 = prior_per_token * token_scale;
+    const double p2 = prior_per_square * square_scale;
+    const double seen = p1 * sum_1t_ + p2 * sum_2t_;
+    const double expected = p1 * p1 * sum_11_ + 2 * p1 * p2 * sum_12_ + p2 * p2 * sum_22_;
+    const double factor = (seen + speed_weight) / (expected + speed_weight);
+    return std::clamp(factor, 1 / learnt_range, learnt_range);
+}
+
 void cost_model::solve() {
-    // Ridge towards the prior, in relative units like the samples.
-    const double prior_1 = prior_per_token * token_scale;
-    const double prior_2 = prior_per_square * square_scale;
+    // Ridge towards the prior at the speed seen so far, in relative units like the samples: an
+    // engine that is fast at short prompts is fast at long ones too, before any was seen.
+    const double speed = speed_factor();
+    const double prior_1 = speed * prior_per_token * token_scale;
+    const double prior_2 = speed * prior_per_square * square_scale;
     const double ridge_1 = prior_weight / (prior_1 * prior_1);
     const double ridge_2 = prior_weight / (prior_2 * prior_2);
     const double a = sum_11_ + ridge_1;
--- a/src/cost_model.h
+++ b/src/cost_model.h
@@ -31,6 +31,8 @@
 
 private:
     void solve();
+    /// Time seen over time by the prior, for all prompts together.
+    [[nodiscard]] double speed_factor() const;
 
     double per_token_ = 1.0 / 10'000;
     double per_square_ = 2.0e-10;
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -67,6 +67,24 @@
     }
 }
 
+TEST_F(router_fixture, fast_engines_are_known_to_be_fast_at_long_prompts_after_short_ones) {
+    add(4);
+    const auto long_prompt = query(300'000, 20s);
+    EXPECT_EQ(refusal(long_prompt).code, error_code::deadline_unreachable);
+    for (int turn = 0; turn < 20; ++turn) {
+        const auto value = query(4000);
+        const auto engine = start(value);
+        made.on_accepted({value.request, 1}, 4000, 0, now);
+        now += 100ms;
+        made.on_first_token({value.request, 1}, now);
+        made.on_ended({value.request, 1}, true, 100, now + 2s);
+        made.on_load(engine, {.free_memory_tokens = memory}, now + 2s);
+        now += 5s;
+    }
+    const auto decision = made.decide(long_prompt, now);
+    ASSERT_TRUE(std::holds_alternative<group_route>(decision)) << to_string(refusal(long_prompt));
+}
+
 TEST_F(router_fixture, a_cold_start_admits_the_feasible_and_refuses_the_impossible) {
     add(4);
     EXPECT_TRUE(std::holds_alternative<single_route>(made.decide(query(4000, 2s), now)));
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -117,6 +117,10 @@
         EXPECT_EQ(w.engine_executions(call.request), line["executions"].get<std::uint32_t>())
             << line;
     }
+    if (line.contains("first_token_by")) {
+        ASSERT_TRUE(call.first_token) << line;
+        EXPECT_LE(*call.first_token, moment(line["first_token_by"])) << line;
+    }
     if (line.contains("ended_by")) {
         ASSERT_TRUE(call.ended) << line;
         EXPECT_LE(*call.ended, moment(line["ended_by"])) << line;
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -16,6 +16,8 @@
 constexpr duration tick_period = std::chrono::milliseconds{5};
 /// Time that a broken connection takes to be seen.
 constexpr duration break_delay = std::chrono::milliseconds{2};
+/// Time until the other entries know that one has died.
+constexpr duration member_lag = std::chrono::seconds{3};
 /// Execution of a service call.
 constexpr duration service_time = std::chrono::milliseconds{10};
 /// Allowed time between a deadline and the answer that it passed: a tick and two network delays.
@@ -160,8 +162,20 @@
     for (const auto& [workspace, item] : contracts_) {
         target.core->put_contract(item.first, item.second, time());
     }
-    target.core->set_members({{target.options.name, target.options.zone, host_state::live}}, false,
-                             time());
+    tell_members();
+}
+
+void world::tell_members() {
+    std::vector<limit_member> members;
+    for (const auto& [name, item] : entries_) {
+        const auto state = item->core ? host_state::live : host_state::gone;
+        members.push_back({name, item->options.zone, state});
+    }
+    for (auto& [name, item] : entries_) {
+        if (item->core) {
+            item->core->set_members(members, false, time());
+        }
+    }
 }
 
 void world::add_entry(const std::string& name, const std::string& zone) {
@@ -328,6 +342,7 @@
         extend_deadlines(name, target.paused_at);
     }
     target.core.reset();
+    after(member_lag, [this] { tell_members(); });
     // The callers' connections break; what had not ended is unknown to them.
     for (auto& [call_name, call] : calls_) {
         if (call.entry == name && !call.ended) {
--- a/tests/world.h
+++ b/tests/world.h
@@ -103,6 +103,7 @@
     [[nodiscard]] duration network_delay();
     [[nodiscard]] event_time time() const;
     void start_entry(entry& target);
+    void tell_members();
     void flush(entry& target);
     void run(entry& source, const caller_command& command);
     void run(entry& source, const engine_command& command);
