Tell the limiter of members only when they change

Cause: the running entry passed its members to the limiter every 50 ms and after each message, and each time the keeper's pools of every contract were set up anew. Change: only a changed view is passed on, and a message waits for the next look at the exchange.

--- a/src/entry_exchange.h
+++ b/src/entry_exchange.h
@@ -19,6 +19,8 @@
     bool is_cut_off = false;
     /// The lease of the configuration has lapsed: contracts whose rule is to refuse are refused.
     bool is_lapsed = false;
+
+    bool operator==(const exchange_view&) const = default;
 };
 
 /// One entry's exchange. Not thread-safe.
--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -338,7 +338,6 @@
     const auto now = current_time();
     exchange_.on_message(event.from, event.message, now.now);
     core_.handle_message(event.from, event.message, now);
-    exchange(now);
 }
 
 void entry_server::state::on(const stop_request& /*event*/) {
@@ -370,6 +369,9 @@
 }
 
 void entry_server::state::take_view(exchange_view view, event_time at) {
+    if (view == view_) {
+        return;
+    }
     core_.set_members(view.members, view.is_cut_off, at);
     core_.set_config_lapsed(view.is_lapsed);
     metrics_.set_members(view.members.size(), view.is_cut_off, view.is_lapsed);
--- a/src/limit_view.h
+++ b/src/limit_view.h
@@ -17,6 +17,8 @@
     std::string name;
     std::string zone;
     host_state state = host_state::live;
+
+    bool operator==(const limit_member&) const = default;
 };
 
 /// The limits of one contract that are enforced.
--- a/src/limiter.h
+++ b/src/limiter.h
@@ -44,7 +44,7 @@
     void put_contract(const contract& value, std::uint64_t version, time_point now);
 
     /// Members as this entry sees them, itself included, and whether the own zone is cut off from
-    /// the others.
+    /// the others. Costs a step for each contract; call it when something has changed.
     void set_members(const std::vector<limit_member>& members, bool is_cut_off, time_point now);
 
     /// Takes one request's worth from the local share, or says how long to wait for a larger one.
