Ask keepers for what is short after the older grant has gone back

Ruled out: lost messages, the start's number, members passed on too often. Change: the need is counted against the batch that stays; a request behind a renewal is looked at again when its grant comes.

--- a/src/limit_share.cpp
+++ b/src/limit_share.cpp
@@ -18,7 +18,7 @@
     number_ = number;
     is_waiting_ = true;
     asked_at_ = now;
-    asked_need_ = sum(wanted, held(now));
+    asked_need_ = sum(wanted, kept(now));
     return {std::string{workspace},       number_, received_, lost, boot, wanted, extra, demand,
             std::exchange(returned_, {}), slots,   under_way_};
 }
@@ -77,6 +77,10 @@
     return all;
 }
 
+limit_amounts limit_source::kept(time_point now) const {
+    return now < batches_[1].until ? batches_[1].amounts : limit_amounts{};
+}
+
 void limit_source::put_back(const limit_amounts& unused, time_point now) {
     expire(now);
     returned_ = sum(returned_, unused);
--- a/src/limit_share.h
+++ b/src/limit_share.h
@@ -34,6 +34,8 @@
     void expire(time_point now);
 
     [[nodiscard]] limit_amounts held(time_point now) const;
+    /// Amounts of these that stay when the next grant comes; the older batch goes back then.
+    [[nodiscard]] limit_amounts kept(time_point now) const;
     [[nodiscard]] std::uint32_t slots(time_point now) const {
         return now < slots_until_ ? slots_ : 0U;
     }
--- a/src/limiter.cpp
+++ b/src/limiter.cpp
@@ -298,11 +298,11 @@
              limit_source& source, const limit_amounts& needed, time_point now) {
         decay_demand(share, now);
         const auto extra =
-            excess(scaled(share.demand, fill_seconds), sum(source.held(now), needed));
+            excess(scaled(share.demand, fill_seconds), sum(source.kept(now), needed));
         const bool is_frequent = share.demand.requests * fill_seconds >= 1;
         const auto headroom = static_cast<std::uint32_t>(share.demand.requests * fill_seconds);
         const auto more_slots = std::max(share.waiting, headroom);
-        const auto demand = source.ask(workspace, boot_, excess(needed, source.held(now)),
+        const auto demand = source.ask(workspace, boot_, excess(needed, source.kept(now)),
                                        is_frequent ? extra : limit_amounts{}, share.demand,
                                        more_slots, ++next_number_, now);
         share.waiting = 0;
@@ -394,7 +394,9 @@
         }
         auto& share = found->second;
         auto& source = from == share.names.keeper ? share.keeper : share.standby;
-        if (source.on_grant(message, now)) {
+        const bool has_grown = source.on_grant(message, now);
+        // A request that came behind a renewal has not been asked for yet.
+        if (has_grown || now < share.waiting_until) {
             changed_.insert(message.workspace);
         }
     }
--- /dev/null
+++ b/tests/limits_world_test.cpp
@@ -0,0 +1,66 @@
+/// Limits over several entries in the whole decision code: far below its contract no request waits.
+#include "key_hash.h"
+#include "world.h"
+
+#include <gtest/gtest.h>
+
+namespace magnolia::testing {
+namespace {
+
+constexpr std::size_t entry_count = 6;
+constexpr std::size_t engine_count = 20;
+constexpr std::size_t workspace_count = 10;
+constexpr int calls = 500;
+/// Arrivals, calls/s.
+constexpr double rate = 30;
+
+contract roomy_contract(const std::string& workspace) {
+    contract value;
+    value.workspace = workspace;
+    value.models = {"model"};
+    value.key_hashes = {key_hash(workspace + "-key")};
+    value.requests_per_second = 1000;
+    value.request_burst = 1000;
+    value.prompt_tokens_per_second = 1e7;
+    value.prompt_token_burst = 2e7;
+    value.generated_tokens_per_second = 1e5;
+    value.generated_token_burst = 1e6;
+    value.concurrency = 1000;
+    value.deadlines = {{4000, std::chrono::seconds{2}, std::chrono::seconds{20}}};
+    return value;
+}
+
+TEST(limits_world, no_request_far_below_its_contract_waits_for_a_share) {
+    constexpr std::array<const char*, 3> zones{"salt-lake", "howrah", "new-town"};
+    world w{5};
+    for (std::size_t index = 0; index < entry_count; ++index) {
+        w.add_entry("e" + std::to_string(index), zones[index % zones.size()]);
+    }
+    for (std::size_t index = 0; index < engine_count; ++index) {
+        fakes::engine_model_settings settings;
+        settings.name = "g" + std::to_string(index);
+        settings.seed = index;
+        w.add_engine(settings, zones[index % zones.size()]);
+    }
+    for (std::size_t index = 0; index < workspace_count; ++index) {
+        w.put_contract(roomy_contract("ws" + std::to_string(index)));
+    }
+    std::mt19937_64 random{1};
+    std::exponential_distribution<double> gap{rate};
+    auto next = time_point{std::chrono::seconds{5}};
+    for (int call = 0; call < calls; ++call) {
+        w.run_until(next);
+        w.ask("call " + std::to_string(call), "e" + std::to_string(random() % entry_count),
+              "ws" + std::to_string(random() % workspace_count), "model", 1000, 32);
+        next += std::chrono::duration_cast<duration>(std::chrono::duration<double>{gap(random)});
+    }
+    w.run_until(next + std::chrono::seconds{10});
+    for (const auto& [name, call] : w.calls()) {
+        EXPECT_EQ(call.result, outcome::done) << name;
+        ASSERT_TRUE(call.first_token) << name;
+        EXPECT_LT(*call.first_token - call.asked, std::chrono::milliseconds{300}) << name;
+    }
+}
+
+} // namespace
+} // namespace magnolia::testing
