Format

Cause: a line of entry_core.cpp was changed by a script after the formatter had run. Change: formatted. Measured: the formatter is clean on the whole tree. Conclusion: no change of behaviour.

--- a/src/entry_core.cpp
+++ b/src/entry_core.cpp
@@ -16,8 +16,8 @@
 
 entry_core::state::state(entry_options options)
     : options_{std::move(options)}, router_{options_.zone, options_.policy, options_.seed},
-      limiter_{options_.name, options_.zone, options_.origin}, claims_{options_.origin, options_.claim_retention},
-      random_{options_.seed} {}
+      limiter_{options_.name, options_.zone, options_.origin},
+      claims_{options_.origin, options_.claim_retention}, random_{options_.seed} {}
 
 engine_handle entry_core::state::put_engine(const engine_info& info, event_time at) {
     return router_.put_engine(info, at.now);
