--- a/include/magnolia/schema.h
+++ b/include/magnolia/schema.h
@@ -97,6 +97,20 @@
 /// Name of the value as written in settings and messages.
 [[nodiscard]] std::string_view to_string(engine_role value);
 
+/// How a gateway chooses the backend server of a request.
+enum class placement_policy : std::uint8_t {
+    /// Each in turn.
+    round_robin,
+    /// The one with the fewest requests of this host.
+    least_outstanding,
+    /// The one where the least value is lost: by the request itself, and by the streams that its
+    /// reading would hold up.
+    pause_aware,
+};
+
+/// Name of the value as written in settings and messages.
+[[nodiscard]] std::string_view to_string(placement_policy value);
+
 /// State of a host or a back end as the members see it.
 enum class host_state : std::uint8_t {
     /// Takes new work.
@@ -142,6 +156,8 @@
     not_found,
     /// Longer than the contract or the process allows. (413)
     too_large,
+    /// The header of a request is longer than the bound. (431)
+    header_too_large,
     /// The body did not arrive in time. (408)
     slow_body,
     /// The contract's request rate is used up. (429)
@@ -359,7 +375,7 @@
 void to_json(nlohmann::json& out, const contract& value);
 void read(const nlohmann::json& in, schema_reader& reader, contract& value);
 
-/// Address of a listener or a peer.
+/// Address of a listener or a peer; also as text, ADDRESS:PORT.
 struct endpoint {
     /// IP number. [2..45 characters]
     std::string address{"127.0.0.1"};
@@ -485,6 +501,54 @@
 void to_json(nlohmann::json& out, const entry_settings& value);
 void read(const nlohmann::json& in, schema_reader& reader, entry_settings& value);
 
+/// Bound on requests that are sent to a further backend server, over all hosts of a deployment.
+struct retry_settings {
+    /// Further sends per request of a service in a window. [0..1]
+    double ratio{0.2};
+    /// Length of the window. [0.1..3600 s]
+    double window_s{10};
+    /// Further sends in a window without any request. [0..1000000 sends]
+    double slack{100};
+
+    bool operator==(const retry_settings&) const = default;
+};
+
+void to_json(nlohmann::json& out, const retry_settings& value);
+void read(const nlohmann::json& in, schema_reader& reader, retry_settings& value);
+
+/// Settings of magnolia-gateway.
+struct gateway_settings {
+    /// Common settings; `platform` is the object API.
+    process_settings process{};
+    /// Listener towards callers.
+    endpoint listen{};
+    /// Listener of the readiness check.
+    endpoint readiness{};
+    /// UDP address for the exchange of placements with other gateways.
+    endpoint peer_listen{};
+    /// Choice of backend servers.
+    placement_policy policy{placement_policy::pause_aware};
+    /// Bound on further sends.
+    retry_settings retry{};
+    /// Time from a planned stop's signal to the end of the process. [0.5..86400 s]
+    double stop_timeout_s{8};
+    /// Time within which a lost connection to the platform has to be found and replaced.
+    /// [100..600000 ms]
+    std::chrono::milliseconds contact_ms{3000};
+    /// Time after which memory that is still reserved for an ended request counts as leaked;
+    /// reservations are held for less. [500..600000 ms]
+    std::chrono::milliseconds late_reservation_ms{4000};
+    /// Longest time for which an engine reserves memory. [500..600000 ms]
+    std::chrono::milliseconds max_reservation_ms{20000};
+    /// Memory for request bodies under way. [1048576..17179869184 bytes]
+    std::uint64_t body_memory{33554432};
+
+    bool operator==(const gateway_settings&) const = default;
+};
+
+void to_json(nlohmann::json& out, const gateway_settings& value);
+void read(const nlohmann::json& in, schema_reader& reader, gateway_settings& value);
+
 /// Settings of magnolia-timeline.
 struct timeline_settings {
     /// Common settings; its own `timeline` stays off.
@@ -1103,12 +1167,64 @@
 void to_json(nlohmann::json& out, const backend_state_message& value);
 void read(const nlohmann::json& in, schema_reader& reader, backend_state_message& value);
 
+/// Work that a gateway placed on an engine.
+struct placed_work {
+    /// Id of the engine.
+    std::string backend{};
+    /// Number of the work among those of the sender's start.
+    std::uint64_t number{0};
+    /// Time of the engine to read its part of the prompt. [us]
+    std::uint32_t read_us{0};
+    /// KV memory that is taken. [tokens]
+    std::uint32_t memory_tokens{0};
+    /// Context that each step pays for. [tokens]
+    std::uint32_t context_tokens{0};
+    /// Expected length of the answer. [tokens]
+    std::uint32_t answer_tokens{0};
+    /// Whether the answer is written there.
+    bool writes{true};
+    /// Time to the first event that counts as met. [ms]
+    std::chrono::milliseconds target_latency{0};
+    /// Longest pause that counts as met; 0 if none is stated. [ms]
+    std::chrono::milliseconds target_pause{0};
+    /// Value at stake, thousandths.
+    std::uint32_t value_milli{0};
+
+    bool operator==(const placed_work&) const = default;
+};
+
+void to_json(nlohmann::json& out, const placed_work& value);
+void read(const nlohmann::json& in, schema_reader& reader, placed_work& value);
+
+/// What a gateway placed and what has ended; sent to every other gateway.
+struct work_news {
+    /// Name of the sender.
+    std::string sender{};
+    /// Random number of the sender's start.
+    std::uint64_t origin{0};
+    /// Work placed since the last news.
+    std::vector<placed_work> placed{};
+    /// Numbers of work whose first event came.
+    std::vector<std::uint64_t> begun{};
+    /// Numbers of work that ended.
+    std::vector<std::uint64_t> ended{};
+    /// Whether `open` is filled.
+    bool is_digest{false};
+    /// Numbers of all work under way; other work of the sender has ended.
+    std::vector<std::uint64_t> open{};
+
+    bool operator==(const work_news&) const = default;
+};
+
+void to_json(nlohmann::json& out, const work_news& value);
+void read(const nlohmann::json& in, schema_reader& reader, work_news& value);
+
 /// Any message between two processes of the system.
 using peer_message =
     std::variant<hello_message, ping_message, ack_message, ping_request_message,
                  member_list_request, member_list_message, limit_demand, limit_grant, limit_borrow,
                  limit_loan, config_poll, config_answer, config_buckets, config_versions,
-                 config_fetch, config_contracts, backend_state_message>;
+                 config_fetch, config_contracts, backend_state_message, work_news>;
 
 /// Number of the message's type in a frame; numbers are never used again.
 [[nodiscard]] std::uint16_t message_number(const peer_message& message);
--- a/scripts/generate.py
+++ b/scripts/generate.py
@@ -143,6 +143,7 @@
         member = f"encode(value.{field['name']})"
         out.append(f"    out.push_back({member});" if form == "array" else f"    out[\"{field['name']}\"] = {member};")
     out += ["}", "", f"void read(const nlohmann::json& in, schema_reader& reader, {name}& value) {{",
+            *([f"    if (read_text(in, value)) {{", "        return;", "    }"] if struct.get("text") else []),
             f"    if (!reader.expect_{form}(in)) {{", "        return;", "    }"]
     for index, field in enumerate(struct["fields"]):
         out += field_read(struct, index, field)
--- /dev/null
+++ b/src/attempt_policy.cpp
@@ -0,0 +1,52 @@
+#include "attempt_policy.h"
+
+#include <algorithm>
+
+namespace magnolia {
+namespace {
+
+/// Connections that may fail to open before the request is given up.
+constexpr std::uint32_t max_unsent = 4;
+/// Less time is not enough for another attempt.
+constexpr duration least_time = std::chrono::milliseconds{20};
+/// Callers wait this long for the next event in any case.
+constexpr duration least_patience = std::chrono::seconds{2};
+constexpr int patience_latencies = 4;
+constexpr int patience_pauses = 8;
+/// Share of the callers' patience after which a silent stream is moved; a second backend server
+/// then has the rest to read the prompt again.
+constexpr double moved_share = 0.45;
+/// Silence of a plain request before it is sent again, in target latencies.
+constexpr int silent_latencies = 2;
+constexpr duration least_silence = std::chrono::milliseconds{200};
+
+} // namespace
+
+next_step decide_after_failure(const failed_attempt& attempt) {
+    const bool is_proved_unrun = attempt.evidence != run_evidence::in_doubt;
+    const bool may_run_again = is_proved_unrun || attempt.repeat != repeat_rule::never;
+    const bool can_continue =
+        !attempt.has_begun_answer || attempt.repeat == repeat_rule::continued;
+    const bool has_sends_left = attempt.sends < attempt.max_sends && attempt.unsent < max_unsent;
+    if (may_run_again && can_continue && has_sends_left && attempt.time_left > least_time) {
+        return next_step::send_again;
+    }
+    if (attempt.has_begun_answer) {
+        return next_step::break_off;
+    }
+    return is_proved_unrun && !attempt.is_earlier_in_doubt ? next_step::tell_not_run
+                                                           : next_step::tell_failed;
+}
+
+duration stream_silence_limit(const route_info& route) {
+    const duration patience =
+        std::max({least_patience, duration{route.target_latency} * patience_latencies,
+                  duration{route.target_pause} * patience_pauses});
+    return std::chrono::duration_cast<duration>(patience * moved_share);
+}
+
+duration answer_silence_limit(const route_info& route) {
+    return std::max(least_silence, duration{route.target_latency} * silent_latencies);
+}
+
+} // namespace magnolia
--- /dev/null
+++ b/src/attempt_policy.h
@@ -0,0 +1,55 @@
+/// Decides what becomes of a request after an attempt on a backend server has failed.
+#pragma once
+
+#include "forward_types.h"
+
+namespace magnolia {
+
+/// What is certain about the run of a failed attempt.
+enum class run_evidence : std::uint8_t {
+    /// No byte of the request was sent: no backend server has it.
+    not_sent,
+    /// The backend server proved that it has not run it.
+    refused,
+    /// It may have run.
+    in_doubt,
+};
+
+/// An attempt that failed, and the request it belongs to.
+struct failed_attempt {
+    repeat_rule repeat = repeat_rule::never;
+    run_evidence evidence = run_evidence::in_doubt;
+    /// Whether any earlier attempt of the request is in doubt.
+    bool is_earlier_in_doubt = false;
+    /// Whether part of the answer has gone to the caller.
+    bool has_begun_answer = false;
+    /// Backend servers that bytes were sent to, this one included.
+    std::uint32_t sends = 0;
+    std::uint32_t max_sends = 1;
+    /// Attempts that ended before anything was sent, this one included.
+    std::uint32_t unsent = 0;
+    /// Time until which an answer is of use.
+    duration time_left{0};
+};
+
+enum class next_step : std::uint8_t {
+    /// Another backend server may be asked, if the retry budget allows it.
+    send_again,
+    /// The caller is told that nothing has run and nothing will.
+    tell_not_run,
+    /// The caller is told that it failed; it may have run.
+    tell_failed,
+    /// The answer has begun and cannot be completed: it is broken off visibly.
+    break_off,
+};
+
+[[nodiscard]] next_step decide_after_failure(const failed_attempt& attempt);
+
+/// Silence of a stream after which the backend server is taken for lost: well before callers give
+/// the stream up, which they do after the longest of 2 s, four target latencies and eight target
+/// pauses.
+[[nodiscard]] duration stream_silence_limit(const route_info& route);
+/// Silence of a request that may be repeated after which another backend server is asked.
+[[nodiscard]] duration answer_silence_limit(const route_info& route);
+
+} // namespace magnolia
--- /dev/null
+++ b/src/backend_fleet.cpp
@@ -0,0 +1,406 @@
+#include "backend_fleet.h"
+
+#include <algorithm>
+#include <ranges>
+
+namespace magnolia {
+namespace {
+
+/// Weight of the last attempt in the share of failed ones.
+constexpr double failure_weight = 0.2;
+/// Failure shares fade by this factor with each success.
+constexpr double success_weight = 0.1;
+/// Most work of one other gateway that is kept.
+constexpr std::size_t max_remote_jobs = 4096;
+
+double to_ms(std::uint32_t us) {
+    return static_cast<double>(us) / 1000;
+}
+
+} // namespace
+
+backend_fleet::backend_fleet(std::string zone, std::uint64_t origin, placement_policy policy)
+    : zone_{std::move(zone)}, origin_{origin}, placement_{make_placement(policy)},
+      random_{origin} {}
+
+void backend_fleet::set_services(const std::vector<service_info_entry>& services) {
+    figures_.clear();
+    for (const auto& service : services) {
+        if (service.engine) {
+            figures_.emplace(service.name, *service.engine);
+        }
+    }
+    std::ranges::for_each(backends_ | std::views::values,
+                          [this](auto& item) { apply_figures(item); });
+}
+
+void backend_fleet::apply_figures(record& item) {
+    const auto found = figures_.find(item.info.service);
+    if (found == figures_.end()) {
+        item.forecast.reset();
+    } else if (item.forecast) {
+        item.forecast->set_figures(found->second);
+    } else {
+        item.forecast.emplace(found->second);
+    }
+}
+
+void backend_fleet::replace_all(const std::vector<backend_info>& backends, duration grace,
+                                time_point now) {
+    std::set<std::string_view> listed;
+    for (const auto& backend : backends) {
+        listed.insert(backend.id);
+        put(backend, now);
+    }
+    for (auto& [id, item] : backends_) {
+        if (!listed.contains(id) && !item.leaves_at) {
+            item.leaves_at = now + grace;
+        }
+    }
+    drop_expired(now);
+}
+
+void backend_fleet::put(const backend_info& backend, time_point now) {
+    auto found = backends_.find(backend.id);
+    const bool is_other_start = found != backends_.end() &&
+                                (found->second.info.started_ms != backend.started_ms ||
+                                 found->second.info.address != backend.address ||
+                                 found->second.info.service != backend.service);
+    if (is_other_start) {
+        backends_.erase(found);
+        found = backends_.end();
+    }
+    if (found == backends_.end()) {
+        found = backends_.emplace(backend.id, record{}).first;
+    }
+    auto& item = found->second;
+    item.info = backend;
+    item.leaves_at.reset();
+    apply_figures(item);
+    drop_expired(now);
+}
+
+void backend_fleet::remove(const std::string& id, duration grace, time_point now) {
+    if (auto* item = find(id); item != nullptr && !item->leaves_at) {
+        item->leaves_at = now + grace;
+    }
+    drop_expired(now);
+}
+
+void backend_fleet::set_gone(const std::string& id) {
+    if (auto* item = find(id)) {
+        item->is_gone = true;
+    }
+}
+
+void backend_fleet::drop_expired(time_point now) {
+    std::erase_if(backends_, [now](const auto& entry) {
+        return entry.second.leaves_at && *entry.second.leaves_at <= now;
+    });
+}
+
+backend_fleet::record* backend_fleet::find(const std::string& id) {
+    const auto found = backends_.find(id);
+    return found == backends_.end() ? nullptr : &found->second;
+}
+
+bool backend_fleet::is_usable(const record& item, time_point now) const {
+    const bool is_listed = !item.leaves_at || *item.leaves_at > now;
+    return is_listed && !item.info.is_leaving && !item.is_gone;
+}
+
+std::vector<backend_fleet::record*>
+backend_fleet::candidates(std::string_view service, const std::vector<std::string>& tried,
+                          time_point now) {
+    drop_expired(now);
+    std::vector<record*> usable;
+    for (auto& item : backends_ | std::views::values) {
+        if (item.info.service == service && is_usable(item, now)) {
+            usable.push_back(&item);
+        }
+    }
+    const auto narrow = [&usable](auto&& keeps) {
+        std::vector<record*> kept;
+        std::ranges::copy_if(usable, std::back_inserter(kept), keeps);
+        if (!kept.empty()) {
+            usable = std::move(kept);
+        }
+    };
+    narrow([&](const record* item) {
+        return std::ranges::find(tried, item->info.id) == tried.end();
+    });
+    narrow([now](const record* item) { return item->failures.allows(now); });
+    return usable;
+}
+
+bool backend_fleet::has_live(std::string_view service, time_point now) {
+    return std::ranges::any_of(backends_ | std::views::values, [&](const auto& item) {
+        return item.info.service == service && is_usable(item, now);
+    });
+}
+
+std::size_t backend_fleet::live_count() const {
+    return static_cast<std::size_t>(
+        std::ranges::count_if(backends_ | std::views::values, [](const auto& item) {
+            return !item.info.is_leaving && !item.is_gone;
+        }));
+}
+
+result<chosen_backends> backend_fleet::choose(std::string_view service,
+                                              const placement_query& query,
+                                              const std::vector<std::string>& tried,
+                                              time_point now) {
+    const auto usable = candidates(service, tried, now);
+    std::vector<placement_option> options;
+    options.reserve(usable.size());
+    for (std::uint32_t index = 0; index < usable.size(); ++index) {
+        auto& item = *usable[index];
+        options.push_back({.index = index,
+                           .is_own_zone = item.info.zone == zone_,
+                           .open_calls = item.open_calls,
+                           .slots = item.info.slots,
+                           .failure_share = item.failure_share,
+                           .forecast = item.forecast ? &*item.forecast : nullptr});
+    }
+    const auto choice = std::visit(
+        [&](auto& placement) { return placement.choose(query, options, now, random_); },
+        placement_);
+    if (!choice) {
+        return tl::unexpected{choice.error()};
+    }
+    chosen_backends chosen{.first_event = choice->first_event};
+    for (const auto& member : choice->members) {
+        const auto& info = usable[member.index]->info;
+        chosen.members.push_back({info.id, info.address, member.reserved_tokens});
+        chosen.read_ms.push_back(member.read_ms);
+    }
+    return chosen;
+}
+
+job_id backend_fleet::start(const chosen_backends& chosen, const job_demand& demand,
+                            time_point now) {
+    const job_id id{origin_, next_number_++};
+    auto& job = open_[id.number];
+    const bool has_reservations =
+        std::ranges::any_of(chosen.members, [](const auto& item) { return item.reserved_tokens > 0; });
+    for (std::size_t index = 0; index < chosen.members.size(); ++index) {
+        const auto& member = chosen.members[index];
+        auto* item = find(member.id);
+        if (item == nullptr) {
+            continue;
+        }
+        job.backends.push_back(member.id);
+        const bool writes = index == 0;
+        if (writes) {
+            ++item->open_calls;
+            item->failures.on_sent(now);
+        }
+        if (!item->forecast) {
+            continue;
+        }
+        const auto whole = demand.prompt_tokens + demand.answer_tokens;
+        const auto memory = has_reservations ? member.reserved_tokens : (writes ? whole : 0);
+        const engine_job placed{.id = id,
+                                .read_ms = chosen.read_ms[index],
+                                .memory_tokens = memory,
+                                .context_tokens = memory,
+                                .answer_tokens = demand.answer_tokens,
+                                .writes = writes,
+                                .target_latency = demand.target_latency,
+                                .target_pause = demand.target_pause,
+                                .value = demand.value};
+        item->forecast->place(placed, now);
+        news_.placed.push_back(
+            {.backend = member.id,
+             .number = id.number,
+             .read_us = static_cast<std::uint32_t>(placed.read_ms * 1000),
+             .memory_tokens = memory,
+             .context_tokens = memory,
+             .answer_tokens = demand.answer_tokens,
+             .writes = writes,
+             .target_latency = std::chrono::duration_cast<milliseconds>(demand.target_latency),
+             .target_pause = std::chrono::duration_cast<milliseconds>(demand.target_pause),
+             .value_milli = static_cast<std::uint32_t>(demand.value * 1000)});
+    }
+    return id;
+}
+
+void backend_fleet::on_first_event(job_id id, time_point now) {
+    const auto found = open_.find(id.number);
+    if (found == open_.end()) {
+        return;
+    }
+    bool is_engine = false;
+    for (const auto& backend : found->second.backends) {
+        if (auto* item = find(backend); item != nullptr && item->forecast) {
+            item->forecast->on_first_event(id, now);
+            is_engine = true;
+        }
+    }
+    if (is_engine) {
+        news_.begun.push_back(id.number);
+    }
+}
+
+void backend_fleet::on_late(job_id id) {
+    const auto found = open_.find(id.number);
+    if (found == open_.end()) {
+        return;
+    }
+    for (const auto& backend : found->second.backends) {
+        if (auto* item = find(backend); item != nullptr && item->forecast) {
+            item->forecast->set_late(id);
+        }
+    }
+}
+
+void backend_fleet::count_result(record& item, attempt_result result, time_point now) {
+    switch (result) {
+    case attempt_result::done:
+        item.failures.on_success();
+        item.failure_share *= 1 - success_weight;
+        return;
+    case attempt_result::lost:
+        item.failures.on_failure(now);
+        [[fallthrough]];
+    case attempt_result::failed:
+        item.failure_share += failure_weight * (1 - item.failure_share);
+        return;
+    case attempt_result::refused:
+    case attempt_result::cancelled:
+        return;
+    }
+}
+
+void backend_fleet::on_ended(job_id id, attempt_result result, time_point now) {
+    const auto found = open_.find(id.number);
+    if (found == open_.end()) {
+        return;
+    }
+    bool is_engine = false;
+    bool is_first = true;
+    for (const auto& backend : found->second.backends) {
+        if (auto* item = find(backend)) {
+            if (is_first) {
+                item->open_calls -= std::min(item->open_calls, 1U);
+                count_result(*item, result, now);
+            }
+            if (item->forecast) {
+                item->forecast->remove(id, now);
+                is_engine = true;
+            }
+        }
+        is_first = false;
+    }
+    if (is_engine) {
+        news_.ended.push_back(id.number);
+    }
+    open_.erase(found);
+}
+
+void backend_fleet::on_heard(const std::string& backend, time_point now) {
+    if (auto* item = find(backend)) {
+        item->heard = now;
+    }
+}
+
+time_point backend_fleet::heard_at(const std::string& backend) const {
+    const auto found = backends_.find(backend);
+    return found == backends_.end() ? time_point{} : found->second.heard;
+}
+
+double backend_fleet::pass_ms(const std::string& backend, time_point now) {
+    auto* item = find(backend);
+    if (item == nullptr || !item->forecast) {
+        return 0;
+    }
+    const auto reading = item->forecast->reading_until(now) - now;
+    return item->forecast->plain_pass_ms() +
+           std::chrono::duration<double, std::milli>{reading}.count();
+}
+
+std::optional<work_news> backend_fleet::take_news(const std::string& sender, bool is_digest) {
+    const bool is_empty = news_.placed.empty() && news_.begun.empty() && news_.ended.empty();
+    if (is_empty && !is_digest) {
+        return std::nullopt;
+    }
+    auto news = std::exchange(news_, {});
+    news.sender = sender;
+    news.origin = origin_;
+    news.is_digest = is_digest;
+    if (is_digest) {
+        std::ranges::copy(open_ | std::views::keys, std::back_inserter(news.open));
+    }
+    return news;
+}
+
+void backend_fleet::take_job(const placed_work& work, std::uint64_t origin, time_point now) {
+    auto* item = find(work.backend);
+    if (item == nullptr || !item->forecast) {
+        return;
+    }
+    item->forecast->place({.id = {origin, work.number},
+                           .read_ms = to_ms(work.read_us),
+                           .memory_tokens = work.memory_tokens,
+                           .context_tokens = work.context_tokens,
+                           .answer_tokens = work.answer_tokens,
+                           .writes = work.writes,
+                           .target_latency = work.target_latency,
+                           .target_pause = work.target_pause,
+                           .value = to_ms(work.value_milli)},
+                          now);
+    others_[origin][work.number].push_back(work.backend);
+}
+
+void backend_fleet::on_news(const work_news& news, time_point now) {
+    if (news.origin == origin_) {
+        return;
+    }
+    auto& jobs = others_[news.origin];
+    const auto end_job = [&](auto job) {
+        for (const auto& backend : job->second) {
+            if (auto* item = find(backend); item != nullptr && item->forecast) {
+                item->forecast->remove({news.origin, job->first}, now);
+            }
+        }
+        return jobs.erase(job);
+    };
+    for (const auto& work : news.placed) {
+        if (jobs.size() < max_remote_jobs) {
+            take_job(work, news.origin, now);
+        }
+    }
+    for (const auto number : news.begun) {
+        const auto job = jobs.find(number);
+        if (job == jobs.end()) {
+            continue;
+        }
+        for (const auto& backend : job->second) {
+            if (auto* item = find(backend); item != nullptr && item->forecast) {
+                item->forecast->on_first_event({news.origin, number}, now);
+            }
+        }
+    }
+    for (const auto number : news.ended) {
+        if (const auto job = jobs.find(number); job != jobs.end()) {
+            end_job(job);
+        }
+    }
+    if (news.is_digest) {
+        for (auto job = jobs.begin(); job != jobs.end();) {
+            const bool is_open = std::ranges::find(news.open, job->first) != news.open.end();
+            job = is_open ? std::next(job) : end_job(job);
+        }
+    }
+}
+
+void backend_fleet::forget_origin(std::uint64_t origin) {
+    for (auto& item : backends_ | std::views::values) {
+        if (item.forecast) {
+            item.forecast->remove_origin(origin);
+        }
+    }
+    others_.erase(origin);
+}
+
+} // namespace magnolia
--- /dev/null
+++ b/src/backend_fleet.h
@@ -0,0 +1,131 @@
+/// Backend servers of a deployment as one gateway sees them: the platform's list, evidence of their
+/// health, and the work of this and the other gateways on engines. Pure: time is passed in.
+#pragma once
+
+#include "breaker.h"
+#include "placement.h"
+
+#include <magnolia/schema.h>
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+
+namespace magnolia {
+
+/// How an attempt on a backend server ended.
+enum class attempt_result : std::uint8_t {
+    /// The whole answer came.
+    done,
+    /// The backend server said that it is full.
+    refused,
+    /// The answer was a failure of the backend server.
+    failed,
+    /// No connection, a broken answer, or silence.
+    lost,
+    /// The gateway or the caller ended it; says nothing about the backend server.
+    cancelled,
+};
+
+/// A backend server that was chosen.
+struct chosen_member {
+    std::string id;
+    endpoint address;
+    std::uint32_t reserved_tokens = 0;
+};
+
+/// Where a request goes. Start it with backend_fleet::start() before anything is sent.
+struct chosen_backends {
+    /// The first one gets the request.
+    std::vector<chosen_member> members;
+    std::vector<double> read_ms;
+    time_point first_event{};
+};
+
+class backend_fleet {
+public:
+    /// @param zone    availability zone of this host.
+    /// @param origin  random number of this start.
+    backend_fleet(std::string zone, std::uint64_t origin, placement_policy policy);
+
+    /// Figures of engines, by service.
+    void set_services(const std::vector<service_info_entry>& services);
+    /// Replaces the whole list. Backend servers that it lacks are taken out as by remove().
+    void replace_all(const std::vector<backend_info>& backends, duration grace, time_point now);
+    void put(const backend_info& backend, time_point now);
+    /// Takes a backend server out, at the latest after `grace`; put() before that keeps it.
+    void remove(const std::string& id, duration grace, time_point now);
+    /// Proof that another backend server has the address now, or that this one is leaving.
+    void set_gone(const std::string& id);
+
+    /// Chooses for a request of a service; `tried` are left out unless nothing else is there.
+    /// Errors: no_capacity with retry_after.
+    [[nodiscard]] result<chosen_backends> choose(std::string_view service,
+                                                 const placement_query& query,
+                                                 const std::vector<std::string>& tried,
+                                                 time_point now);
+    /// Whether any backend server of the service takes new work.
+    [[nodiscard]] bool has_live(std::string_view service, time_point now);
+    [[nodiscard]] std::size_t live_count() const;
+
+    job_id start(const chosen_backends& chosen, const job_demand& demand, time_point now);
+    void on_first_event(job_id id, time_point now);
+    /// A pause or the first event was too late: further delay costs nothing.
+    void on_late(job_id id);
+    void on_ended(job_id id, attempt_result result, time_point now);
+    /// Bytes of an answer came.
+    void on_heard(const std::string& backend, time_point now);
+    /// Last time that bytes came from the backend server; time_point{} if never.
+    [[nodiscard]] time_point heard_at(const std::string& backend) const;
+    /// Expected length of a pass there, ms; 0 for other than engines.
+    [[nodiscard]] double pass_ms(const std::string& backend, time_point now);
+
+    // Exchange with other gateways.
+    /// News since the last call; `is_digest` adds the numbers of all work under way.
+    [[nodiscard]] std::optional<work_news> take_news(const std::string& sender, bool is_digest);
+    void on_news(const work_news& news, time_point now);
+    /// A gateway is gone, with its work.
+    void forget_origin(std::uint64_t origin);
+
+private:
+    struct record {
+        backend_info info;
+        /// Taken out at this moment, unless it comes back.
+        std::optional<time_point> leaves_at;
+        bool is_gone = false;
+        breaker failures;
+        double failure_share = 0;
+        time_point heard{};
+        std::uint32_t open_calls = 0;
+        std::optional<engine_forecast> forecast;
+    };
+    struct open_job {
+        std::vector<std::string> backends;
+    };
+
+    [[nodiscard]] record* find(const std::string& id);
+    [[nodiscard]] bool is_usable(const record& item, time_point now) const;
+    void drop_expired(time_point now);
+    void apply_figures(record& item);
+    [[nodiscard]] std::vector<record*> candidates(std::string_view service,
+                                                  const std::vector<std::string>& tried,
+                                                  time_point now);
+    void count_result(record& item, attempt_result result, time_point now);
+    void take_job(const placed_work& work, std::uint64_t origin, time_point now);
+
+    std::string zone_;
+    std::uint64_t origin_;
+    any_placement placement_;
+    std::mt19937_64 random_;
+    std::map<std::string, record, std::less<>> backends_;
+    std::unordered_map<std::string, engine_figures> figures_;
+    std::map<std::uint64_t, open_job> open_;
+    std::uint64_t next_number_ = 1;
+    work_news news_;
+    /// Work of other gateways by origin: number, and the backend servers it is on.
+    std::map<std::uint64_t, std::map<std::uint64_t, std::vector<std::string>>> others_;
+};
+
+} // namespace magnolia
--- /dev/null
+++ b/src/forward_call.cpp
@@ -0,0 +1,566 @@
+#include "forward_call.h"
+
+#include <algorithm>
+#include <array>
+
+#include <boost/algorithm/string/classification.hpp>
+#include <boost/algorithm/string/predicate.hpp>
+#include <boost/algorithm/string/split.hpp>
+#include <boost/algorithm/string/trim.hpp>
+
+namespace magnolia {
+namespace {
+
+/// Longest wait for a connection to a backend server: a round trip between zones, and one packet
+/// lost and sent again at once.
+constexpr milliseconds connect_timeout{250};
+/// Bytes of an answer that are held before it is sent on as it comes.
+constexpr std::size_t held_answer_bytes = std::size_t{64} << 10U;
+/// Bytes that a slow caller may leave unread before the backend server is slowed down.
+constexpr std::size_t pending_answer_bytes = std::size_t{256} << 10U;
+/// Time between two looks for room, and the share of the time left that may be spent on it.
+constexpr milliseconds room_interval{20};
+constexpr int room_wait_divisor = 2;
+/// Pauses between looks at a silent backend server.
+constexpr milliseconds silence_interval{100};
+/// A backend server that was heard within this time is alive, if slow.
+constexpr milliseconds alive_span{400};
+/// Silence of one request at a backend server that is alive, as a multiple of the limit.
+constexpr int alive_factor = 2;
+/// Value of a request: that of a short prompt is 1, and it grows by 1 with this many tokens.
+constexpr double tokens_per_value = 10'000;
+
+constexpr unsigned first_success = 200;
+constexpr unsigned first_redirect = 300;
+constexpr unsigned first_server_failure = 500;
+
+/// Fields that concern one connection only.
+constexpr std::array<std::string_view, 9> hop_fields{
+    "Connection", "Keep-Alive", "Proxy-Connection", "TE",  "Trailer",
+    "Upgrade",    "Expect",     "Transfer-Encoding", "Content-Length"};
+
+bool is_success(unsigned status) {
+    return status >= first_success && status < first_redirect;
+}
+
+http_headers end_to_end(const http_headers& headers) {
+    http_headers kept;
+    std::ranges::copy_if(headers, std::back_inserter(kept), [](const auto& field) {
+        return std::ranges::none_of(
+            hop_fields, [&](auto name) { return boost::iequals(field.name, name); });
+    });
+    return kept;
+}
+
+milliseconds whole_ms(duration span) {
+    return std::chrono::duration_cast<milliseconds>(span);
+}
+
+} // namespace
+
+forward_call::forward_call(gateway_shared& shared, http_request request, http_responder responder)
+    : shared_{shared}, request_{std::move(request)}, responder_{std::move(responder)},
+      timer_{shared.io} {}
+
+void forward_call::start() {
+    responder_.on_gone([self = shared_from_this()] { self->caller_left(); });
+    auto head = shared_.codec.read_request(request_);
+    if (!head) {
+        return finish(head.error());
+    }
+    head_ = std::move(*head);
+    request_.headers = end_to_end(request_.headers);
+    if (const auto found = find_route(); !found) {
+        return finish(found.error());
+    }
+    set_deadline();
+    next_attempt();
+    arm_timer();
+}
+
+result<void> forward_call::find_route() {
+    routes_ = shared_.routes;
+    if (!routes_) {
+        return fail(error_code::platform_down, "no configuration yet", milliseconds{500});
+    }
+    const bool is_current =
+        steady_now() - shared_.routes_confirmed <= shared_.confirmation_limit;
+    const auto unknown = [&](error_code code, std::string subject) {
+        return is_current ? fail(code, std::move(subject))
+                          : fail(error_code::platform_down, "configuration may be old",
+                                 milliseconds{500});
+    };
+    route_ = routes_->find_route(find_header(request_.headers, "Host"),
+                                 target_path(request_.target));
+    if (route_ == nullptr) {
+        return unknown(error_code::not_found, "route");
+    }
+    if (route_->needs_key && !routes_->config().workspaces.empty()) {
+        const auto* workspace = routes_->find_workspace(head_.key);
+        if (workspace == nullptr) {
+            return unknown(error_code::unauthorized, "key");
+        }
+        workspace_ = workspace->name;
+    }
+    services_ = route_table::draw_services(*route_, shared_.random);
+    if (services_.empty()) {
+        return fail(error_code::no_capacity, "route without a service", milliseconds{500});
+    }
+    return {};
+}
+
+void forward_call::set_deadline() {
+    const auto patience = std::min(head_.time_left.value_or(route_->timeout), route_->timeout);
+    deadline_ = request_.received + patience;
+    const auto now = steady_now();
+    wait_until_ = now + (deadline_ - now) / room_wait_divisor;
+    last_event_ = head_.resume_after;
+    service_ = services_.front();
+    for (const auto& service : services_) {
+        if (shared_.fleet.has_live(service, now)) {
+            service_ = service;
+            break;
+        }
+    }
+    const auto* info = routes_->find_service(service_);
+    demand_.prompt_tokens = head_.prompt_tokens;
+    if (info != nullptr && info->engine) {
+        const auto most = std::max(head_.max_answer_tokens, 1U);
+        const auto guess = head_.answer_tokens_hint > 0 ? head_.answer_tokens_hint
+                                                        : info->engine->usual_answer_tokens;
+        demand_.answer_tokens = std::min(guess, most);
+    }
+    demand_.target_latency = route_->target_latency;
+    demand_.target_pause = route_->target_pause;
+    demand_.value = 1 + head_.prompt_tokens / tokens_per_value;
+    auto& budget = shared_.budgets.try_emplace(service_, shared_.make_budget()).first->second;
+    budget.on_first_attempt(1, now);
+}
+
+void forward_call::next_attempt() {
+    if (is_closed_) {
+        return;
+    }
+    const auto now = steady_now();
+    if (now >= deadline_) {
+        return on_deadline();
+    }
+    auto chosen = shared_.fleet.choose(service_, {demand_, deadline_ - now}, tried_, now);
+    if (!chosen) {
+        return wait_for_room(chosen.error());
+    }
+    const bool needs_memory =
+        std::ranges::any_of(chosen->members, [](const auto& item) { return item.reserved_tokens > 0; });
+    if (needs_memory) {
+        reserve_and_send(std::move(*chosen));
+    } else {
+        send(std::move(*chosen));
+    }
+}
+
+void forward_call::wait_for_room(const error& failure) {
+    const auto now = steady_now();
+    const bool may_wait = now + room_interval < wait_until_ && shared_.fleet.has_live(service_, now);
+    if (!may_wait) {
+        return finish(is_in_doubt_ ? error{error_code::backend_lost, failure.subject} : failure);
+    }
+    const auto timer = std::make_shared<boost::asio::steady_timer>(shared_.io, room_interval);
+    timer->async_wait([self = shared_from_this(), timer](const auto& cancelled) {
+        if (!cancelled) {
+            self->next_attempt();
+        }
+    });
+}
+
+void forward_call::reserve_and_send(chosen_backends chosen) {
+    std::vector<memory_part> parts;
+    for (const auto& member : chosen.members) {
+        if (member.reserved_tokens > 0) {
+            parts.push_back({member.address, member.reserved_tokens});
+        }
+    }
+    ++attempt_number_;
+    const auto number = attempt_number_;
+    reservation_ = std::to_string(shared_.origin) + "-" + head_.attempt + "-" +
+                   std::to_string(number);
+    // Others see the memory as taken from now on.
+    job_ = shared_.fleet.start(chosen, demand_, steady_now());
+    has_job_ = true;
+    shared_.on_work_changed();
+    shared_.reservations.reserve(
+        reservation_, std::move(parts),
+        [self = shared_from_this(), number, chosen = std::move(chosen)](bool has_all) mutable {
+            if (self->is_closed_ || self->attempt_number_ != number) {
+                return;
+            }
+            if (has_all) {
+                return self->send(std::move(chosen));
+            }
+            self->reservation_.clear();
+            self->end_attempt(attempt_result::cancelled);
+            self->wait_for_room({error_code::no_capacity, "memory of several engines", room_interval});
+        });
+}
+
+attempt_terms forward_call::terms_of(const chosen_backends& chosen) const {
+    attempt_terms terms;
+    terms.time_left = whole_ms(deadline_ - steady_now());
+    terms.backend_id = chosen.members.front().id;
+    terms.workspace = workspace_;
+    terms.resume_after = last_event_;
+    for (const auto& member : chosen.members) {
+        const bool is_first = &member == &chosen.members.front();
+        if (!is_first || member.reserved_tokens > 0) {
+            terms.helpers.push_back(
+                {member.address, member.reserved_tokens > 0 ? reservation_ : std::string{}});
+        }
+    }
+    return terms;
+}
+
+void forward_call::send(chosen_backends chosen) {
+    const auto now = steady_now();
+    if (!has_job_) {
+        job_ = shared_.fleet.start(chosen, demand_, now);
+        has_job_ = true;
+        shared_.on_work_changed();
+    }
+    const auto& first = chosen.members.front();
+    backend_ = first.id;
+    tried_.push_back(first.id);
+    sent_at_ = now;
+    last_progress_ = now;
+    predicted_ = chosen.first_event - now;
+    members_ = chosen.members.size();
+    form_ = answer_form::none;
+    events_ = {};
+    body_.clear();
+    is_continuing_ = has_begun_;
+    const auto number = ++attempt_number_;
+    const auto self = shared_from_this();
+    http_call_limits limits;
+    limits.connect_timeout = connect_timeout;
+    limits.silence_timeout = whole_ms(deadline_ - now) + milliseconds{1};
+    limits.echo = shared_.codec.echo_of(head_);
+    limits.may_reuse = false;
+    http_stream_handlers handlers;
+    handlers.on_header = [self, number](unsigned status, const http_headers& headers) {
+        if (self->attempt_number_ == number) {
+            self->on_header(status, headers);
+        }
+    };
+    handlers.on_text = [self, number](std::string_view text) {
+        if (self->attempt_number_ == number) {
+            self->on_text(text);
+        }
+    };
+    handlers.on_end = [self, number](const http_failure* failure) {
+        if (self->attempt_number_ == number) {
+            self->on_end(failure);
+        }
+    };
+    ++sends_;
+    call_ = shared_.client.stream(first.address,
+                                  shared_.codec.write_request(request_, terms_of(chosen)), limits,
+                                  std::move(handlers));
+}
+
+void forward_call::on_header(unsigned status, const http_headers& headers) {
+    shared_.fleet.on_heard(backend_, steady_now());
+    status_ = status;
+    answer_ = shared_.codec.read_answer(status, headers);
+    const bool is_events = route_->is_stream && is_success(status) && answer_.is_signed &&
+                           answer_.is_event_stream;
+    form_ = is_events ? answer_form::events : answer_form::whole;
+    if (!has_begun_) {
+        headers_ = end_to_end(headers);
+    }
+}
+
+void forward_call::on_text(std::string_view text) {
+    const auto now = steady_now();
+    shared_.fleet.on_heard(backend_, now);
+    if (form_ == answer_form::events) {
+        return on_events(text);
+    }
+    last_progress_ = now;
+    if (form_ == answer_form::whole) {
+        body_ += text;
+        const bool is_final = is_success(status_) && answer_.is_signed && !has_begun_;
+        if (body_.size() <= held_answer_bytes || !is_final) {
+            return;
+        }
+        form_ = answer_form::bytes;
+        begin_answer();
+        responder_.write(std::exchange(body_, {}));
+        return;
+    }
+    responder_.write(text, [self = shared_from_this(), call = call_] {
+        if (self->responder_.pending_bytes() < pending_answer_bytes) {
+            self->shared_.client.resume(call);
+        }
+    });
+    if (responder_.pending_bytes() >= pending_answer_bytes) {
+        shared_.client.pause(call_);
+    }
+}
+
+void forward_call::begin_answer() {
+    if (has_begun_) {
+        return;
+    }
+    has_begun_ = true;
+    first_byte_at_ = steady_now();
+    responder_.start(status_, headers_);
+}
+
+void forward_call::on_events(std::string_view text) {
+    for (const auto& event : events_.append(text)) {
+        if (is_closed_ || form_ != answer_form::events) {
+            return;
+        }
+        take_event(event);
+    }
+}
+
+void forward_call::take_event(const stream_event& event) {
+    const auto now = steady_now();
+    last_progress_ = now;
+    if (event.id && last_event_ && *event.id <= *last_event_) {
+        return; // The caller has it.
+    }
+    if (is_continuing_ && event.id && last_event_ && *event.id != *last_event_ + 1) {
+        shared_.client.cancel(call_);
+        return fail_attempt(run_evidence::in_doubt, attempt_result::failed,
+                            {error_code::backend_failed, "stream continued at another event"});
+    }
+    if (!has_begun_) {
+        shared_.fleet.on_first_event(job_, now);
+        is_late_ = now - request_.received > route_->target_latency;
+    } else {
+        const auto pause = now - last_event_at_;
+        longest_pause_ = std::max(longest_pause_, pause);
+        is_late_ = is_late_ || (route_->target_pause.count() > 0 && pause > route_->target_pause);
+        if (is_continuing_) {
+            shared_.fleet.on_first_event(job_, now);
+            is_continuing_ = false;
+        }
+    }
+    if (is_late_) {
+        shared_.fleet.on_late(job_);
+    }
+    last_event_at_ = now;
+    begin_answer();
+    if (event.id) {
+        last_event_ = event.id;
+    }
+    responder_.write(event.text);
+}
+
+void forward_call::on_end(const http_failure* failure) {
+    if (failure != nullptr) {
+        const auto evidence =
+            failure->is_request_written ? run_evidence::in_doubt : run_evidence::not_sent;
+        return fail_attempt(evidence, attempt_result::lost, failure->failure);
+    }
+    switch (form_) {
+    case answer_form::events:
+        begin_answer();
+        if (!events_.rest().empty()) {
+            responder_.write(events_.rest());
+        }
+        [[fallthrough]];
+    case answer_form::bytes:
+        end_attempt(attempt_result::done);
+        responder_.finish();
+        return close(status_, {});
+    case answer_form::whole:
+    case answer_form::none:
+        return on_whole_answer();
+    }
+}
+
+void forward_call::on_whole_answer() {
+    if (answer_.is_other_backend) {
+        shared_.fleet.set_gone(backend_);
+        return fail_attempt(run_evidence::refused, attempt_result::cancelled,
+                            {error_code::backend_refused, "another backend server has the address"});
+    }
+    if (answer_.is_not_run) {
+        return fail_attempt(run_evidence::refused, attempt_result::refused,
+                            {error_code::backend_refused, "status " + std::to_string(status_),
+                             answer_.retry_after});
+    }
+    if (is_success(status_) && !answer_.is_signed) {
+        return fail_attempt(run_evidence::in_doubt, attempt_result::lost,
+                            {error_code::backend_failed, "answer without a signature"});
+    }
+    if (has_begun_) {
+        return fail_attempt(run_evidence::in_doubt, attempt_result::failed,
+                            {error_code::backend_failed, "status " + std::to_string(status_)});
+    }
+    const bool is_failure = status_ >= first_server_failure;
+    if (is_failure && route_->repeat != repeat_rule::never && sends_ < route_->max_attempts &&
+        try_retry_budget()) {
+        is_in_doubt_ = true;
+        end_attempt(attempt_result::failed);
+        return next_attempt();
+    }
+    end_attempt(is_failure ? attempt_result::failed : attempt_result::done);
+    finish_with(status_, {});
+}
+
+bool forward_call::try_retry_budget() {
+    const auto found = shared_.budgets.find(service_);
+    return found != shared_.budgets.end() && found->second.try_spend(1, steady_now());
+}
+
+void forward_call::fail_attempt(run_evidence evidence, attempt_result result,
+                                const error& failure) {
+    end_attempt(result);
+    if (evidence == run_evidence::not_sent) {
+        --sends_;
+        ++unsent_;
+    }
+    const failed_attempt facts{.repeat = route_->repeat,
+                               .evidence = evidence,
+                               .is_earlier_in_doubt = is_in_doubt_,
+                               .has_begun_answer = has_begun_,
+                               .sends = sends_,
+                               .max_sends = route_->max_attempts,
+                               .unsent = unsent_,
+                               .time_left = deadline_ - steady_now()};
+    is_in_doubt_ = is_in_doubt_ || evidence == run_evidence::in_doubt;
+    auto step = decide_after_failure(facts);
+    if (step == next_step::send_again) {
+        if (evidence == run_evidence::not_sent || try_retry_budget()) {
+            return next_attempt();
+        }
+        step = has_begun_      ? next_step::break_off
+               : is_in_doubt_ ? next_step::tell_failed
+                              : next_step::tell_not_run;
+    }
+    switch (step) {
+    case next_step::break_off:
+        responder_.abort();
+        return close(status_, "broken off: " + to_string(failure));
+    case next_step::tell_not_run:
+        return finish({error_code::backend_refused, failure.subject, failure.retry_after});
+    case next_step::tell_failed:
+    case next_step::send_again:
+        return finish({error_code::backend_lost, failure.subject});
+    }
+}
+
+void forward_call::end_attempt(attempt_result result) {
+    ++attempt_number_;
+    if (has_job_) {
+        has_job_ = false;
+        shared_.fleet.on_ended(job_, result, steady_now());
+        shared_.on_work_changed();
+    }
+    if (!reservation_.empty()) {
+        shared_.reservations.release(std::exchange(reservation_, {}));
+    }
+    call_ = {};
+}
+
+bool forward_call::is_silent_too_long(time_point now) const {
+    if (!has_job_ || call_.value == 0 || route_->repeat == repeat_rule::never ||
+        sends_ >= route_->max_attempts) {
+        return false;
+    }
+    const auto limit =
+        route_->is_stream ? stream_silence_limit(*route_) : answer_silence_limit(*route_);
+    const bool is_alive = now - shared_.fleet.heard_at(backend_) < alive_span;
+    return now - last_progress_ >= limit * (is_alive ? alive_factor : 1);
+}
+
+void forward_call::arm_timer() {
+    if (is_closed_) {
+        return;
+    }
+    const auto next = std::min(deadline_, steady_now() + silence_interval);
+    timer_.expires_at(std::chrono::steady_clock::time_point{next.time_since_epoch()});
+    timer_.async_wait([self = shared_from_this()](const auto& failure) {
+        if (!failure && !self->is_closed_) {
+            self->on_timer();
+        }
+    });
+}
+
+void forward_call::on_timer() {
+    const auto now = steady_now();
+    if (now >= deadline_) {
+        return on_deadline();
+    }
+    if (is_silent_too_long(now)) {
+        shared_.client.cancel(call_);
+        fail_attempt(run_evidence::in_doubt, attempt_result::lost,
+                     {error_code::backend_lost, "silent"});
+    }
+    arm_timer();
+}
+
+void forward_call::on_deadline() {
+    const bool was_sent = sends_ > 0;
+    if (call_.value != 0) {
+        shared_.client.cancel(call_);
+    }
+    end_attempt(attempt_result::cancelled);
+    if (has_begun_) {
+        responder_.abort();
+        return close(status_, "broken off: deadline");
+    }
+    finish(was_sent ? error{error_code::deadline_passed, "no answer in time"}
+                    : error{error_code::deadline_unreachable, "no room in time"});
+}
+
+void forward_call::caller_left() {
+    if (is_closed_) {
+        return;
+    }
+    if (call_.value != 0) {
+        shared_.client.cancel(call_);
+    }
+    end_attempt(attempt_result::cancelled);
+    close(http_status(error_code::caller_gone), "caller left");
+}
+
+void forward_call::finish(const error& failure) {
+    status_ = http_status(failure.code);
+    auto response = shared_.codec.write_failure(head_, failure);
+    responder_.send(std::move(response));
+    close(status_, to_string(failure));
+}
+
+void forward_call::finish_with(unsigned status, std::string cause) {
+    first_byte_at_ = steady_now();
+    responder_.send({status, std::move(headers_), std::move(body_)});
+    close(status, std::move(cause));
+}
+
+void forward_call::close(unsigned status, std::string cause) {
+    if (is_closed_) {
+        return;
+    }
+    is_closed_ = true;
+    timer_.cancel();
+    const auto now = steady_now();
+    shared_.on_end({.attempt = head_.attempt,
+                    .route = route_ == nullptr ? "-" : route_->name,
+                    .service = service_,
+                    .backends = tried_,
+                    .status = status,
+                    .cause = std::move(cause),
+                    .prompt_tokens = head_.prompt_tokens,
+                    .members = members_,
+                    .elapsed = now - request_.received,
+                    .first_byte = first_byte_at_ == time_point{} ? duration{0}
+                                                                 : first_byte_at_ - request_.received,
+                    .predicted = predicted_,
+                    .longest_pause = longest_pause_,
+                    .config_version = routes_ ? routes_->version() : 0});
+}
+
+} // namespace magnolia
--- /dev/null
+++ b/src/gateway.cpp
@@ -0,0 +1,450 @@
+#include "gateway.h"
+
+#include "forward_call.h"
+#include "news_exchange.h"
+#include "object_follower.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+
+namespace magnolia {
+namespace {
+
+/// Time between two digests of the work under way, and between looks at silent peers.
+constexpr milliseconds digest_interval{500};
+/// Time between two readings of the list of gateways.
+constexpr milliseconds member_interval{10000};
+/// Kind of the objects by which gateways find each other.
+constexpr auto member_kind = "gateways";
+
+/// Wait of a watch: with the answer's own timeout, a connection that has gone silent is found within
+/// three quarters of the contact time.
+constexpr double watch_share = 0.5;
+constexpr double timeout_share = 0.23;
+
+/// Pauses between tries while the platform is away: short, as hosts that are back have to be current
+/// within the contact time.
+constexpr milliseconds first_store_pause{60};
+constexpr milliseconds longest_store_pause{500};
+/// This host's share of the platform's rates.
+constexpr double store_reads_per_s = 30;
+constexpr double store_writes_per_s = 5;
+
+/// Entries of backend servers that lapsed during an outage are back within 2 s of its end; until
+/// then a removal is held back, and within the bound for leaving backend servers.
+constexpr milliseconds removal_span{2500};
+constexpr milliseconds removal_grace{1200};
+
+/// Share of the time until the end of a planned stop, up to which new requests are taken.
+constexpr double take_share = 0.4;
+/// Rest of that time at which requests under way are broken off.
+constexpr milliseconds stop_reserve{350};
+/// Time that the balancer needs to take a stopping host out: two checks, one second apart.
+constexpr milliseconds balancer_lag{3200};
+constexpr milliseconds stop_poll{50};
+/// Time for which last answers may still leave.
+constexpr milliseconds linger{150};
+
+/// Reservations are held for a share of the time after which they count as leaked.
+constexpr double hold_share = 0.7;
+
+/// Gateways that share the retry budget at least, until they are known.
+constexpr std::size_t assumed_gateways = 8;
+/// Part of the budget that is given out; the rest covers windows that overlap.
+constexpr double ratio_share = 0.5;
+constexpr double slack_share = 0.4;
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_unavailable = 503;
+
+milliseconds share_of(milliseconds span, double share) {
+    return std::chrono::duration_cast<milliseconds>(span * share);
+}
+
+milliseconds seconds_to_ms(double seconds) {
+    return std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>{seconds});
+}
+
+long whole_ms(duration span) {
+    return std::chrono::duration_cast<milliseconds>(span).count();
+}
+
+platform_budget budget_of(const gateway_settings& settings) {
+    platform_budget budget;
+    budget.reads_per_second = store_reads_per_s;
+    budget.writes_per_second = store_writes_per_s;
+    budget.timeout = share_of(settings.contact_ms, timeout_share);
+    budget.first_pause = first_store_pause;
+    budget.longest_pause = longest_store_pause;
+    return budget;
+}
+
+http_server_limits limits_of(const gateway_settings& settings, const caller_bounds& bounds) {
+    http_server_limits limits;
+    limits.max_header_bytes = bounds.max_header_bytes;
+    limits.max_body_bytes = bounds.max_body_bytes;
+    limits.max_total_body_bytes = settings.body_memory;
+    limits.header_timeout = bounds.header_timeout;
+    limits.idle_timeout = bounds.idle_timeout;
+    return limits;
+}
+
+} // namespace
+
+class gateway::state {
+public:
+    state(process& owner, const gateway_settings& settings, const gateway_codec& codec,
+          const store_codec& store);
+
+    result<void> run();
+
+private:
+    void take_config(const stored_object& object);
+    void take_backend(const stored_object& object);
+    void take_backends(const std::vector<stored_object>& objects);
+    [[nodiscard]] duration removal_delay() const;
+    void register_self();
+    void read_members();
+    void on_request(http_request request, const http_responder& responder);
+    [[nodiscard]] http_response answer_readiness(const http_request& request) const;
+    [[nodiscard]] bool is_ready() const;
+    void send_news();
+    void tick();
+    [[nodiscard]] retry_budget make_budget() const;
+    void on_call_end(const call_end& end);
+    void wait_for_hangup();
+    void reload();
+    void begin_stop();
+    void poll_stop();
+
+    process& owner_;
+    gateway_settings settings_;
+    const gateway_codec& codec_;
+    logger log_{"gateway"};
+    boost::asio::io_context io_{1};
+    platform_client store_;
+    http_client client_;
+    backend_fleet fleet_;
+    reservation_keeper reservations_;
+    news_exchange exchange_;
+    gateway_shared shared_;
+    http_server front_;
+    http_server readiness_;
+    object_follower config_;
+    object_follower backends_;
+    boost::asio::steady_timer tick_;
+    boost::asio::steady_timer stop_timer_;
+    boost::asio::signal_set hangup_;
+    bool is_news_due_ = false;
+    bool is_registered_ = false;
+    time_point next_members_{};
+    bool is_stopping_ = false;
+    bool was_ready_ = false;
+    time_point stop_began_{};
+};
+
+gateway::state::state(process& owner, const gateway_settings& settings,
+                      const gateway_codec& codec, const store_codec& store)
+    : owner_{owner}, settings_{settings}, codec_{codec},
+      store_{io_, settings.process.platform, budget_of(settings), owner.boot(), &store},
+      client_{io_, 0}, fleet_{settings.process.zone, owner.boot(), settings.policy},
+      reservations_{io_, client_, codec,
+                    std::min(share_of(settings.late_reservation_ms, hold_share),
+                             settings.max_reservation_ms)},
+      exchange_{io_,
+                {[this](const work_news& news) { fleet_.on_news(news, steady_now()); },
+                 [this](std::uint64_t origin) { fleet_.forget_origin(origin); }}},
+      shared_{.io = io_,
+              .codec = codec,
+              .client = client_,
+              .fleet = fleet_,
+              .reservations = reservations_,
+              .random = std::mt19937_64{owner.boot()},
+              .origin = owner.boot(),
+              .routes = nullptr,
+              .confirmation_limit = settings.contact_ms,
+              .make_budget = [this] { return make_budget(); },
+              .budgets = {},
+              .on_end = [this](const call_end& end) { on_call_end(end); },
+              .on_work_changed = [this] { send_news(); }},
+      front_{io_, limits_of(settings, {}),
+             [this](http_request request, http_responder responder) {
+                 on_request(std::move(request), responder);
+             },
+             [this](const error& failure) { return codec_.write_failure({}, failure); }},
+      readiness_{io_,
+                 {},
+                 [this](const http_request& request, const http_responder& responder) {
+                     responder.send(answer_readiness(request));
+                 }},
+      config_{store_, codec.config_object().kind, share_of(settings.contact_ms, watch_share),
+              {[this](const auto& objects) {
+                   std::ranges::for_each(objects, [this](const auto& item) { take_config(item); });
+                   shared_.routes_confirmed = steady_now();
+               },
+               [this](const auto& object) { take_config(object); }}},
+      backends_{store_, codec.backend_kind(), share_of(settings.contact_ms, watch_share),
+                {[this](const auto& objects) { take_backends(objects); },
+                 [this](const auto& object) { take_backend(object); }}},
+      tick_{io_}, stop_timer_{io_}, hangup_{io_, SIGHUP} {}
+
+// What the store says.
+
+void gateway::state::take_config(const stored_object& object) {
+    if (object.id.name != codec_.config_object().name || object.deleted) {
+        return;
+    }
+    auto config = codec_.read_config(object.value);
+    if (!config) {
+        return log_.error("configuration ignored: " + to_string(config.error()));
+    }
+    if (shared_.routes && config->version <= shared_.routes->version()) {
+        return;
+    }
+    log_.info("configuration " + std::to_string(config->version) + " in force, " +
+              std::to_string(config->routes.size()) + " routes, " +
+              std::to_string(config->workspaces.size()) + " workspaces");
+    front_.set_limits(limits_of(settings_, config->bounds));
+    fleet_.set_services(config->services);
+    shared_.routes = std::make_shared<const route_table>(std::move(*config));
+}
+
+duration gateway::state::removal_delay() const {
+    const bool is_after_outage = backends_.back_since() != time_point{} &&
+                                 steady_now() - backends_.back_since() < removal_span;
+    return is_after_outage ? duration{removal_grace} : duration{0};
+}
+
+void gateway::state::take_backend(const stored_object& object) {
+    const auto now = steady_now();
+    if (object.deleted) {
+        log_.info("backend server " + object.id.name + " is off the list");
+        return fleet_.remove(object.id.name, removal_delay(), now);
+    }
+    const auto backend = codec_.read_backend(object.id.name, object.value);
+    if (!backend) {
+        log_.warn("entry of a backend server ignored: " + to_string(backend.error()));
+        return fleet_.remove(object.id.name, removal_delay(), now);
+    }
+    if (backend->is_leaving) {
+        log_.info("backend server " + backend->id + " is leaving");
+    }
+    fleet_.put(*backend, now);
+}
+
+void gateway::state::take_backends(const std::vector<stored_object>& objects) {
+    std::vector<backend_info> backends;
+    for (const auto& object : objects) {
+        auto backend = codec_.read_backend(object.id.name, object.value);
+        if (backend) {
+            backends.push_back(std::move(*backend));
+        } else {
+            log_.warn("entry of a backend server ignored: " + to_string(backend.error()));
+        }
+    }
+    fleet_.replace_all(backends, removal_delay(), steady_now());
+    log_.info("backend servers listed: " + std::to_string(backends.size()));
+}
+
+// Other gateways.
+
+void gateway::state::register_self() {
+    const auto value = nlohmann::json(settings_.peer_listen).dump();
+    store_.execute(object_put{{member_kind, settings_.process.name}, 0, value},
+                   call_priority::status, [this](const result<platform_reply>& reply) {
+                       const bool is_there =
+                           reply || reply.error().code == error_code::conflict;
+                       is_registered_ = is_there;
+                       if (!is_there) {
+                           log_.warn("not registered yet: " + to_string(reply.error()));
+                       }
+                   });
+}
+
+void gateway::state::read_members() {
+    store_.execute(
+        object_list{.kind = member_kind, .after = {}, .limit = 0, .may_be_stale = true},
+        call_priority::status, [this](const result<platform_reply>& reply) {
+            if (!reply) {
+                return log_.info("gateways not listed: " + to_string(reply.error()));
+            }
+            for (const auto& object : std::get<object_page>(*reply).items) {
+                endpoint where;
+                schema_reader reader{unknown_keys::accept};
+                read(nlohmann::json::parse(object.value, nullptr, false), reader, where);
+                if (reader.errors().empty()) {
+                    exchange_.add_peer(where);
+                }
+            }
+        });
+}
+
+/// Sends what has changed since the last news, once for all changes of this turn.
+void gateway::state::send_news() {
+    if (std::exchange(is_news_due_, true)) {
+        return;
+    }
+    boost::asio::post(io_, [this] {
+        is_news_due_ = false;
+        if (const auto news = fleet_.take_news(settings_.process.name, false)) {
+            exchange_.send(*news);
+        }
+    });
+}
+
+void gateway::state::tick() {
+    const auto now = steady_now();
+    if (config_.has_list() && !is_registered_) {
+        register_self();
+    }
+    if (config_.has_list() && now >= next_members_) {
+        next_members_ = now + (exchange_.known_peers() == 0 ? milliseconds{1000} : member_interval);
+        read_members();
+    }
+    exchange_.check_silence(now);
+    if (const auto news = fleet_.take_news(settings_.process.name, true)) {
+        exchange_.send(*news);
+    }
+    if (is_ready() && !was_ready_) {
+        was_ready_ = true;
+        owner_.set_ready(true);
+    }
+    tick_.expires_after(digest_interval);
+    tick_.async_wait([this](const auto& failure) {
+        if (!failure) {
+            tick();
+        }
+    });
+}
+
+// Callers.
+
+void gateway::state::on_request(http_request request, const http_responder& responder) {
+    shared_.routes_confirmed = config_.confirmed_at();
+    std::make_shared<forward_call>(shared_, std::move(request), responder)->start();
+}
+
+bool gateway::state::is_ready() const {
+    return !is_stopping_ && shared_.routes && backends_.has_list();
+}
+
+http_response gateway::state::answer_readiness(const http_request& request) const {
+    const bool is_known = target_path(request.target) == codec_.readiness_path();
+    return {is_known && is_ready() ? status_ok : status_unavailable, {}, {}};
+}
+
+retry_budget gateway::state::make_budget() const {
+    const auto gateways = std::max(assumed_gateways, exchange_.known_peers() + 1);
+    return retry_budget{settings_.retry.ratio * ratio_share,
+                        settings_.retry.slack * slack_share / static_cast<double>(gateways),
+                        seconds_to_ms(settings_.retry.window_s), 1};
+}
+
+void gateway::state::on_call_end(const call_end& end) {
+    std::string backends;
+    for (const auto& backend : end.backends) {
+        backends += (backends.empty() ? "" : ",") + backend;
+    }
+    log_.info("end id=" + end.attempt + " status=" + std::to_string(end.status) +
+              " route=" + end.route + " tokens=" + std::to_string(end.prompt_tokens) +
+              " backends=" + (backends.empty() ? "-" : backends) +
+              " members=" + std::to_string(end.members) +
+              " ms=" + std::to_string(whole_ms(end.elapsed)) +
+              " first_ms=" + std::to_string(whole_ms(end.first_byte)) +
+              " predicted_ms=" + std::to_string(whole_ms(end.predicted)) +
+              " pause_ms=" + std::to_string(whole_ms(end.longest_pause)) +
+              " config=" + std::to_string(end.config_version) +
+              (end.cause.empty() ? "" : " cause=\"" + end.cause + "\""));
+}
+
+// Start, reload and stop.
+
+void gateway::state::wait_for_hangup() {
+    hangup_.async_wait([this](const auto& failure, int) {
+        if (!failure) {
+            reload();
+            wait_for_hangup();
+        }
+    });
+}
+
+void gateway::state::reload() {
+    const auto settings = load_settings<gateway_settings>(owner_.settings_file());
+    if (!settings) {
+        return log_.error("settings not reloaded: " + to_string(settings.error()));
+    }
+    settings_.retry = settings->retry;
+    settings_.stop_timeout_s = settings->stop_timeout_s;
+    settings_.body_memory = settings->body_memory;
+    front_.set_limits(
+        limits_of(settings_, shared_.routes ? shared_.routes->config().bounds : caller_bounds{}));
+    log_.info("settings reloaded");
+}
+
+void gateway::state::begin_stop() {
+    is_stopping_ = true;
+    stop_began_ = steady_now();
+    log_.info("stop begins, " + std::to_string(front_.active_requests()) + " requests under way");
+    front_.begin_drain();
+    poll_stop();
+}
+
+void gateway::state::poll_stop() {
+    const auto passed = steady_now() - stop_began_;
+    const auto whole = seconds_to_ms(settings_.stop_timeout_s);
+    const auto taking = std::min(balancer_lag, share_of(whole, take_share));
+    const bool is_idle = front_.active_requests() == 0;
+    const bool is_over = passed >= whole - stop_reserve;
+    if (is_over || (passed >= taking && is_idle)) {
+        log_.info("stop ends, " + std::to_string(front_.active_requests()) +
+                  " requests broken off");
+        front_.close();
+        stop_timer_.expires_after(linger);
+        stop_timer_.async_wait([this](const auto& /*failure*/) { io_.stop(); });
+        return;
+    }
+    if (passed >= taking) {
+        front_.stop_accepting();
+    }
+    stop_timer_.expires_after(stop_poll);
+    stop_timer_.async_wait([this](const auto& failure) {
+        if (!failure) {
+            poll_stop();
+        }
+    });
+}
+
+result<void> gateway::state::run() {
+    for (auto& [server, where] : {std::pair{&front_, settings_.listen},
+                                  std::pair{&readiness_, settings_.readiness}}) {
+        if (auto opened = server->listen(where); !opened) {
+            return opened;
+        }
+    }
+    if (auto opened = exchange_.open(settings_.peer_listen); !opened) {
+        return opened;
+    }
+    config_.start();
+    backends_.start();
+    wait_for_hangup();
+    tick();
+    owner_.on_stop([this] { boost::asio::post(io_, [this] { begin_stop(); }); });
+    io_.run();
+    return {};
+}
+
+gateway::gateway(process& owner, const gateway_settings& settings, const gateway_codec& codec,
+                 const store_codec& store)
+    : state_{std::make_unique<state>(owner, settings, codec, store)} {}
+
+gateway::~gateway() = default;
+
+result<void> gateway::run() {
+    return state_->run();
+}
+
+} // namespace magnolia
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -33,6 +33,9 @@
 /// Shorter than the servers' idle timeout, so that a kept connection is rarely closed in use.
 constexpr auto kept_time = std::chrono::seconds{20};
 
+/// Responses of other calls that are passed over before a call fails.
+constexpr std::size_t max_foreign_responses = 4;
+
 /// Connection with the bytes that were read beyond the last response.
 struct connection {
     explicit connection(const asio::any_io_executor& executor) : stream{executor} {}
@@ -75,7 +78,7 @@
         auto& list = kept_[key_of(peer)];
         const auto now = steady_clock::now();
         std::erase_if(list, [now](const auto& item) { return now - item.since >= kept_time; });
-        if (list.size() < max_idle_) {
+        if (list.size() < max_idle_ && link->buffer.size() == 0) {
             link->stream.expires_never();
             list.push_back({std::move(link), now});
         }
@@ -105,8 +108,11 @@
     using text_parser = http::response_parser<http::string_body>;
 
     asio::awaitable<system_error> connect();
-    asio::awaitable<system_error> write();
-    asio::awaitable<system_error> read(text_parser& parser);
+    asio::awaitable<void> write();
+    /// Reads responses until one belongs to this call.
+    asio::awaitable<system_error> read();
+    asio::awaitable<system_error> read_message(text_parser& parser);
+    [[nodiscard]] bool is_foreign(const text_parser& parser) const;
     asio::awaitable<void> wait_while_paused();
     void arm(std::chrono::milliseconds timeout);
     void deliver(text_parser& parser);
@@ -125,6 +131,12 @@
     bool is_request_written_ = false;
     bool is_response_started_ = false;
     bool is_header_told_ = false;
+    bool is_foreign_ = false;
+    bool is_keep_alive_ = false;
+    /// State of the writer, which runs beside the reader: the peer may answer before it has read
+    /// the whole request.
+    bool is_writing_ = false;
+    system_error write_failure_;
 };
 
 class http_client::state {
@@ -155,7 +167,9 @@
 }
 
 asio::awaitable<system_error> http_exchange::connect() {
-    link_ = client_->pool.take(peer_);
+    if (limits_.may_reuse) {
+        link_ = client_->pool.take(peer_);
+    }
     if (link_) {
         co_return system_error{};
     }
@@ -175,26 +189,29 @@
     co_return failure;
 }
 
-asio::awaitable<system_error> http_exchange::write() {
+asio::awaitable<void> http_exchange::write() {
+    const boost::intrusive_ptr<http_exchange> self{this};
     http::request<http::string_body> message;
     message.version(http_11);
     message.method_string(request_.method);
     message.target(request_.target);
-    message.set(http::field::host, peer_.address + ":" + std::to_string(peer_.port));
     for (const auto& field : request_.headers) {
-        message.set(field.name, field.value);
+        message.insert(field.name, field.value);
+    }
+    if (message.find(http::field::host) == message.end()) {
+        message.set(http::field::host, peer_.address + ":" + std::to_string(peer_.port));
     }
     message.body() = std::move(request_.body);
     message.prepare_payload();
     http::request_serializer<http::string_body> serializer{message};
-    system_error failure;
-    while (!failure && !is_cancelled_ && !serializer.is_done()) {
+    while (!write_failure_ && !is_cancelled_ && link_ && !serializer.is_done()) {
         arm(limits_.silence_timeout);
         const auto count = co_await http::async_write_some(
-            link_->stream, serializer, asio::redirect_error(asio::use_awaitable, failure));
+            link_->stream, serializer, asio::redirect_error(asio::use_awaitable, write_failure_));
         is_request_written_ = is_request_written_ || count > 0;
     }
-    co_return failure;
+    is_writing_ = false;
+    wake_.cancel();
 }
 
 asio::awaitable<void> http_exchange::wait_while_paused() {
@@ -208,7 +225,19 @@
     }
 }
 
-asio::awaitable<system_error> http_exchange::read(text_parser& parser) {
+bool http_exchange::is_foreign(const text_parser& parser) const {
+    constexpr unsigned first_final_status = 200;
+    if (parser.get().result_int() < first_final_status) {
+        return true;
+    }
+    if (limits_.echo.name.empty()) {
+        return false;
+    }
+    const auto found = parser.get().find(limits_.echo.name);
+    return found != parser.get().end() && found->value() != limits_.echo.value;
+}
+
+asio::awaitable<system_error> http_exchange::read_message(text_parser& parser) {
     parser.header_limit(max_header_bytes);
     parser.body_limit(limits_.max_body_bytes);
     if (request_.method == "HEAD") {
@@ -220,11 +249,28 @@
         arm(limits_.silence_timeout);
         co_await http::async_read_some(link_->stream, link_->buffer, parser,
                                        asio::redirect_error(asio::use_awaitable, failure));
-        is_response_started_ = is_response_started_ || parser.got_some();
+        is_foreign_ = parser.is_header_done() && !is_header_told_ && is_foreign(parser);
+        if (!is_foreign_) {
+            is_response_started_ = is_response_started_ || parser.got_some();
+        }
         if (!is_cancelled_) {
             deliver(parser);
         }
     }
+    is_keep_alive_ = parser.is_header_done() && parser.keep_alive();
+    co_return failure;
+}
+
+asio::awaitable<system_error> http_exchange::read() {
+    system_error failure;
+    for (std::size_t count = 0; count <= max_foreign_responses; ++count) {
+        text_parser parser;
+        failure = co_await read_message(parser);
+        if (failure || is_cancelled_ || !is_foreign_) {
+            break;
+        }
+        failure = http::error::unexpected_body;
+    }
     co_return failure;
 }
 
@@ -232,6 +278,10 @@
     if (!parser.is_header_done()) {
         return;
     }
+    if (is_foreign_) {
+        parser.get().body().clear();
+        return;
+    }
     if (!is_header_told_) {
         is_header_told_ = true;
         if (handlers_.on_header) {
@@ -249,7 +299,8 @@
     http_failure result{{error_code::connection, peer_.address + ":" + std::to_string(peer_.port) +
                                                      ": " + failure.message()},
                         is_request_written_,
-                        is_response_started_};
+                        is_response_started_,
+                        failure == beast::error::timeout};
     if (is_cancelled_) {
         result.failure = {error_code::caller_gone, "cancelled"};
     } else if (failure == http::error::body_limit || failure == http::error::header_limit) {
@@ -263,21 +314,27 @@
 
 asio::awaitable<void> http_exchange::run(http_call_id id) {
     const boost::intrusive_ptr<http_exchange> self{this};
-    text_parser parser;
     auto failure =
         is_cancelled_ ? system_error{asio::error::operation_aborted} : co_await connect();
     if (!failure && !is_cancelled_) {
-        failure = co_await write();
-    }
-    // A peer may refuse and close before it has read the whole request; its answer counts.
-    if (!is_cancelled_ && (!failure || is_request_written_)) {
-        const auto write_failure = failure;
-        failure = co_await read(parser);
-        if (failure && write_failure) {
-            failure = write_failure;
+        is_writing_ = true;
+        asio::co_spawn(
+            client_->executor, [self] { return self->write(); }, asio::detached);
+        failure = co_await read();
+        if (failure && write_failure_) {
+            failure = write_failure_;
         }
-        if (!failure && !write_failure && !is_cancelled_ && parser.keep_alive()) {
+        const bool is_reusable =
+            !failure && !is_writing_ && !write_failure_ && !is_cancelled_ && is_keep_alive_;
+        if (is_reusable) {
             client_->pool.keep(peer_, std::move(link_));
+        } else {
+            link_->stream.close();
+        }
+        while (is_writing_) {
+            system_error ignored;
+            wake_.expires_at(steady_clock::time_point::max());
+            co_await wake_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
         }
     }
     client_->calls.erase(id.value);
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -30,6 +30,10 @@
 using system_error = boost::system::error_code;
 
 constexpr unsigned http_11 = 11;
+constexpr unsigned status_no_content = 204;
+constexpr unsigned status_not_modified = 304;
+/// Bytes taken from a socket at a time while a header is awaited.
+constexpr std::size_t read_bytes = 4096;
 constexpr auto accept_pause = std::chrono::milliseconds{50};
 constexpr auto linger_time = std::chrono::milliseconds{1000};
 constexpr auto overload_retry = std::chrono::milliseconds{500};
@@ -94,6 +98,8 @@
     /// Closes without telling the handler; the server is gone.
     void detach();
     void close_if_idle();
+    /// As close_if_idle(), but a connection that has not yet served a request stays open.
+    void close_if_kept();
 
     // Called by responders.
     void start(unsigned status, http_headers headers, std::optional<std::size_t> length);
@@ -142,6 +148,8 @@
     bool is_open_exchange_ = false;
     bool is_finished_ = false;
     bool is_idle_ = true;
+    bool has_served_ = false;
+    time_point received_{};
     bool keep_alive_ = true;
     bool is_head_ = false;
     bool is_writing_ = false;
@@ -173,6 +181,7 @@
             break;
         }
         is_head_ = request.method == "HEAD";
+        has_served_ = true;
         open_exchange();
         watch_peer();
         server_->handler(std::move(request), http_responder{self, exchange_});
@@ -203,7 +212,10 @@
 }
 
 error http_session::reason(const system_error& failure) const {
-    if (failure == http::error::body_limit || failure == http::error::header_limit) {
+    if (failure == http::error::header_limit) {
+        return {error_code::header_too_large, failure.message()};
+    }
+    if (failure == http::error::body_limit) {
         return {error_code::too_large, failure.message()};
     }
     if (is_late_) {
@@ -217,7 +229,7 @@
     if (buffer_.size() == 0) {
         arm(server_->limits.idle_timeout);
         const auto count = co_await stream_.async_read_some(
-            buffer_.prepare(max_header_bytes), asio::redirect_error(asio::use_awaitable, failure));
+            buffer_.prepare(read_bytes), asio::redirect_error(asio::use_awaitable, failure));
         buffer_.commit(count);
         disarm();
     }
@@ -225,7 +237,8 @@
         co_return http::error::end_of_stream;
     }
     is_idle_ = false;
-    arm(server_->limits.read_timeout);
+    received_ = steady_now();
+    arm(server_->limits.header_timeout);
     co_await http::async_read_header(stream_, buffer_, parser,
                                      asio::redirect_error(asio::use_awaitable, failure));
     co_return failure;
@@ -233,6 +246,7 @@
 
 asio::awaitable<system_error> http_session::read_body(body_parser& parser) {
     system_error failure;
+    arm(server_->limits.read_timeout);
     if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
         const std::string proceed = "HTTP/1.1 100 Continue\r\n\r\n";
         co_await asio::async_write(stream_, asio::buffer(proceed),
@@ -252,7 +266,7 @@
 
 asio::awaitable<bool> http_session::read_request(http_request& request) {
     body_parser parser;
-    parser.header_limit(max_header_bytes);
+    parser.header_limit(server_->limits.max_header_bytes);
     parser.body_limit(server_->limits.max_body_bytes);
     stream_.expires_never();
     auto failure = co_await read_header(parser);
@@ -282,6 +296,7 @@
     request.target = std::string{parser.get().target()};
     request.headers = copy_headers(parser.get().base());
     request.body = std::move(parser.get().body());
+    request.received = received_;
     co_return true;
 }
 
@@ -393,6 +408,12 @@
     }
 }
 
+void http_session::close_if_kept() {
+    if (has_served_) {
+        close_if_idle();
+    }
+}
+
 void http_session::detach() {
     gone_ = nullptr;
     close();
@@ -400,7 +421,10 @@
 }
 
 void http_session::start(unsigned status, http_headers headers, std::optional<std::size_t> length) {
-    if (length) {
+    const bool has_no_body = status == status_no_content || status == status_not_modified;
+    if (has_no_body) {
+        is_head_ = true;
+    } else if (length) {
         headers.push_back({"Content-Length", std::to_string(*length)});
     } else {
         headers.push_back({"Transfer-Encoding", "chunked"});
@@ -609,6 +633,17 @@
     return state_->acceptor.local_endpoint(ignored).port();
 }
 
+void http_server::set_limits(const http_server_limits& limits) {
+    state_->limits = limits;
+}
+
+void http_server::begin_drain() {
+    state_->is_stopping = true;
+    for (auto& session : state_->sessions) {
+        session.close_if_kept();
+    }
+}
+
 void http_server::stop_accepting() {
     system_error ignored;
     state_->is_stopping = true;
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -21,13 +21,17 @@
 
 /// Bounds of a server.
 struct http_server_limits {
+    /// Longest header of a request, bytes; a longer one is refused with header_too_large.
+    std::uint32_t max_header_bytes = 32U << 10U;
     /// Longest request body, bytes; a longer one is refused with too_large.
     std::size_t max_body_bytes = config::max_body_bytes;
     /// Memory for the bodies of all requests under way, bytes; more is refused with overloaded.
     std::size_t max_total_body_bytes = std::size_t{256} << 20U;
     /// Connections at once; more are closed.
     std::size_t max_connections = 10000;
-    /// Longest time for a header and its body to arrive; refused with slow_body.
+    /// Longest time for a header to arrive, from its first byte; refused with slow_body.
+    std::chrono::milliseconds header_timeout{15000};
+    /// Longest time for a body to arrive, from the end of its header; refused with slow_body.
     std::chrono::milliseconds read_timeout{15000};
     /// Longest time that a connection waits for its next request.
     std::chrono::milliseconds idle_timeout{60000};
@@ -86,6 +90,11 @@
     [[nodiscard]] result<void> listen(const endpoint& where);
     /// Port of the listener.
     [[nodiscard]] std::uint16_t port() const;
+    /// Bounds of requests that begin from now on; those of memory and connections hold at once.
+    void set_limits(const http_server_limits& limits);
+    /// Closes connections that have served a request and wait for the next one. New connections
+    /// are taken as before; each closes after its first answer.
+    void begin_drain();
     /// Closes the listener and idle connections; requests under way go on, and their connections
     /// close after the answer.
     void stop_accepting();
--- a/src/http_types.h
+++ b/src/http_types.h
@@ -1,6 +1,8 @@
 /// Plain HTTP messages, as the server and the client hand them to the other parts.
 #pragma once
 
+#include <magnolia/types.h>
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -30,6 +32,8 @@
     std::string target = "/";
     http_headers headers;
     std::string body;
+    /// Moment at which the server saw the first byte.
+    time_point received{};
 };
 
 /// Response with its whole body.
--- /dev/null
+++ b/src/news_exchange.h
@@ -0,0 +1,57 @@
+/// Datagrams between gateways: each tells all others what it placed on engines. Lost ones are made
+/// good by the next digest. Gateways find each other through objects in the platform's store, and
+/// through the datagrams that reach them.
+#pragma once
+
+#include <magnolia/error.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include <array>
+#include <functional>
+#include <map>
+
+namespace magnolia {
+
+class news_exchange {
+public:
+    struct handlers {
+        std::function<void(const work_news&)> on_news;
+        /// A start of a gateway has not been heard for the silence limit.
+        std::function<void(std::uint64_t origin)> on_gone;
+    };
+
+    news_exchange(boost::asio::io_context& context, handlers on);
+
+    /// Errors: connection.
+    [[nodiscard]] result<void> open(const endpoint& where);
+    void add_peer(const endpoint& where);
+    /// Sends to every peer; failures are counted and otherwise ignored.
+    void send(const work_news& news);
+    /// Forgets the work of peers that have fallen silent.
+    void check_silence(time_point now);
+    /// Peers that were ever known, this gateway not counted.
+    [[nodiscard]] std::size_t known_peers() const { return peers_.size(); }
+    [[nodiscard]] std::size_t live_peers() const;
+    [[nodiscard]] std::uint64_t sent() const { return sent_; }
+
+private:
+    struct peer {
+        time_point heard{};
+        std::uint64_t origin = 0;
+    };
+
+    void receive();
+    void on_datagram(std::size_t size);
+
+    boost::asio::ip::udp::socket socket_;
+    handlers on_;
+    std::map<boost::asio::ip::udp::endpoint, peer> peers_;
+    boost::asio::ip::udp::endpoint self_;
+    boost::asio::ip::udp::endpoint from_;
+    std::array<std::uint8_t, 65536> buffer_{};
+    std::uint64_t sent_ = 0;
+};
+
+} // namespace magnolia
--- /dev/null
+++ b/src/object_follower.cpp
@@ -0,0 +1,89 @@
+#include "object_follower.h"
+
+#include "log.h"
+
+namespace magnolia {
+namespace {
+
+const logger& log_of() {
+    static const logger log{"store"};
+    return log;
+}
+
+} // namespace
+
+object_follower::object_follower(platform_client& client, std::string kind, milliseconds wait,
+                                 handlers on)
+    : client_{client}, kind_{std::move(kind)}, wait_{wait}, on_{std::move(on)} {}
+
+void object_follower::start() {
+    listed_.clear();
+    list({});
+}
+
+void object_follower::list(std::string after) {
+    client_.execute(object_list{.kind = kind_, .after = std::move(after)},
+                    call_priority::configuration,
+                    [this](const result<platform_reply>& reply) { on_page(reply); });
+}
+
+void object_follower::on_page(const result<platform_reply>& reply) {
+    if (!reply) {
+        on_failure(reply.error());
+        return start();
+    }
+    const auto& page = std::get<object_page>(*reply);
+    if (listed_.empty()) {
+        list_revision_ = page.revision;
+    }
+    listed_.insert(listed_.end(), page.items.begin(), page.items.end());
+    if (page.more && !page.items.empty()) {
+        return list(page.items.back().id.name);
+    }
+    // Later pages may miss changes to names of earlier ones; the watch tells those again.
+    revision_ = list_revision_;
+    confirm();
+    on_.on_list(std::exchange(listed_, {}));
+    watch();
+}
+
+void object_follower::watch() {
+    client_.execute(object_watch{kind_, revision_, wait_}, call_priority::configuration,
+                    [this](const result<platform_reply>& reply) { on_changes(reply); });
+}
+
+void object_follower::on_changes(const result<platform_reply>& reply) {
+    if (!reply) {
+        on_failure(reply.error());
+        return watch();
+    }
+    const auto& page = std::get<watch_page>(*reply);
+    if (page.gap) {
+        log_of().info("history of " + kind_ + " is gone; lists again");
+        return start();
+    }
+    confirm();
+    revision_ = page.revision;
+    for (const auto& change : page.changes) {
+        on_.on_change(change);
+    }
+    watch();
+}
+
+void object_follower::on_failure(const error& failure) {
+    if (!is_cut_off_) {
+        is_cut_off_ = true;
+        log_of().warn("lost the store for " + kind_ + ": " + to_string(failure));
+    }
+}
+
+void object_follower::confirm() {
+    confirmed_ = steady_now();
+    if (is_cut_off_) {
+        is_cut_off_ = false;
+        back_since_ = confirmed_;
+        log_of().info("store answers again for " + kind_);
+    }
+}
+
+} // namespace magnolia
--- /dev/null
+++ b/src/object_follower.h
@@ -0,0 +1,53 @@
+/// Follows the objects of one kind in the platform's store: lists them, then waits for changes, and
+/// lists again when changes were lost.
+#pragma once
+
+#include "platform_client.h"
+
+#include <functional>
+
+namespace magnolia {
+
+class object_follower {
+public:
+    struct handlers {
+        /// All objects of the kind.
+        std::function<void(const std::vector<stored_object>&)> on_list;
+        /// One object that was written or deleted.
+        std::function<void(const stored_object&)> on_change;
+    };
+
+    /// @param wait  longest time that the store is asked to wait for a change.
+    object_follower(platform_client& client, std::string kind, milliseconds wait, handlers on);
+
+    void start();
+    /// Last moment at which the store confirmed that nothing is missing here; time_point{} if never.
+    [[nodiscard]] time_point confirmed_at() const { return confirmed_; }
+    [[nodiscard]] bool has_list() const { return confirmed_ != time_point{}; }
+    /// Whether a call failed since the last confirmation.
+    [[nodiscard]] bool is_cut_off() const { return is_cut_off_; }
+    /// Moment at which the store answered again after a failure; time_point{} if it never failed.
+    [[nodiscard]] time_point back_since() const { return back_since_; }
+
+private:
+    void list(std::string after);
+    void watch();
+    void on_page(const result<platform_reply>& reply);
+    void on_changes(const result<platform_reply>& reply);
+    void on_failure(const error& failure);
+    void confirm();
+
+    platform_client& client_;
+    std::string kind_;
+    milliseconds wait_;
+    handlers on_;
+    std::vector<stored_object> listed_;
+    std::uint64_t revision_ = 0;
+    /// Revision of the first page of the list under way.
+    std::uint64_t list_revision_ = 0;
+    time_point confirmed_{};
+    time_point back_since_{};
+    bool is_cut_off_ = false;
+};
+
+} // namespace magnolia
--- /dev/null
+++ b/src/placement.cpp
@@ -0,0 +1,296 @@
+#include "placement.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <limits>
+#include <numeric>
+#include <optional>
+
+namespace magnolia {
+namespace {
+
+/// Engines that may share a reading; a backend server takes at most 15 helpers beside itself.
+constexpr std::array<std::size_t, 8> sharing_counts{1, 2, 3, 4, 6, 8, 12, 16};
+/// Prompts that are read in less time are not divided, ms: a part costs a pass at each helper.
+constexpr double least_divided_ms = 60;
+/// Value lost by another zone's longer way and its price.
+constexpr double other_zone_cost = 0.03;
+/// Value lost by each engine that takes part in a reading: the work of asking it.
+constexpr double member_cost = 0.01;
+/// Value lost on an engine whose slots are all taken.
+constexpr double load_cost = 0.15;
+/// Part of a request's value that being late costs: late answers keep a quarter of their worth.
+constexpr double late_share = 0.75;
+/// Value lost for each target latency of waiting, met or not; prefers the earlier of two engines.
+constexpr double waiting_cost = 0.05;
+/// Predicted times are off by about this share either way.
+constexpr double prediction_spread = 0.2;
+/// Share of an engine's memory that is filled; the rest is left to answers longer than expected.
+constexpr double memory_fill = 0.95;
+/// Memory of a reservation that other requests should find free on each engine, tokens.
+constexpr std::int64_t memory_left_free = 20'000;
+/// Differences below this are drawn at random, so that hosts do not choose alike.
+constexpr double jitter_cost = 0.01;
+
+double to_seconds(duration span) {
+    return std::chrono::duration<double>{span}.count();
+}
+
+error no_capacity(time_point free_at, time_point now) {
+    const auto wait = std::chrono::ceil<std::chrono::milliseconds>(free_at - now);
+    return {error_code::no_capacity, "no backend server",
+            std::max(wait, std::chrono::milliseconds{50})};
+}
+
+double outstanding_score(const placement_option& option) {
+    constexpr double other_zone_slots = 0.5;
+    return static_cast<double>(option.open_calls) / std::max(1U, option.slots) +
+           (option.is_own_zone ? 0 : other_zone_slots) + option.failure_share;
+}
+
+/// Probability that a time that is predicted as `ratio` targets misses the target.
+double miss_probability(double ratio) {
+    return std::clamp((ratio - (1 - prediction_spread)) / (2 * prediction_spread), 0.0, 1.0);
+}
+
+/// Cost of one engine as a reader of one part.
+struct part_cost {
+    const placement_option* option = nullptr;
+    double cost = 0;
+    /// Cost beyond `cost` if the answer is written there.
+    double writer_cost = 0;
+    time_point read_end{};
+    bool can_write = false;
+};
+
+/// One evaluation of a request over all engines.
+class pause_search {
+public:
+    pause_search(const placement_query& query, std::span<const placement_option> options,
+                 time_point now, std::mt19937_64& random)
+        : query_{query}, options_{options}, now_{now}, random_{random} {}
+
+    [[nodiscard]] result<placement_choice> run();
+
+private:
+    [[nodiscard]] std::vector<part_cost> price_parts(double read_ms) const;
+    [[nodiscard]] double own_cost(time_point first_event) const;
+    [[nodiscard]] double writer_cost(const placement_option& option) const;
+    [[nodiscard]] std::uint32_t memory_needed() const;
+    void consider(std::size_t count);
+    [[nodiscard]] result<placement_choice> run_reserved();
+    [[nodiscard]] time_point first_room() const;
+
+    const placement_query& query_;
+    std::span<const placement_option> options_;
+    time_point now_;
+    std::mt19937_64& random_;
+    double best_cost_ = std::numeric_limits<double>::infinity();
+    placement_choice best_;
+};
+
+std::uint32_t pause_search::memory_needed() const {
+    return query_.demand.prompt_tokens + query_.demand.answer_tokens;
+}
+
+double pause_search::own_cost(time_point first_event) const {
+    const auto& demand = query_.demand;
+    const auto wait = first_event - now_;
+    if (wait > query_.time_left) {
+        return demand.value;
+    }
+    const double target = std::max(to_seconds(demand.target_latency), 0.001);
+    const double ratio = to_seconds(wait) / target;
+    return demand.value * (late_share * miss_probability(ratio) + waiting_cost * std::min(ratio, 2.0));
+}
+
+double pause_search::writer_cost(const placement_option& option) const {
+    const auto& forecast = *option.forecast;
+    const double load = static_cast<double>(forecast.running()) / std::max(1U, option.slots);
+    const double pause_ms = std::chrono::duration<double, std::milli>{query_.demand.target_pause}.count();
+    const double ratio = pause_ms > 0 ? forecast.plain_pass_ms() / pause_ms : 0;
+    return load_cost * load * load + query_.demand.value * late_share * miss_probability(ratio);
+}
+
+std::vector<part_cost> pause_search::price_parts(double read_ms) const {
+    std::uniform_real_distribution<double> jitter{0, jitter_cost};
+    std::vector<part_cost> parts;
+    parts.reserve(options_.size());
+    for (const auto& option : options_) {
+        auto& forecast = *option.forecast;
+        const auto effect = forecast.try_reading(read_ms, now_);
+        const auto slot_at = forecast.slot_free_at(now_);
+        const auto room = static_cast<double>(forecast.free_memory()) -
+                          (1 - memory_fill) * forecast.figures().memory_tokens;
+        parts.push_back({.option = &option,
+                         .cost = effect.damage * late_share + member_cost + jitter(random_) +
+                                 option.failure_share * query_.demand.value +
+                                 (option.is_own_zone ? 0 : other_zone_cost),
+                         .writer_cost = writer_cost(option),
+                         .read_end = std::max(effect.read_end, slot_at),
+                         .can_write = room >= memory_needed() && slot_at <= now_});
+    }
+    std::ranges::sort(parts, {}, &part_cost::cost);
+    return parts;
+}
+
+void pause_search::consider(std::size_t count) {
+    const auto& figures = options_.front().forecast->figures();
+    const double read_ms =
+        engine_forecast::reading_ms(figures, query_.demand.prompt_tokens, count);
+    auto parts = price_parts(read_ms);
+    const auto writer = std::ranges::min_element(parts, {}, [&](const part_cost& part) {
+        return part.can_write ? part.cost + part.writer_cost + own_cost(part.read_end)
+                              : std::numeric_limits<double>::infinity();
+    });
+    if (writer == parts.end() || !writer->can_write) {
+        return;
+    }
+    std::rotate(parts.begin(), writer, writer + 1);
+    parts.resize(std::min(count, parts.size()));
+    const auto first_event = std::ranges::max(parts, {}, &part_cost::read_end).read_end;
+    const double cost = std::accumulate(
+        parts.begin(), parts.end(), parts.front().writer_cost + own_cost(first_event),
+        [](double sum, const part_cost& part) { return sum + part.cost; });
+    if (cost >= best_cost_) {
+        return;
+    }
+    best_cost_ = cost;
+    best_.first_event = first_event;
+    best_.members.clear();
+    for (const auto& part : parts) {
+        best_.members.push_back({part.option->index, read_ms, 0});
+    }
+}
+
+/// Divides a prompt that fits no single engine: memory is reserved at as few engines as hold it, and
+/// as many read it as the search finds best.
+result<placement_choice> pause_search::run_reserved() {
+    struct holder {
+        const placement_option* option = nullptr;
+        std::int64_t room = 0;
+    };
+    std::vector<holder> holders;
+    for (const auto& option : options_) {
+        const auto room = option.forecast->free_memory() - memory_left_free;
+        if (room > 0 && option.forecast->slot_free_at(now_) <= now_) {
+            holders.push_back({&option, room});
+        }
+    }
+    std::ranges::sort(holders, std::ranges::greater{}, &holder::room);
+    constexpr std::size_t most_members = 16;
+    std::int64_t missing = memory_needed();
+    std::size_t count = 0;
+    while (missing > 0 && count < std::min(holders.size(), most_members)) {
+        missing -= holders[count].room;
+        ++count;
+    }
+    if (missing > 0) {
+        return tl::unexpected{no_capacity(first_room(), now_)};
+    }
+    // Further members read without holding memory; they shorten the pass at every member.
+    const auto members = std::min({holders.size(), most_members, 2 * count});
+    const auto& figures = options_.front().forecast->figures();
+    const double read_ms =
+        engine_forecast::reading_ms(figures, query_.demand.prompt_tokens, members);
+    placement_choice choice;
+    std::int64_t left = memory_needed();
+    // The first member holds what the reservations leave over.
+    for (std::size_t index = 0; index < members; ++index) {
+        const auto& item = holders[index];
+        const auto effect = item.option->forecast->try_reading(read_ms, now_);
+        choice.first_event = std::max(choice.first_event, effect.read_end);
+        const auto share = std::clamp<std::int64_t>(left, 0, item.room);
+        left -= share;
+        choice.members.push_back(
+            {item.option->index, read_ms, static_cast<std::uint32_t>(share)});
+    }
+    return choice;
+}
+
+time_point pause_search::first_room() const {
+    auto first = time_point::max();
+    for (const auto& option : options_) {
+        for (const auto& job : option.forecast->jobs()) {
+            first = std::min(first, std::max(job.done, now_));
+        }
+    }
+    return first == time_point::max() ? now_ : first;
+}
+
+result<placement_choice> pause_search::run() {
+    const auto largest = std::ranges::max(options_, {}, [](const auto& option) {
+                             return option.forecast->figures().memory_tokens;
+                         }).forecast->figures();
+    if (memory_needed() > memory_fill * largest.memory_tokens) {
+        return run_reserved();
+    }
+    const double whole = engine_forecast::reading_ms(largest, query_.demand.prompt_tokens, 1);
+    for (const auto count : sharing_counts) {
+        const bool is_useful = count == 1 || whole >= least_divided_ms;
+        if (is_useful && count <= options_.size()) {
+            consider(count);
+        }
+    }
+    if (best_.members.empty()) {
+        return tl::unexpected{no_capacity(first_room(), now_)};
+    }
+    return best_;
+}
+
+} // namespace
+
+result<placement_choice> round_robin_placement::choose(const placement_query& /*query*/,
+                                                       std::span<const placement_option> options,
+                                                       time_point now,
+                                                       std::mt19937_64& /*random*/) {
+    if (options.empty()) {
+        return tl::unexpected{no_capacity(now, now)};
+    }
+    const auto& option = options[next_++ % options.size()];
+    return placement_choice{{{option.index, 0, 0}}, now};
+}
+
+result<placement_choice>
+least_outstanding_placement::choose(const placement_query& /*query*/,
+                                    std::span<const placement_option> options, time_point now,
+                                    std::mt19937_64& random) {
+    if (options.empty()) {
+        return tl::unexpected{no_capacity(now, now)};
+    }
+    std::uniform_real_distribution<double> jitter{0, jitter_cost};
+    std::vector<double> scores;
+    scores.reserve(options.size());
+    for (const auto& option : options) {
+        scores.push_back(outstanding_score(option) + jitter(random));
+    }
+    const auto best = std::ranges::min_element(scores) - scores.begin();
+    return placement_choice{{{options[static_cast<std::size_t>(best)].index, 0, 0}}, now};
+}
+
+result<placement_choice> pause_aware_placement::choose(const placement_query& query,
+                                                       std::span<const placement_option> options,
+                                                       time_point now, std::mt19937_64& random) {
+    const bool has_forecasts =
+        !options.empty() &&
+        std::ranges::all_of(options, [](const auto& item) { return item.forecast != nullptr; });
+    if (!has_forecasts) {
+        return least_outstanding_placement{}.choose(query, options, now, random);
+    }
+    return pause_search{query, options, now, random}.run();
+}
+
+any_placement make_placement(placement_policy policy) {
+    switch (policy) {
+    case placement_policy::round_robin:
+        return round_robin_placement{};
+    case placement_policy::least_outstanding:
+        return least_outstanding_placement{};
+    case placement_policy::pause_aware:
+        break;
+    }
+    return pause_aware_placement{};
+}
+
+} // namespace magnolia
--- a/src/platform_client.cpp
+++ b/src/platform_client.cpp
@@ -16,8 +16,9 @@
 
 } // namespace
 
-http_platform::http_platform(boost::asio::io_context& context, endpoint address)
-    : client_{context, kept_connections}, address_{std::move(address)} {}
+http_platform::http_platform(boost::asio::io_context& context, endpoint address,
+                             const store_codec* codec)
+    : client_{context, kept_connections}, address_{std::move(address)}, codec_{codec} {}
 
 void http_platform::execute(const platform_call& call, std::chrono::milliseconds timeout,
                             platform_done done) {
@@ -27,10 +28,11 @@
     limits.total_timeout = timeout;
     // A page of objects is bounded by the platform, in items and in bytes.
     limits.max_body_bytes = std::size_t{64} << 20U;
-    client_.call(address_, encode_call(call), limits,
-                 [call, done = std::move(done)](const auto& answer) {
+    client_.call(address_, codec_ != nullptr ? codec_->encode(call) : encode_call(call), limits,
+                 [call, codec = codec_, done = std::move(done)](const auto& answer) {
                      if (answer) {
-                         done(decode_reply(call, *answer));
+                         done(codec != nullptr ? codec->decode(call, *answer)
+                                               : decode_reply(call, *answer));
                      } else {
                          done(fail(error_code::platform_down, answer.error().failure.subject));
                      }
@@ -38,8 +40,9 @@
 }
 
 platform_client::platform_client(boost::asio::io_context& context, const endpoint& address,
-                                 const platform_budget& budget, std::uint64_t seed)
-    : back_end_{std::in_place_type<http_platform>, context, address}, budget_{budget},
+                                 const platform_budget& budget, std::uint64_t seed,
+                                 const store_codec* codec)
+    : back_end_{std::in_place_type<http_platform>, context, address, codec}, budget_{budget},
       schedule_{budget, seed}, timer_{context} {}
 
 platform_client::~platform_client() = default;
--- a/src/platform_client.h
+++ b/src/platform_client.h
@@ -2,6 +2,7 @@
 /// rates, timeouts, jittered return after outages.
 #pragma once
 
+#include "gateway_port.h"
 #include "http_client.h"
 #include "platform_port.h"
 #include "platform_schedule.h"
@@ -18,16 +19,17 @@
 /// effect, or may still do so; see conditional_write.h.
 using platform_done = std::function<void(const result<platform_reply>& reply)>;
 
-/// The platform over HTTP; the interface of docs/backends/platform.md.
+/// The platform over HTTP. Without a codec it speaks the interface of docs/backends/platform.md.
 class http_platform {
 public:
-    http_platform(boost::asio::io_context& context, endpoint address);
+    http_platform(boost::asio::io_context& context, endpoint address, const store_codec* codec);
 
     void execute(const platform_call& call, std::chrono::milliseconds timeout, platform_done done);
 
 private:
     http_client client_;
     endpoint address_;
+    const store_codec* codec_;
 };
 
 /// Back ends that the client can talk to.
@@ -37,9 +39,11 @@
 /// never from inside execute().
 class platform_client {
 public:
-    /// @param seed  seed of the jitter.
+    /// @param seed   seed of the jitter.
+    /// @param codec  codec of a deployment, which has to outlive the client; null for the product's.
     platform_client(boost::asio::io_context& context, const endpoint& address,
-                    const platform_budget& budget, std::uint64_t seed);
+                    const platform_budget& budget, std::uint64_t seed,
+                    const store_codec* codec = nullptr);
     ~platform_client();
     platform_client(const platform_client&) = delete;
     platform_client& operator=(const platform_client&) = delete;
--- a/src/platform_port.h
+++ b/src/platform_port.h
@@ -57,6 +57,8 @@
     std::string after;
     /// Most objects in the answer; 0 leaves it to the platform.
     std::uint32_t limit = 0;
+    /// The answer may be seconds old; such a call is cheap.
+    bool may_be_stale = false;
 };
 
 /// Waits for changes of a kind after a revision.
--- a/src/process.cpp
+++ b/src/process.cpp
@@ -200,7 +200,8 @@
     std::atomic<bool> is_stopping_{false};
 };
 
-process::process(const process_settings& settings) : state_{std::make_unique<state>(settings)} {}
+process::process(const process_settings& settings, std::filesystem::path settings_file)
+    : state_{std::make_unique<state>(settings)}, settings_file_{std::move(settings_file)} {}
 
 process::~process() = default;
 
@@ -208,6 +209,10 @@
     return state_->settings;
 }
 
+const std::filesystem::path& process::settings_file() const {
+    return settings_file_;
+}
+
 metrics_registry& process::metrics() {
     return state_->metrics;
 }
@@ -280,12 +285,13 @@
 }
 
 exit_code run_process(const program_info& info, const process_settings& settings,
+                      const std::filesystem::path& settings_file,
                       const std::function<result<void>(process&)>& body) {
     open_log(settings.name, log_level_of(settings.log_level));
     const logger log{"process"};
     log.info(info.name + " " + std::string{config::program_release} + " starts in zone " +
              settings.zone + ".");
-    process running{settings};
+    process running{settings, settings_file};
     const auto ended = running.open().and_then([&] { return body(running); });
     if (!ended) {
         log.error("Ended by a failure: " + to_string(ended.error()) + ".");
--- a/src/process.h
+++ b/src/process.h
@@ -35,12 +35,15 @@
 /// What a running program has in common with all others. Safe from any thread.
 class process {
 public:
-    explicit process(const process_settings& settings);
+    /// @param settings_file  file that the settings came from.
+    explicit process(const process_settings& settings, std::filesystem::path settings_file = {});
     ~process();
     process(const process&) = delete;
     process& operator=(const process&) = delete;
 
     [[nodiscard]] const process_settings& settings() const;
+    /// File that the settings came from.
+    [[nodiscard]] const std::filesystem::path& settings_file() const;
     [[nodiscard]] metrics_registry& metrics();
     [[nodiscard]] event_log& events();
     /// Random number of this start.
@@ -64,6 +67,7 @@
 private:
     class state;
     std::unique_ptr<state> state_;
+    std::filesystem::path settings_file_;
 };
 
 /// What the command line asked for.
@@ -87,6 +91,7 @@
 
 /// Runs a body between open() and the end of the process. Errors of the body end up in the log.
 [[nodiscard]] exit_code run_process(const program_info& info, const process_settings& settings,
+                                    const std::filesystem::path& settings_file,
                                     const std::function<result<void>(process&)>& body);
 
 /// Whole main() of a program. The body starts the duties, calls set_ready(true) and
@@ -112,7 +117,7 @@
         return static_cast<int>(exit_code::ok);
     }
     return static_cast<int>(run_process(
-        info, settings->process, [&](process& running) { return body(running, *settings); }));
+        info, settings->process, asked.settings_file, [&](process& running) { return body(running, *settings); }));
 }
 
 } // namespace magnolia
--- a/src/retry_budget.cpp
+++ b/src/retry_budget.cpp
@@ -7,18 +7,14 @@
 
 using seconds = std::chrono::duration<double>;
 
-/// Time in which the reserve refills.
-constexpr seconds reserve_period{60};
-/// Largest budget, as a multiple of the reserve.
-constexpr double cap_factor = 4;
 /// Prediction overrun after which an attempt is given company.
 constexpr int overrun_factor = 2;
 constexpr duration smallest_overrun = std::chrono::milliseconds{200};
 
 } // namespace
 
-retry_budget::retry_budget(double fraction, double reserve)
-    : fraction_{fraction}, reserve_{reserve}, tokens_{reserve} {}
+retry_budget::retry_budget(double fraction, double reserve, duration period, double cap)
+    : fraction_{fraction}, reserve_{reserve}, period_{period}, cap_{cap}, tokens_{reserve} {}
 
 void retry_budget::refill(time_point now) {
     tokens_ = available(now);
@@ -29,13 +25,13 @@
     if (tokens_ >= reserve_ || now <= refilled_) {
         return tokens_;
     }
-    const double gained = reserve_ * (seconds{now - refilled_} / reserve_period);
+    const double gained = reserve_ * (seconds{now - refilled_} / seconds{period_});
     return std::min(reserve_, tokens_ + gained);
 }
 
 void retry_budget::on_first_attempt(std::uint32_t tokens, time_point now) {
     refill(now);
-    tokens_ = std::min(tokens_ + fraction_ * tokens, cap_factor * reserve_);
+    tokens_ = std::min(tokens_ + fraction_ * tokens, cap_ * reserve_);
 }
 
 bool retry_budget::try_spend(std::uint32_t tokens, time_point now) {
--- a/src/retry_budget.h
+++ b/src/retry_budget.h
@@ -10,8 +10,11 @@
 class retry_budget {
 public:
     /// @param fraction  tokens of further attempts per token of first attempts.
-    /// @param reserve   tokens that may be spent without any traffic, refilled every minute.
-    explicit retry_budget(double fraction = 0.1, double reserve = 400'000);
+    /// @param reserve   tokens that may be spent without any traffic.
+    /// @param period    time in which the reserve refills.
+    /// @param cap       largest budget, as a multiple of the reserve.
+    explicit retry_budget(double fraction = 0.1, double reserve = 400'000,
+                          duration period = std::chrono::minutes{1}, double cap = 4);
 
     void on_first_attempt(std::uint32_t tokens, time_point now);
 
@@ -26,6 +29,8 @@
 
     double fraction_;
     double reserve_;
+    duration period_;
+    double cap_;
     double tokens_;
     time_point refilled_{};
 };
--- /dev/null
+++ b/src/route_table.cpp
@@ -0,0 +1,81 @@
+#include "route_table.h"
+
+#include <boost/algorithm/string/case_conv.hpp>
+
+#include <algorithm>
+#include <numeric>
+
+namespace magnolia {
+namespace {
+
+std::string host_key(std::string_view host) {
+    return boost::to_lower_copy(std::string{host.substr(0, host.find(':'))});
+}
+
+} // namespace
+
+route_table::route_table(routing_config config) : config_{std::move(config)} {
+    for (const auto& route : config_.routes) {
+        routes_[host_key(route.host)].push_back(&route);
+    }
+    for (auto& [host, routes] : routes_) {
+        std::ranges::stable_sort(routes, std::ranges::greater{},
+                                 [](const auto* route) { return route->path_prefix.size(); });
+    }
+    for (const auto& workspace : config_.workspaces) {
+        for (const auto& key : workspace.keys) {
+            workspaces_.emplace(key, &workspace);
+        }
+    }
+    for (const auto& service : config_.services) {
+        services_.emplace(service.name, &service);
+    }
+}
+
+const route_info* route_table::find_route(std::string_view host, std::string_view path) const {
+    const auto found = routes_.find(host_key(host));
+    if (found == routes_.end()) {
+        return nullptr;
+    }
+    const auto match = std::ranges::find_if(
+        found->second, [path](const auto* route) { return path.starts_with(route->path_prefix); });
+    return match == found->second.end() ? nullptr : *match;
+}
+
+const workspace_info* route_table::find_workspace(std::string_view key) const {
+    const auto found = workspaces_.find(std::string{key});
+    return found == workspaces_.end() ? nullptr : found->second;
+}
+
+const service_info_entry* route_table::find_service(std::string_view name) const {
+    const auto found = services_.find(std::string{name});
+    return found == services_.end() ? nullptr : found->second;
+}
+
+std::vector<std::string> route_table::draw_services(const route_info& route,
+                                                    std::mt19937_64& random) {
+    std::vector<std::string> order;
+    auto left = route.services;
+    while (!left.empty()) {
+        const auto total = std::accumulate(
+            left.begin(), left.end(), std::uint64_t{0},
+            [](std::uint64_t sum, const auto& item) { return sum + item.weight; });
+        if (total == 0) {
+            // A weight of 0 takes a service out of the route.
+            break;
+        }
+        auto point = std::uniform_int_distribution<std::uint64_t>{0, total - 1}(random);
+        const auto drawn = std::ranges::find_if(left, [&point](const auto& item) {
+            if (point < item.weight) {
+                return true;
+            }
+            point -= item.weight;
+            return false;
+        });
+        order.push_back(drawn->service);
+        left.erase(drawn);
+    }
+    return order;
+}
+
+} // namespace magnolia
--- a/src/schema_reader.cpp
+++ b/src/schema_reader.cpp
@@ -1,6 +1,7 @@
 #include "schema_reader.h"
 
 #include <algorithm>
+#include <charconv>
 #include <sstream>
 
 namespace magnolia {
@@ -101,4 +102,23 @@
     check(in, static_cast<double>(value.count()), range);
 }
 
+bool read_text(const nlohmann::json& in, endpoint& value) {
+    if (!in.is_string()) {
+        return false;
+    }
+    const auto text = in.get<std::string>();
+    const auto colon = text.rfind(':');
+    if (colon == std::string::npos || colon == 0) {
+        return false;
+    }
+    std::uint16_t port = 0;
+    const auto* end = text.data() + text.size();
+    const auto [last, failure] = std::from_chars(text.data() + colon + 1, end, port);
+    if (failure != std::errc{} || last != end) {
+        return false;
+    }
+    value = {text.substr(0, colon), port};
+    return true;
+}
+
 } // namespace magnolia
--- a/src/schema_reader.h
+++ b/src/schema_reader.h
@@ -155,6 +155,9 @@
     std::vector<schema_error> errors_;
 };
 
+/// Reads `ADDRESS:PORT`; false if `in` is no text of that form.
+[[nodiscard]] bool read_text(const nlohmann::json& in, endpoint& value);
+
 /// Value as JSON: enumerations by name, durations in milliseconds.
 template <class T>
 nlohmann::json encode(const T& value) {
--- /dev/null
+++ b/tools/magnolia-gateway.cpp
@@ -0,0 +1,15 @@
+#include "gateway.h"
+#include "wire_codec.h"
+
+int main(int argc, char** argv) {
+    using namespace magnolia;
+    const program_info info{"magnolia-gateway",
+                            "Forwards callers' requests to the backend servers of a platform."};
+    return run_program<gateway_settings>(
+        argc, argv, info, [](process& running, const gateway_settings& settings) -> result<void> {
+            const platform::wire_codec codec;
+            const platform::object_store_codec store;
+            gateway host{running, settings, codec, store};
+            return host.run();
+        });
+}
