No failure is written into an answer that has begun

Ruled out: a backend server's second answer; the bytes were our own 503. Change: finish() breaks an answer off that has begun.

--- a/src/forward_call.cpp
+++ b/src/forward_call.cpp
@@ -528,6 +528,10 @@
 }
 
 void forward_call::finish(const error& failure) {
+    if (has_begun_) {
+        responder_.abort();
+        return close(status_, "broken off: " + to_string(failure));
+    }
     status_ = http_status(failure.code);
     auto response = shared_.codec.write_failure(head_, failure);
     responder_.send(std::move(response));
