Tests of the gateway on loopback, without a platform

Cause: the gateway's parts had no tests of their own. Change: a fixture with a codec of its own names, backend servers that a test writes, and callers; tests of routes, events, attempts and whole calls.

--- /dev/null
+++ b/tests/forward_call_test.cpp
@@ -0,0 +1,206 @@
+#include "gateway_fixture.h"
+
+#include <algorithm>
+
+namespace magnolia {
+namespace {
+
+std::size_t count_of(std::string_view text, std::string_view part) {
+    std::size_t count = 0;
+    for (auto at = text.find(part); at != std::string_view::npos; at = text.find(part, at + 1)) {
+        ++count;
+    }
+    return count;
+}
+
+TEST_F(gateway_fixture, a_request_passes_unchanged_with_what_the_gateway_adds) {
+    auto& backend = add_backend("b1", "desk");
+    backend.will(answers(200, "order placed"));
+    const auto answer =
+        call({"POST", "/unsafe/x?a=b", {{"other", "kept"}, {"time-left", "5000"}}, "body", {}});
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->body, "order placed");
+    ASSERT_EQ(backend.requests().size(), 1U);
+    const auto& seen = backend.requests().front();
+    EXPECT_EQ(seen.method + seen.target + seen.body, "POST/unsafe/x?a=bbody");
+    EXPECT_EQ(find_header(seen.headers, "other"), "kept");
+    EXPECT_EQ(find_header(seen.headers, "Host"), "shop.example");
+    EXPECT_EQ(find_header(seen.headers, "backend"), "b1");
+    EXPECT_EQ(find_header(seen.headers, "workspace"), "acme");
+    EXPECT_EQ(find_header(seen.headers, "key"), "");
+    EXPECT_LE(std::stoi(std::string{find_header(seen.headers, "time-left")}), 5000);
+}
+
+TEST_F(gateway_fixture, unknown_routes_and_keys_are_refused_only_by_a_current_host) {
+    add_backend("b1", "desk").will(answers(200));
+    EXPECT_EQ(call({"GET", "/nowhere/", {}, {}, {}})->status, 404U);
+    EXPECT_EQ(call({"GET", "/safe/", {{"key", "no"}}, {}, {}})->status, 401U);
+    shared_.routes_confirmed = steady_now() - std::chrono::hours{2};
+    EXPECT_EQ(call({"GET", "/nowhere/", {}, {}, {}})->status, 503U);
+    EXPECT_EQ(call({"GET", "/safe/", {{"key", "no"}}, {}, {}})->status, 503U);
+    EXPECT_EQ(call({"GET", "/safe/", {}, {}, {}})->status, 200U);
+}
+
+TEST_F(gateway_fixture, an_order_is_not_sent_again_after_a_broken_answer) {
+    for (const auto* id : {"b1", "b2"}) {
+        add_backend(id, "desk").will([](const auto&, const http_responder& responder) {
+            responder.abort();
+        });
+    }
+    EXPECT_EQ(call({"POST", "/unsafe/", {}, "order", {}})->status, 502U);
+    EXPECT_EQ(backends_[0]->requests().size() + backends_[1]->requests().size(), 1U);
+}
+
+TEST_F(gateway_fixture, an_order_that_was_proved_unrun_goes_to_another_backend_server) {
+    for (const auto* id : {"b1", "b2"}) {
+        auto& backend = add_backend(id, "desk");
+        backend.will(refuses());
+        backend.will(answers(200));
+    }
+    // Whichever is asked first refuses; the other one refuses too: both proved that nothing ran.
+    const auto answer = call({"POST", "/unsafe/", {}, "order", {}});
+    EXPECT_EQ(answer->status, 503U);
+    EXPECT_EQ(backends_[0]->requests().size(), 1U);
+    EXPECT_EQ(backends_[1]->requests().size(), 1U);
+}
+
+TEST_F(gateway_fixture, a_lookup_is_sent_again_after_a_failure) {
+    for (const auto* id : {"b1", "b2"}) {
+        add_backend(id, "desk").will([](const auto&, const http_responder& responder) {
+            responder.abort();
+        });
+    }
+    backends_[0]->will(answers(200));
+    EXPECT_EQ(call({"GET", "/safe/", {}, {}, {}})->status, 502U);
+    EXPECT_EQ(backends_[0]->requests().size(), 1U);
+    EXPECT_EQ(backends_[1]->requests().size(), 1U);
+}
+
+TEST_F(gateway_fixture, a_success_without_a_signature_is_no_answer) {
+    add_backend("b1", "desk").will([](const auto&, const http_responder& responder) {
+        responder.send({200, {}, "forged"});
+    });
+    EXPECT_EQ(call({"POST", "/unsafe/", {}, "order", {}})->status, 502U);
+}
+
+TEST_F(gateway_fixture, a_broken_stream_goes_on_at_another_backend_server) {
+    for (const auto* id : {"b1", "b2"}) {
+        add_backend(id, "llm").will(streams({1, 2, 3}, false));
+    }
+    const auto text = ask("POST", "/stream/");
+    // The second one does not go on after 3, and no third one may be asked.
+    EXPECT_EQ(count_of(text, "id: "), 3U);
+    ASSERT_EQ(backends_[0]->requests().size(), 1U);
+    ASSERT_EQ(backends_[1]->requests().size(), 1U);
+    const std::string resumes{
+        std::string{find_header(backends_[0]->requests().front().headers, "resume")} +
+        std::string{find_header(backends_[1]->requests().front().headers, "resume")}};
+    EXPECT_EQ(resumes, "3");
+}
+
+TEST_F(gateway_fixture, a_continued_stream_has_each_event_once) {
+    auto& only = add_backend("b1", "llm");
+    only.will(streams({1, 2, 3}, false));
+    only.will(streams({4, 5}, true));
+    const auto answer = call({"POST", "/stream/", {}, "prompt", {}});
+    ASSERT_TRUE(answer);
+    std::string expected;
+    for (const auto id : {1, 2, 3, 4, 5}) {
+        expected += event_text(static_cast<std::uint64_t>(id));
+    }
+    EXPECT_EQ(answer->body, expected);
+}
+
+TEST_F(gateway_fixture, a_continued_stream_with_a_gap_is_broken_off) {
+    auto& only = add_backend("b1", "llm");
+    only.will(streams({1, 2, 3}, false));
+    only.will(streams({5, 6}, true));
+    const auto text = ask("POST", "/stream/");
+    EXPECT_EQ(count_of(text, "id: "), 3U);
+    EXPECT_EQ(count_of(text, "0\r\n\r\n"), 0U);
+}
+
+TEST_F(gateway_fixture, no_failure_is_written_into_a_stream_that_has_begun) {
+    auto& only = add_backend("b1", "llm");
+    only.will([this](const http_request& request, const http_responder& responder) {
+        // The backend server leaves while its stream breaks: nothing is left to ask.
+        fleet_.set_gone("b1");
+        streams({1, 2}, false)(request, responder);
+    });
+    const auto text = ask("POST", "/stream/");
+    EXPECT_EQ(count_of(text, "HTTP/1.1"), 1U);
+    EXPECT_EQ(count_of(text, "id: "), 2U);
+    EXPECT_EQ(count_of(text, "0\r\n\r\n"), 0U);
+}
+
+TEST_F(gateway_fixture, a_stream_that_may_not_be_repeated_is_broken_off) {
+    auto& only = add_backend("b1", "llm");
+    only.will(streams({1, 2}, false));
+    const auto text = ask("POST", "/once-stream/");
+    EXPECT_EQ(count_of(text, "id: "), 2U);
+    EXPECT_EQ(count_of(text, "0\r\n\r\n"), 0U);
+    EXPECT_EQ(only.requests().size(), 1U);
+}
+
+TEST_F(gateway_fixture, a_prompt_larger_than_one_engine_reserves_at_several) {
+    for (const auto* id : {"b1", "b2", "b3"}) {
+        auto& backend = add_backend(id, "llm");
+        backend.will([](const http_request& request, const http_responder& responder) {
+            const bool is_order = request.target == "/reserve" || request.target == "/release";
+            (is_order ? answers(200) : streams({1}, true))(request, responder);
+        });
+    }
+    auto config = default_config();
+    config.services.front().engine->memory_tokens = 40'000;
+    fleet_.set_services(config.services);
+    const auto answer = call({"POST", "/stream/", {{"prompt", "50000"}}, "p", {}});
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->status, 200U);
+    std::size_t reserves = 0;
+    std::size_t runs = 0;
+    const auto count = [&] {
+        reserves = runs = 0;
+        std::size_t releases = 0;
+        for (const auto& backend : backends_) {
+            for (const auto& request : backend->requests()) {
+                reserves += request.target == "/reserve" ? 1 : 0;
+                releases += request.target == "/release" ? 1 : 0;
+                runs += request.target == "/stream/" ? 1 : 0;
+            }
+        }
+        return releases;
+    };
+    run_until([&] { return count() > 0 && count() == reserves; });
+    EXPECT_GE(reserves, 2U);
+    EXPECT_EQ(runs, 1U);
+    EXPECT_EQ(reservations_.size(), 0U);
+}
+
+TEST_F(gateway_fixture, a_caller_that_leaves_ends_the_work) {
+    auto& only = add_backend("b1", "llm");
+    bool is_gone = false;
+    only.will([&](const http_request&, const http_responder& responder) {
+        responder.on_gone([&] { is_gone = true; });
+    });
+    http_client caller{context_, 0};
+    const auto id = caller.call({"127.0.0.1", front_.port()},
+                                {"POST",
+                                 "/stream/",
+                                 {{"Host", "shop.example"}, {"attempt", "a1"}, {"key", "k1"}},
+                                 "p",
+                                 {}},
+                                {}, [](const auto&) {});
+    run_until([&] { return !only.requests().empty(); });
+    caller.cancel(id);
+    run_until([&] { return is_gone; });
+    EXPECT_TRUE(is_gone);
+    EXPECT_EQ(ends_.back().status, 499U);
+}
+
+TEST_F(gateway_fixture, the_deadline_of_a_request_that_was_sent_is_told_as_such) {
+    add_backend("b1", "desk").will([](const auto&, const auto&) {});
+    EXPECT_EQ(call({"POST", "/unsafe/", {{"time-left", "60"}}, "order", {}})->status, 504U);
+}
+
+} // namespace
+} // namespace magnolia
--- /dev/null
+++ b/tests/gateway_fixture.cpp
@@ -0,0 +1,277 @@
+#include "gateway_fixture.h"
+
+#include <boost/algorithm/string/predicate.hpp>
+#include <boost/asio/write.hpp>
+#include <nlohmann/json.hpp>
+
+namespace magnolia {
+namespace {
+
+using boost::asio::ip::tcp;
+
+std::uint32_t number_in(std::string_view text) {
+    return text.empty() ? 0 : static_cast<std::uint32_t>(std::stoul(std::string{text}));
+}
+
+} // namespace
+
+result<request_head> test_codec::read_request(const http_request& request) const {
+    request_head head;
+    head.attempt = find_header(request.headers, "attempt");
+    if (head.attempt.empty()) {
+        return fail(error_code::bad_request, "attempt");
+    }
+    head.key = find_header(request.headers, "key");
+    if (const auto left = find_header(request.headers, "time-left"); !left.empty()) {
+        head.time_left = milliseconds{number_in(left)};
+    }
+    head.prompt_tokens = number_in(find_header(request.headers, "prompt"));
+    head.max_answer_tokens = 100;
+    if (const auto from = find_header(request.headers, "resume"); !from.empty()) {
+        head.resume_after = number_in(from);
+    }
+    return head;
+}
+
+http_request test_codec::write_request(const http_request& request,
+                                       const attempt_terms& terms) const {
+    auto out = request;
+    std::erase_if(out.headers, [](const auto& field) {
+        return boost::iequals(field.name, "key") || boost::iequals(field.name, "time-left") ||
+               boost::iequals(field.name, "resume");
+    });
+    out.headers.push_back({"time-left", std::to_string(terms.time_left.count())});
+    out.headers.push_back({"backend", terms.backend_id});
+    out.headers.push_back({"workspace", terms.workspace});
+    if (terms.resume_after) {
+        out.headers.push_back({"resume", std::to_string(*terms.resume_after)});
+    }
+    std::string helpers;
+    for (const auto& helper : terms.helpers) {
+        helpers += std::to_string(helper.address.port) + "/" + helper.reservation + " ";
+    }
+    if (!helpers.empty()) {
+        out.headers.push_back({"helpers", helpers});
+    }
+    return out;
+}
+
+answer_head test_codec::read_answer(unsigned status, const http_headers& headers) const {
+    answer_head answer;
+    answer.is_not_run = !find_header(headers, "not-run").empty();
+    answer.is_other_backend = status == 421;
+    answer.is_signed = !find_header(headers, "signature").empty();
+    answer.is_event_stream = find_header(headers, "Content-Type") == "text/event-stream";
+    return answer;
+}
+
+http_header test_codec::echo_of(const request_head& head) const {
+    return {"attempt", head.attempt};
+}
+
+http_response test_codec::write_failure(const request_head& /*head*/, const error& failure) const {
+    http_response response{http_status(failure.code), {}, std::string{to_string(failure.code)}};
+    if (failure.retry_after.count() > 0) {
+        response.headers.push_back({"Retry-After", std::to_string(failure.retry_after.count())});
+    }
+    return response;
+}
+
+result<routing_config> test_codec::read_config(std::string_view value) const {
+    const auto document = nlohmann::json::parse(value, nullptr, false);
+    if (!document.is_object() || !document.contains("version")) {
+        return fail(error_code::bad_request, "version");
+    }
+    routing_config config;
+    config.version = document["version"].get<std::uint64_t>();
+    return config;
+}
+
+result<backend_info> test_codec::read_backend(const std::string& id,
+                                              std::string_view value) const {
+    backend_info backend;
+    backend.id = id;
+    backend.service = value;
+    return backend;
+}
+
+http_request test_codec::write_reserve(std::string_view reservation, std::uint32_t tokens,
+                                       milliseconds hold) const {
+    return {"POST",
+            "/reserve",
+            {{"attempt", std::string{reservation}},
+             {"tokens", std::to_string(tokens)},
+             {"hold", std::to_string(hold.count())}},
+            {},
+            {}};
+}
+
+http_request test_codec::write_release(std::string_view reservation) const {
+    return {"POST", "/release", {{"attempt", std::string{reservation}}}, {}, {}};
+}
+
+std::string event_text(std::uint64_t id, std::string_view data) {
+    return "id: " + std::to_string(id) + "\ndata: " + std::string{data} + "\n\n";
+}
+
+test_backend::test_backend(boost::asio::io_context& context)
+    : server_{context, {}, [this](http_request request, const http_responder& responder) {
+                  on_request(std::move(request), responder);
+              }} {
+    EXPECT_TRUE(server_.listen(endpoint{}));
+}
+
+void test_backend::on_request(http_request request, const http_responder& responder) {
+    requests_.push_back(request);
+    ASSERT_FALSE(handlers_.empty());
+    const auto handler = handlers_.front();
+    if (handlers_.size() > 1) {
+        handlers_.pop_front();
+    }
+    handler(std::move(request), responder);
+}
+
+http_handler answers(unsigned status, std::string body) {
+    return [status, body = std::move(body)](const http_request& request,
+                                            const http_responder& responder) {
+        const std::string attempt{find_header(request.headers, "attempt")};
+        responder.send({status, {{"signature", "s"}, {"attempt", attempt}}, body});
+    };
+}
+
+http_handler refuses() {
+    return [](const http_request& /*request*/, const http_responder& responder) {
+        responder.send({503, {{"not-run", "1"}}, {}});
+    };
+}
+
+http_handler streams(std::vector<std::uint64_t> ids, bool is_whole) {
+    return [ids = std::move(ids), is_whole](const http_request& /*request*/,
+                                            const http_responder& responder) {
+        responder.start(200, {{"signature", "s"}, {"Content-Type", "text/event-stream"}});
+        std::string text;
+        for (const auto id : ids) {
+            text += event_text(id);
+        }
+        responder.write(text, [responder, is_whole] {
+            if (is_whole) {
+                responder.finish();
+            } else {
+                responder.abort();
+            }
+        });
+    };
+}
+
+gateway_fixture::gateway_fixture()
+    : shared_{.io = context_,
+              .codec = codec_,
+              .client = client_,
+              .fleet = fleet_,
+              .reservations = reservations_,
+              .random = std::mt19937_64{1},
+              .origin = 1,
+              .routes = nullptr,
+              .routes_confirmed = steady_now(),
+              .confirmation_limit = std::chrono::hours{1},
+              .make_budget = [] { return retry_budget{0.5, 10, std::chrono::seconds{10}, 1}; },
+              .budgets = {},
+              .on_end = [this](const call_end& end) { ends_.push_back(end); },
+              .on_work_changed = [] {}},
+      front_{context_, {}, [this](http_request request, http_responder responder) {
+                 std::make_shared<forward_call>(shared_, std::move(request), responder)->start();
+             }} {
+    EXPECT_TRUE(front_.listen(endpoint{}));
+    configure();
+}
+
+routing_config gateway_fixture::default_config() {
+    routing_config config;
+    config.version = 1;
+    const auto route = [&](const std::string& prefix, repeat_rule repeat, bool is_stream,
+                           const std::string& service) {
+        route_info info;
+        info.name = prefix;
+        info.host = "shop.example";
+        info.path_prefix = prefix;
+        info.repeat = repeat;
+        info.is_stream = is_stream;
+        info.timeout = milliseconds{60000};
+        info.max_attempts = 2;
+        info.services = {{service, 1}};
+        config.routes.push_back(info);
+    };
+    route("/stream/", repeat_rule::continued, true, "llm");
+    route("/once-stream/", repeat_rule::never, true, "llm");
+    route("/safe/", repeat_rule::anytime, false, "desk");
+    route("/unsafe/", repeat_rule::never, false, "desk");
+    engine_figures figures;
+    figures.memory_tokens = 10'000;
+    figures.steps_per_pass = 40;
+    config.services = {{"llm", 64, figures}, {"desk", 64, std::nullopt}};
+    config.workspaces = {{"acme", {"k1", "k2"}, std::nullopt}};
+    return config;
+}
+
+void gateway_fixture::configure() {
+    shared_.routes = std::make_shared<const route_table>(default_config());
+    fleet_.set_services(shared_.routes->config().services);
+}
+
+test_backend& gateway_fixture::add_backend(const std::string& id, const std::string& service) {
+    backends_.push_back(std::make_unique<test_backend>(context_));
+    backend_info info;
+    info.id = id;
+    info.service = service;
+    info.address.port = backends_.back()->port();
+    info.zone = "z1";
+    info.slots = 4;
+    fleet_.put(info, steady_now());
+    return *backends_.back();
+}
+
+std::string gateway_fixture::ask(const std::string& method, const std::string& path,
+                                 const http_headers& headers) {
+    std::string text = method + " " + path +
+                       " HTTP/1.1\r\nHost: shop.example\r\nattempt: a1\r\nkey: k1\r\n"
+                       "Connection: close\r\n";
+    for (const auto& field : headers) {
+        text += field.name + ": " + field.value + "\r\n";
+    }
+    text += "\r\n";
+    tcp::socket socket{context_};
+    socket.connect({boost::asio::ip::make_address("127.0.0.1"), front_.port()});
+    boost::asio::write(socket, boost::asio::buffer(text));
+    std::string received;
+    std::array<char, 4096> buffer{};
+    bool is_over = false;
+    std::function<void()> read = [&] {
+        socket.async_read_some(boost::asio::buffer(buffer), [&](const auto& failure, auto count) {
+            received.append(buffer.data(), count);
+            if (failure) {
+                is_over = true;
+            } else {
+                read();
+            }
+        });
+    };
+    read();
+    run_until([&] { return is_over; });
+    return received;
+}
+
+tl::expected<http_response, http_failure> gateway_fixture::call(http_request request) {
+    request.headers.push_back({"Host", "shop.example"});
+    request.headers.push_back({"attempt", "a1"});
+    if (find_header(request.headers, "key").empty()) {
+        request.headers.push_back({"key", "k1"});
+    }
+    std::optional<tl::expected<http_response, http_failure>> answer;
+    http_client caller{context_, 0};
+    caller.call({"127.0.0.1", front_.port()}, std::move(request), {},
+                [&](auto received) { answer = std::move(received); });
+    run_until([&] { return answer.has_value(); });
+    return *answer;
+}
+
+} // namespace magnolia
--- /dev/null
+++ b/tests/gateway_fixture.h
@@ -0,0 +1,98 @@
+/// Gateway parts on loopback without a platform: a codec with names of its own, backend servers whose
+/// answers a test writes, and callers.
+#pragma once
+
+#include "forward_call.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <gtest/gtest.h>
+
+#include <deque>
+
+namespace magnolia {
+
+/// Codec of no real deployment.
+class test_codec final : public gateway_codec {
+public:
+    [[nodiscard]] result<request_head> read_request(const http_request& request) const override;
+    [[nodiscard]] http_request write_request(const http_request& request,
+                                             const attempt_terms& terms) const override;
+    [[nodiscard]] answer_head read_answer(unsigned status,
+                                          const http_headers& headers) const override;
+    [[nodiscard]] http_header echo_of(const request_head& head) const override;
+    [[nodiscard]] http_response write_failure(const request_head& head,
+                                              const error& failure) const override;
+    [[nodiscard]] object_id config_object() const override { return {"routes", "main"}; }
+    [[nodiscard]] result<routing_config> read_config(std::string_view value) const override;
+    [[nodiscard]] std::string backend_kind() const override { return "backends"; }
+    [[nodiscard]] result<backend_info> read_backend(const std::string& id,
+                                                    std::string_view value) const override;
+    [[nodiscard]] http_request write_reserve(std::string_view reservation, std::uint32_t tokens,
+                                             milliseconds hold) const override;
+    [[nodiscard]] http_request write_release(std::string_view reservation) const override;
+    [[nodiscard]] std::string_view readiness_path() const override { return "/ready"; }
+};
+
+/// One event as backend servers send it.
+[[nodiscard]] std::string event_text(std::uint64_t id, std::string_view data = "x");
+
+/// A backend server with a handler for each request in turn; the last one stays.
+class test_backend {
+public:
+    explicit test_backend(boost::asio::io_context& context);
+
+    void will(http_handler handler) { handlers_.push_back(std::move(handler)); }
+    [[nodiscard]] std::uint16_t port() const { return server_.port(); }
+    [[nodiscard]] const std::vector<http_request>& requests() const { return requests_; }
+    void close() { server_.close(); }
+
+private:
+    void on_request(http_request request, const http_responder& responder);
+
+    std::deque<http_handler> handlers_;
+    std::vector<http_request> requests_;
+    http_server server_;
+};
+
+/// Handlers of backend servers.
+[[nodiscard]] http_handler answers(unsigned status, std::string body = "ok");
+/// Proves that nothing ran.
+[[nodiscard]] http_handler refuses();
+/// Sends the events with these ids, then breaks off or ends.
+[[nodiscard]] http_handler streams(std::vector<std::uint64_t> ids, bool is_whole);
+
+class gateway_fixture : public testing::Test {
+protected:
+    gateway_fixture();
+
+    /// Adds a backend server of the service "llm" or "desk".
+    test_backend& add_backend(const std::string& id, const std::string& service);
+    /// Sets the configuration; routes: /stream/ and /once-stream/ to llm, /safe/ and /unsafe/ to desk.
+    void configure();
+    [[nodiscard]] static routing_config default_config();
+
+    /// Sends a request to the gateway; returns all bytes until the connection ends or the answer is
+    /// whole.
+    [[nodiscard]] std::string ask(const std::string& method, const std::string& path,
+                                  const http_headers& headers = {});
+    /// As ask(), through a client that reads the answer.
+    [[nodiscard]] tl::expected<http_response, http_failure> call(http_request request);
+
+    template <class Condition>
+    void run_until(Condition condition) {
+        while (!condition() && context_.run_one() > 0) {
+        }
+    }
+
+    boost::asio::io_context context_{1};
+    test_codec codec_;
+    http_client client_{context_, 0};
+    backend_fleet fleet_{"z1", 1, placement_policy::pause_aware};
+    reservation_keeper reservations_{context_, client_, codec_, milliseconds{3000}};
+    gateway_shared shared_;
+    std::vector<call_end> ends_;
+    http_server front_;
+    std::vector<std::unique_ptr<test_backend>> backends_;
+};
+
+} // namespace magnolia
