Silent backend servers are probed; a stream is cut only if it can be moved

Cause: an engine that reads a long prompt is silent for over 0.9 s. Ruled out: resets by the engines; the runs were cut by us. Change: the budget is asked before anything is cut; a silent engine is asked for a sign of life; one that answers probes only is busy and is left alone; no sign of life moves its streams at half the limit.

--- a/src/attempt_policy.cpp
+++ b/src/attempt_policy.cpp
@@ -16,6 +16,10 @@
 /// Share of the callers' patience after which a silent stream is moved; a second backend server
 /// then has the rest to read the prompt again.
 constexpr double moved_share = 0.45;
+/// Part of the limit after which a backend server that gives no sign of life is given up.
+constexpr int silent_divisor = 2;
+/// Error of predictions under load, as a factor.
+constexpr int predicted_factor = 3;
 /// Silence of a plain request before it is sent again, in target latencies.
 constexpr int silent_latencies = 2;
 constexpr duration least_silence = std::chrono::milliseconds{200};
@@ -38,15 +42,28 @@
                                                            : next_step::tell_failed;
 }
 
-duration stream_silence_limit(const route_info& route) {
+duration silence_limit(const route_info& route) {
+    if (!route.is_stream) {
+        return std::max(least_silence, duration{route.target_latency} * silent_latencies);
+    }
     const duration patience =
         std::max({least_patience, duration{route.target_latency} * patience_latencies,
                   duration{route.target_pause} * patience_pauses});
     return std::chrono::duration_cast<duration>(patience * moved_share);
 }
 
-duration answer_silence_limit(const route_info& route) {
-    return std::max(least_silence, duration{route.target_latency} * silent_latencies);
+bool is_backend_lost(const silent_attempt& attempt) {
+    const auto expected = attempt.predicted_first * predicted_factor;
+    switch (attempt.evidence) {
+    case life_evidence::silent:
+        return attempt.silence >= attempt.limit / silent_divisor;
+    case life_evidence::none:
+    case life_evidence::answers_others:
+        return attempt.silence >= std::max(attempt.limit, expected);
+    case life_evidence::answers_probes:
+        return false;
+    }
+    return false;
 }
 
 } // namespace magnolia
--- a/src/attempt_policy.h
+++ b/src/attempt_policy.h
@@ -45,11 +45,34 @@
 
 [[nodiscard]] next_step decide_after_failure(const failed_attempt& attempt);
 
-/// Silence of a stream after which the backend server is taken for lost: well before callers give
-/// the stream up, which they do after the longest of 2 s, four target latencies and eight target
-/// pauses.
-[[nodiscard]] duration stream_silence_limit(const route_info& route);
-/// Silence of a request that may be repeated after which another backend server is asked.
-[[nodiscard]] duration answer_silence_limit(const route_info& route);
+/// Silence of an answer after which its backend server may be taken for lost. For a stream well
+/// before callers give it up, which they do after the longest of 2 s, four target latencies and
+/// eight target pauses.
+[[nodiscard]] duration silence_limit(const route_info& route);
+
+/// What is known of a backend server beside the silence of one request.
+enum class life_evidence : std::uint8_t {
+    /// Nothing new.
+    none,
+    /// Other answers come from it.
+    answers_others,
+    /// It answers probes, and no request: busy.
+    answers_probes,
+    /// It did not answer the last probe.
+    silent,
+};
+
+/// A request that has heard nothing for a while.
+struct silent_attempt {
+    duration silence{0};
+    duration limit{0};
+    /// Predicted time to the first event, if none has come; 0 otherwise.
+    duration predicted_first{0};
+    life_evidence evidence = life_evidence::none;
+};
+
+/// Whether another backend server should be asked: this one is lost, or has forgotten the request. A
+/// busy one is left alone; reading the prompt again elsewhere would only add to the load.
+[[nodiscard]] bool is_backend_lost(const silent_attempt& attempt);
 
 } // namespace magnolia
--- a/src/backend_fleet.cpp
+++ b/src/backend_fleet.cpp
@@ -10,6 +10,10 @@
 constexpr double failure_weight = 0.2;
 /// Failure shares fade by this factor with each success.
 constexpr double success_weight = 0.1;
+/// Bytes of any answer within this time show that a backend server works on requests.
+constexpr duration evidence_span = std::chrono::milliseconds{400};
+/// Time for which the outcome of a probe counts.
+constexpr duration probe_span = std::chrono::milliseconds{1000};
 /// Most work of one other gateway that is kept.
 constexpr std::size_t max_remote_jobs = 4096;
 
@@ -168,7 +172,8 @@
     if (!choice) {
         return tl::unexpected{choice.error()};
     }
-    chosen_backends chosen{.first_event = choice->first_event};
+    chosen_backends chosen;
+    chosen.first_event = choice->first_event;
     for (const auto& member : choice->members) {
         const auto& info = usable[member.index]->info;
         chosen.members.push_back({info.id, info.address, member.reserved_tokens});
@@ -304,19 +309,34 @@
     }
 }
 
-time_point backend_fleet::heard_at(const std::string& backend) const {
-    const auto found = backends_.find(backend);
-    return found == backends_.end() ? time_point{} : found->second.heard;
+void backend_fleet::on_probe_answered(const std::string& backend, time_point now) {
+    if (auto* item = find(backend)) {
+        item->probe_answered = now;
+    }
 }
 
-double backend_fleet::pass_ms(const std::string& backend, time_point now) {
-    auto* item = find(backend);
-    if (item == nullptr || !item->forecast) {
-        return 0;
+void backend_fleet::on_probe_failed(const std::string& backend, time_point now) {
+    if (auto* item = find(backend)) {
+        item->probe_failed = now;
+    }
+}
+
+life_evidence backend_fleet::evidence_of(const std::string& backend, time_point now) const {
+    const auto found = backends_.find(backend);
+    if (found == backends_.end()) {
+        return life_evidence::none;
+    }
+    const auto& item = found->second;
+    if (now - item.heard < evidence_span) {
+        return life_evidence::answers_others;
+    }
+    const auto latest = std::max(item.probe_answered, item.probe_failed);
+    if (now - latest >= probe_span) {
+        return life_evidence::none;
     }
-    const auto reading = item->forecast->reading_until(now) - now;
-    return item->forecast->plain_pass_ms() +
-           std::chrono::duration<double, std::milli>{reading}.count();
+    return item.probe_failed > item.probe_answered && item.probe_failed > item.heard
+               ? life_evidence::silent
+               : life_evidence::answers_probes;
 }
 
 std::optional<work_news> backend_fleet::take_news(const std::string& sender, bool is_digest) {
--- a/src/backend_fleet.h
+++ b/src/backend_fleet.h
@@ -2,6 +2,7 @@
 /// health, and the work of this and the other gateways on engines. Pure: time is passed in.
 #pragma once
 
+#include "attempt_policy.h"
 #include "breaker.h"
 #include "placement.h"
 
@@ -77,10 +78,9 @@
     void on_ended(job_id id, attempt_result result, time_point now);
     /// Bytes of an answer came.
     void on_heard(const std::string& backend, time_point now);
-    /// Last time that bytes came from the backend server; time_point{} if never.
-    [[nodiscard]] time_point heard_at(const std::string& backend) const;
-    /// Expected length of a pass there, ms; 0 for other than engines.
-    [[nodiscard]] double pass_ms(const std::string& backend, time_point now);
+    void on_probe_answered(const std::string& backend, time_point now);
+    void on_probe_failed(const std::string& backend, time_point now);
+    [[nodiscard]] life_evidence evidence_of(const std::string& backend, time_point now) const;
 
     // Exchange with other gateways.
     /// News since the last call; `is_digest` adds the numbers of all work under way.
@@ -98,6 +98,8 @@
         breaker failures;
         double failure_share = 0;
         time_point heard{};
+        time_point probe_answered{};
+        time_point probe_failed{};
         std::uint32_t open_calls = 0;
         std::optional<engine_forecast> forecast;
     };
--- a/src/forward_call.cpp
+++ b/src/forward_call.cpp
@@ -23,10 +23,8 @@
 constexpr int room_wait_divisor = 2;
 /// Pauses between looks at a silent backend server.
 constexpr milliseconds silence_interval{100};
-/// A backend server that was heard within this time is alive, if slow.
-constexpr milliseconds alive_span{400};
-/// Silence of one request at a backend server that is alive, as a multiple of the limit.
-constexpr int alive_factor = 2;
+/// Part of the silence limit after which a sign of life is asked for.
+constexpr int probes_per_limit = 3;
 /// Value of a request: that of a short prompt is 1, and it grows by 1 with this many tokens.
 constexpr double tokens_per_value = 10'000;
 
@@ -227,6 +225,7 @@
     }
     const auto& first = chosen.members.front();
     backend_ = first.id;
+    address_ = first.address;
     tried_.push_back(first.id);
     sent_at_ = now;
     last_progress_ = now;
@@ -433,7 +432,8 @@
     is_in_doubt_ = is_in_doubt_ || evidence == run_evidence::in_doubt;
     auto step = decide_after_failure(facts);
     if (step == next_step::send_again) {
-        if (evidence == run_evidence::not_sent || try_retry_budget()) {
+        const bool is_paid = std::exchange(is_move_paid_, false);
+        if (is_paid || evidence == run_evidence::not_sent || try_retry_budget()) {
             return next_attempt();
         }
         step = has_begun_      ? next_step::break_off
@@ -465,15 +465,30 @@
     call_ = {};
 }
 
-bool forward_call::is_silent_too_long(time_point now) const {
-    if (!has_job_ || call_.value == 0 || route_->repeat == repeat_rule::never ||
-        sends_ >= route_->max_attempts) {
-        return false;
+bool forward_call::is_lost(time_point now) const {
+    const silent_attempt facts{.silence = now - last_progress_,
+                               .limit = silence_limit(*route_),
+                               .predicted_first = has_begun_ ? duration{0} : predicted_,
+                               .evidence = shared_.fleet.evidence_of(backend_, now)};
+    return is_backend_lost(facts);
+}
+
+void forward_call::watch_silence(time_point now) {
+    const bool may_move = call_.value != 0 && has_job_ && route_->repeat != repeat_rule::never &&
+                          sends_ < route_->max_attempts;
+    if (!may_move) {
+        return;
+    }
+    const bool is_quiet = now - last_progress_ >= silence_limit(*route_) / probes_per_limit;
+    if (route_->is_stream && is_quiet) {
+        shared_.prober.probe(backend_, address_, now);
+    }
+    if (is_lost(now) && try_retry_budget()) {
+        shared_.client.cancel(call_);
+        is_move_paid_ = true;
+        fail_attempt(run_evidence::in_doubt, attempt_result::lost,
+                     {error_code::backend_lost, "silent"});
     }
-    const auto limit =
-        route_->is_stream ? stream_silence_limit(*route_) : answer_silence_limit(*route_);
-    const bool is_alive = now - shared_.fleet.heard_at(backend_) < alive_span;
-    return now - last_progress_ >= limit * (is_alive ? alive_factor : 1);
 }
 
 void forward_call::arm_timer() {
@@ -494,11 +509,7 @@
     if (now >= deadline_) {
         return on_deadline();
     }
-    if (is_silent_too_long(now)) {
-        shared_.client.cancel(call_);
-        fail_attempt(run_evidence::in_doubt, attempt_result::lost,
-                     {error_code::backend_lost, "silent"});
-    }
+    watch_silence(now);
     arm_timer();
 }
 
--- a/src/forward_call.h
+++ b/src/forward_call.h
@@ -9,6 +9,7 @@
 #include "gateway_port.h"
 #include "http_client.h"
 #include "http_server.h"
+#include "liveness_prober.h"
 #include "reservations.h"
 #include "retry_budget.h"
 #include "route_table.h"
@@ -49,6 +50,7 @@
     http_client& client;
     backend_fleet& fleet;
     reservation_keeper& reservations;
+    liveness_prober& prober;
     std::mt19937_64 random;
     std::uint64_t origin = 0;
     /// Configuration in force; null until the first one is known.
@@ -97,7 +99,9 @@
 
     void on_timer();
     void arm_timer();
-    [[nodiscard]] bool is_silent_too_long(time_point now) const;
+    /// Asks the backend server for a sign of life once it has been silent for a while.
+    void watch_silence(time_point now);
+    [[nodiscard]] bool is_lost(time_point now) const;
     void on_deadline();
     void caller_left();
 
@@ -125,11 +129,14 @@
     http_call_id call_{};
     job_id job_{};
     std::string backend_;
+    endpoint address_;
     std::string reservation_;
     std::uint32_t sends_ = 0;
     std::uint32_t unsent_ = 0;
     bool has_job_ = false;
     bool is_in_doubt_ = false;
+    /// The retry budget was charged for the next send already.
+    bool is_move_paid_ = false;
     time_point sent_at_{};
     time_point last_progress_{};
     duration predicted_{0};
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -130,6 +130,7 @@
     http_client client_;
     backend_fleet fleet_;
     reservation_keeper reservations_;
+    liveness_prober prober_;
     news_exchange exchange_;
     gateway_shared shared_;
     http_server front_;
@@ -155,6 +156,7 @@
       reservations_{io_, client_, codec,
                     std::min(share_of(settings.late_reservation_ms, hold_share),
                              settings.max_reservation_ms)},
+      prober_{client_, fleet_, codec},
       exchange_{io_,
                 {[this](const work_news& news) { fleet_.on_news(news, steady_now()); },
                  [this](std::uint64_t origin) { fleet_.forget_origin(origin); }}},
@@ -163,6 +165,7 @@
               .client = client_,
               .fleet = fleet_,
               .reservations = reservations_,
+              .prober = prober_,
               .random = std::mt19937_64{owner.boot()},
               .origin = owner.boot(),
               .routes = nullptr,
--- a/src/gateway_port.h
+++ b/src/gateway_port.h
@@ -54,6 +54,9 @@
                                                      milliseconds hold) const = 0;
     [[nodiscard]] virtual http_request write_release(std::string_view reservation) const = 0;
 
+    /// Asks a backend server for a sign of life; costs it no slot.
+    [[nodiscard]] virtual http_request write_probe() const = 0;
+
     /// Path at which the platform asks whether the host takes new connections.
     [[nodiscard]] virtual std::string_view readiness_path() const = 0;
 };
--- /dev/null
+++ b/src/liveness_prober.cpp
@@ -0,0 +1,46 @@
+#include "liveness_prober.h"
+
+#include "log.h"
+
+namespace magnolia {
+namespace {
+
+/// Longest wait for a sign of life: round trips between zones with one packet lost.
+constexpr std::chrono::milliseconds probe_timeout{250};
+/// Least time between two probes of one backend server: probes are priced.
+constexpr duration probe_interval = std::chrono::milliseconds{300};
+/// Backend servers whose probes are remembered.
+constexpr std::size_t max_remembered = 1024;
+
+} // namespace
+
+liveness_prober::liveness_prober(http_client& client, backend_fleet& fleet,
+                                 const gateway_codec& codec)
+    : client_{client}, fleet_{fleet}, codec_{codec} {}
+
+void liveness_prober::probe(const std::string& backend, const endpoint& address, time_point now) {
+    if (probes_.size() >= max_remembered) {
+        std::erase_if(probes_, [](const auto& item) { return !item.second.is_open; });
+    }
+    auto& probe = probes_[backend];
+    if (probe.is_open || now - probe.last < probe_interval) {
+        return;
+    }
+    probe = {true, now};
+    http_call_limits limits;
+    limits.connect_timeout = probe_timeout;
+    limits.silence_timeout = probe_timeout;
+    limits.total_timeout = probe_timeout;
+    client_.call(address, codec_.write_probe(), limits, [this, backend](const auto& answer) {
+        probes_[backend].is_open = false;
+        const auto ended = steady_now();
+        if (answer) {
+            return fleet_.on_probe_answered(backend, ended);
+        }
+        static const logger log{"probe"};
+        log.info("backend server " + backend + " gives no sign of life");
+        fleet_.on_probe_failed(backend, ended);
+    });
+}
+
+} // namespace magnolia
--- a/tests/attempt_policy_test.cpp
+++ b/tests/attempt_policy_test.cpp
@@ -55,5 +55,39 @@
     EXPECT_EQ(decide_after_failure(attempt), next_step::break_off);
 }
 
+TEST(attempt_policy, a_silent_backend_server_is_lost_sooner_without_a_sign_of_life) {
+    using std::chrono::milliseconds;
+    const auto lost_after = [](life_evidence evidence, milliseconds silence) {
+        return is_backend_lost({.silence = silence,
+                                .limit = milliseconds{900},
+                                .predicted_first = duration{0},
+                                .evidence = evidence});
+    };
+    EXPECT_FALSE(lost_after(life_evidence::silent, milliseconds{400}));
+    EXPECT_TRUE(lost_after(life_evidence::silent, milliseconds{450}));
+    EXPECT_FALSE(lost_after(life_evidence::none, milliseconds{899}));
+    EXPECT_TRUE(lost_after(life_evidence::none, milliseconds{900}));
+    EXPECT_TRUE(lost_after(life_evidence::answers_others, milliseconds{900}));
+    EXPECT_FALSE(lost_after(life_evidence::answers_probes, milliseconds{5000}));
+}
+
+TEST(attempt_policy, a_first_event_that_is_predicted_late_is_waited_for) {
+    EXPECT_FALSE(is_backend_lost({.silence = std::chrono::seconds{2},
+                                  .limit = std::chrono::milliseconds{900},
+                                  .predicted_first = std::chrono::seconds{1},
+                                  .evidence = life_evidence::none}));
+}
+
+TEST(attempt_policy, streams_are_moved_well_before_callers_give_up) {
+    route_info route;
+    route.is_stream = true;
+    route.target_latency = std::chrono::milliseconds{300};
+    route.target_pause = std::chrono::milliseconds{250};
+    EXPECT_LT(silence_limit(route), std::chrono::milliseconds{1000});
+    route.target_latency = std::chrono::milliseconds{2500};
+    EXPECT_GT(silence_limit(route), std::chrono::seconds{4});
+    EXPECT_LT(silence_limit(route), std::chrono::seconds{5});
+}
+
 } // namespace
 } // namespace magnolia
--- a/tests/forward_call_test.cpp
+++ b/tests/forward_call_test.cpp
@@ -202,5 +202,27 @@
     EXPECT_EQ(call({"POST", "/unsafe/", {{"time-left", "60"}}, "order", {}})->status, 504U);
 }
 
+TEST_F(gateway_fixture, a_stream_that_cannot_be_moved_is_not_cut_for_silence) {
+    shared_.make_budget = [] { return retry_budget{0, 0, std::chrono::seconds{10}, 1}; };
+    auto& only = add_backend("b1", "llm");
+    std::optional<http_responder> open;
+    only.will([&](const http_request& request, const http_responder& responder) {
+        if (request.target == "/probe") {
+            return; // No sign of life.
+        }
+        responder.start(200, {{"signature", "s"}, {"Content-Type", "text/event-stream"}});
+        responder.write(event_text(1));
+        open = responder;
+    });
+    boost::asio::steady_timer late{context_, std::chrono::milliseconds{1500}};
+    late.async_wait([&](const auto&) {
+        open->write(event_text(2));
+        open->finish();
+    });
+    const auto answer = call({"POST", "/stream/", {}, "prompt", {}});
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->body, event_text(1) + event_text(2));
+}
+
 } // namespace
 } // namespace magnolia
--- a/tests/gateway_fixture.cpp
+++ b/tests/gateway_fixture.cpp
@@ -169,6 +169,7 @@
               .client = client_,
               .fleet = fleet_,
               .reservations = reservations_,
+              .prober = prober_,
               .random = std::mt19937_64{1},
               .origin = 1,
               .routes = nullptr,
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -30,6 +30,7 @@
     [[nodiscard]] http_request write_reserve(std::string_view reservation, std::uint32_t tokens,
                                              milliseconds hold) const override;
     [[nodiscard]] http_request write_release(std::string_view reservation) const override;
+    [[nodiscard]] http_request write_probe() const override { return {"GET", "/probe", {}, {}, {}}; }
     [[nodiscard]] std::string_view readiness_path() const override { return "/ready"; }
 };
 
@@ -89,6 +90,7 @@
     http_client client_{context_, 0};
     backend_fleet fleet_{"z1", 1, placement_policy::pause_aware};
     reservation_keeper reservations_{context_, client_, codec_, milliseconds{3000}};
+    liveness_prober prober_{client_, fleet_, codec_};
     gateway_shared shared_;
     std::vector<call_end> ends_;
     http_server front_;
