Engines played pass by pass; engines kept for long prompts

Cause: the forecast lost readings (an event of another stream ended a pass early and counted its whole reading as done) and took parts for first come, first served. Change: engine_forecast plays passes; engine_partition keeps engines for long prompts by recent work.

--- a/include/magnolia/schema.h
+++ b/include/magnolia/schema.h
@@ -1173,22 +1173,30 @@
     std::string backend{};
     /// Number of the work among those of the sender's start.
     std::uint64_t number{0};
-    /// Time of the engine to read its part of the prompt. [us]
-    std::uint32_t read_us{0};
+    /// Tokens of the prompt that it reads. [tokens]
+    std::uint32_t read_tokens{0};
+    /// Earlier tokens that the first of them is paired with.
+    double first_pairs{0};
+    /// Further pairs of each next token.
+    double more_pairs{0};
     /// KV memory that is taken. [tokens]
     std::uint32_t memory_tokens{0};
     /// Context that each step pays for. [tokens]
     std::uint32_t context_tokens{0};
     /// Expected length of the answer. [tokens]
     std::uint32_t answer_tokens{0};
-    /// Whether the answer is written there.
-    bool writes{true};
+    /// Read for another engine.
+    bool is_part{false};
+    /// Others read parts of the prompt.
+    bool has_helpers{false};
     /// Time to the first event that counts as met. [ms]
     std::chrono::milliseconds target_latency{0};
     /// Longest pause that counts as met; 0 if none is stated. [ms]
     std::chrono::milliseconds target_pause{0};
-    /// Value at stake, thousandths.
-    std::uint32_t value_milli{0};
+    /// Time until which an answer is of any use; 0 if there is no bound. [ms]
+    std::chrono::milliseconds time_limit{0};
+    /// Value at stake, in units of a short request.
+    double value{1};
 
     bool operator==(const placed_work&) const = default;
 };
--- a/src/backend_fleet.cpp
+++ b/src/backend_fleet.cpp
@@ -1,5 +1,7 @@
 #include "backend_fleet.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <ranges>
 
@@ -17,8 +19,20 @@
 /// Most work of one other gateway that is kept.
 constexpr std::size_t max_remote_jobs = 4096;
 
-double to_ms(std::uint32_t us) {
-    return static_cast<double>(us) / 1000;
+engine_job job_of(const placed_work& work, std::uint64_t origin) {
+    engine_job job;
+    job.id = {origin, work.number};
+    job.read = {work.read_tokens, work.first_pairs, work.more_pairs};
+    job.is_part = work.is_part;
+    job.has_helpers = work.has_helpers;
+    job.memory_tokens = work.memory_tokens;
+    job.context_tokens = work.context_tokens;
+    job.answer_tokens = work.answer_tokens;
+    job.target_latency = work.target_latency;
+    job.target_pause = work.target_pause;
+    job.time_limit = work.time_limit;
+    job.value = work.value;
+    return job;
 }
 
 } // namespace
@@ -155,6 +169,7 @@
                                               const std::vector<std::string>& tried,
                                               time_point now) {
     const auto usable = candidates(service, tried, now);
+    const auto kept = kept_engines(service, usable, now);
     std::vector<placement_option> options;
     options.reserve(usable.size());
     for (std::uint32_t index = 0; index < usable.size(); ++index) {
@@ -164,6 +179,7 @@
                            .open_calls = item.open_calls,
                            .slots = item.info.slots,
                            .failure_share = item.failure_share,
+                           .is_kept = kept.contains(item.info.id),
                            .forecast = item.forecast ? &*item.forecast : nullptr});
     }
     const auto choice = std::visit(
@@ -174,10 +190,10 @@
     }
     chosen_backends chosen;
     chosen.first_event = choice->first_event;
+    chosen.part = choice->part;
     for (const auto& member : choice->members) {
         const auto& info = usable[member.index]->info;
         chosen.members.push_back({info.id, info.address, member.reserved_tokens});
-        chosen.read_ms.push_back(member.read_ms);
     }
     return chosen;
 }
@@ -205,32 +221,50 @@
         }
         const auto whole = demand.prompt_tokens + demand.answer_tokens;
         const auto memory = has_reservations ? member.reserved_tokens : (writes ? whole : 0);
-        const engine_job placed{.id = id,
-                                .read_ms = chosen.read_ms[index],
-                                .memory_tokens = memory,
-                                .context_tokens = memory,
-                                .answer_tokens = demand.answer_tokens,
-                                .writes = writes,
-                                .target_latency = demand.target_latency,
-                                .target_pause = demand.target_pause,
-                                .value = demand.value};
-        item->forecast->place(placed, now);
-        news_.placed.push_back(
-            {.backend = member.id,
-             .number = id.number,
-             .read_us = static_cast<std::uint32_t>(placed.read_ms * 1000),
-             .memory_tokens = memory,
-             .context_tokens = memory,
-             .answer_tokens = demand.answer_tokens,
-             .writes = writes,
-             .target_latency = std::chrono::duration_cast<milliseconds>(demand.target_latency),
-             .target_pause = std::chrono::duration_cast<milliseconds>(demand.target_pause),
-             .value_milli = static_cast<std::uint32_t>(demand.value * 1000)});
+        const placed_work work{
+            .backend = member.id,
+            .number = id.number,
+            .read_tokens = chosen.part.tokens,
+            .first_pairs = chosen.part.first_pairs,
+            .more_pairs = chosen.part.more_pairs,
+            .memory_tokens = memory,
+            .context_tokens = memory,
+            .answer_tokens = demand.answer_tokens,
+            .is_part = !writes,
+            .has_helpers = chosen.members.size() > 1,
+            .target_latency = std::chrono::duration_cast<milliseconds>(demand.target_latency),
+            .target_pause = std::chrono::duration_cast<milliseconds>(demand.target_pause),
+            .time_limit = std::chrono::duration_cast<milliseconds>(demand.time_limit),
+            .value = demand.value};
+        place(*item, job_of(work, origin_), now);
+        news_.placed.push_back(work);
     }
     return id;
 }
 
-void backend_fleet::on_first_event(job_id id, time_point now) {
+void backend_fleet::place(record& item, const engine_job& job, time_point now) {
+    item.forecast->place(job, now);
+    partitions_[item.info.service].note(item.forecast->figures(), job, now);
+}
+
+/// Engines that are kept for long prompts: the same ones at every gateway that knows the same list.
+std::set<std::string> backend_fleet::kept_engines(std::string_view service,
+                                                  const std::vector<record*>& engines,
+                                                  time_point now) {
+    std::vector<std::pair<std::uint64_t, std::string>> order;
+    for (const auto* item : engines) {
+        order.emplace_back(XXH3_64bits(item->info.id.data(), item->info.id.size()), item->info.id);
+    }
+    std::ranges::sort(order);
+    const auto count = partitions_[std::string{service}].kept(order.size(), now);
+    std::set<std::string> kept;
+    for (const auto& [hash, id] : order | std::views::take(count)) {
+        kept.insert(id);
+    }
+    return kept;
+}
+
+void backend_fleet::on_event(job_id id, bool is_first, time_point now) {
     const auto found = open_.find(id.number);
     if (found == open_.end()) {
         return;
@@ -238,11 +272,14 @@
     bool is_engine = false;
     for (const auto& backend : found->second.backends) {
         if (auto* item = find(backend); item != nullptr && item->forecast) {
-            item->forecast->on_first_event(id, now);
+            item->forecast->on_event(id, now);
             is_engine = true;
         }
+        if (!is_first) {
+            break; // Parts are read already.
+        }
     }
-    if (is_engine) {
+    if (is_engine && is_first) {
         news_.begun.push_back(id.number);
     }
 }
@@ -359,16 +396,7 @@
     if (item == nullptr || !item->forecast) {
         return;
     }
-    item->forecast->place({.id = {origin, work.number},
-                           .read_ms = to_ms(work.read_us),
-                           .memory_tokens = work.memory_tokens,
-                           .context_tokens = work.context_tokens,
-                           .answer_tokens = work.answer_tokens,
-                           .writes = work.writes,
-                           .target_latency = work.target_latency,
-                           .target_pause = work.target_pause,
-                           .value = to_ms(work.value_milli)},
-                          now);
+    place(*item, job_of(work, origin), now);
     others_[origin][work.number].push_back(work.backend);
 }
 
@@ -397,7 +425,7 @@
         }
         for (const auto& backend : job->second) {
             if (auto* item = find(backend); item != nullptr && item->forecast) {
-                item->forecast->on_first_event({news.origin, number}, now);
+                item->forecast->on_event({news.origin, number}, now);
             }
         }
     }
--- a/src/backend_fleet.h
+++ b/src/backend_fleet.h
@@ -4,6 +4,7 @@
 
 #include "attempt_policy.h"
 #include "breaker.h"
+#include "engine_partition.h"
 #include "placement.h"
 
 #include <magnolia/schema.h>
@@ -41,7 +42,8 @@
 struct chosen_backends {
     /// The first one gets the request.
     std::vector<chosen_member> members;
-    std::vector<double> read_ms;
+    /// What each member reads.
+    reading part;
     time_point first_event{};
 };
 
@@ -72,7 +74,8 @@
     [[nodiscard]] std::size_t live_count() const;
 
     job_id start(const chosen_backends& chosen, const job_demand& demand, time_point now);
-    void on_first_event(job_id id, time_point now);
+    /// An event of the stream came.
+    void on_event(job_id id, bool is_first, time_point now);
     /// A pause or the first event was too late: further delay costs nothing.
     void on_late(job_id id);
     void on_ended(job_id id, attempt_result result, time_point now);
@@ -114,6 +117,10 @@
     [[nodiscard]] std::vector<record*> candidates(std::string_view service,
                                                   const std::vector<std::string>& tried,
                                                   time_point now);
+    void place(record& item, const engine_job& job, time_point now);
+    [[nodiscard]] std::set<std::string> kept_engines(std::string_view service,
+                                                     const std::vector<record*>& engines,
+                                                     time_point now);
     void count_result(record& item, attempt_result result, time_point now);
     void take_job(const placed_work& work, std::uint64_t origin, time_point now);
 
@@ -123,6 +130,7 @@
     std::mt19937_64 random_;
     std::map<std::string, record, std::less<>> backends_;
     std::unordered_map<std::string, engine_figures> figures_;
+    std::map<std::string, engine_partition> partitions_;
     std::map<std::uint64_t, open_job> open_;
     std::uint64_t next_number_ = 1;
     work_news news_;
--- a/src/engine_forecast.cpp
+++ b/src/engine_forecast.cpp
@@ -1,7 +1,9 @@
 #include "engine_forecast.h"
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
+#include <ranges>
 
 namespace magnolia {
 namespace {
@@ -11,12 +13,14 @@
 constexpr double per_thousand = 1000;
 constexpr double per_million = 1e6;
 
-/// Share of a pause or latency target that a prediction may use up; the rest covers the way to the
-/// caller and the error of the prediction.
-constexpr double usable_share = 0.9;
-
+/// Predicted times are off by about this share either way.
+constexpr double prediction_spread = 0.2;
 /// An answer that should have ended this long ago belongs to an entry that has not said so.
-constexpr duration forget_after = std::chrono::seconds{20};
+constexpr duration forget_after = std::chrono::seconds{30};
+/// Furthest that a reading is played ahead.
+constexpr duration longest_play = std::chrono::seconds{6};
+/// An event that is seen within this time of the predicted end of a pass belongs to that pass.
+constexpr duration same_pass = std::chrono::milliseconds{40};
 
 duration to_duration(double ms) {
     return std::chrono::duration_cast<duration>(milliseconds_f{ms});
@@ -26,156 +30,250 @@
     return std::chrono::duration_cast<milliseconds_f>(span).count();
 }
 
-bool is_over(duration span, duration target) {
-    return to_ms(span) > usable_share * to_ms(target);
+bool is_read(const engine_job& job) {
+    return job.tokens_read >= job.read.tokens;
+}
+
+bool is_writing(const engine_job& job) {
+    return !job.is_part && job.first_event != time_point{};
+}
+
+/// Whether other engines read parts of the same prompt.
+bool is_shared(const engine_job& job) {
+    return job.is_part || job.has_helpers;
+}
+
+double pairs_of(const reading& part, double from, double count) {
+    return count * (part.first_pairs + part.more_pairs * (from + count / 2));
+}
+
+double read_cost_ms(const engine_figures& figures, const reading& part, double from, double count) {
+    return count / figures.read_tokens_per_ms +
+           pairs_of(part, from, count) / per_million * figures.read_ms_per_million_pairs;
+}
+
+double miss_probability(duration predicted, duration target) {
+    if (target.count() <= 0) {
+        return 0;
+    }
+    const double ratio = to_ms(predicted) / to_ms(target);
+    return std::clamp((ratio - (1 - prediction_spread)) / (2 * prediction_spread), 0.0, 1.0);
 }
 
 } // namespace
 
-double engine_forecast::reading_ms(const engine_figures& figures, std::uint32_t tokens,
-                                   std::size_t parts) {
-    const double count = tokens;
-    const double pairs = count * count / 2 / per_million;
-    const double whole =
-        count / figures.read_tokens_per_ms + pairs * figures.read_ms_per_million_pairs;
-    return whole / static_cast<double>(std::max<std::size_t>(parts, 1));
-}
-
-double engine_forecast::plain_pass_ms() const {
-    const auto writing = [this](const engine_job& job) { return job.read_end <= now_; };
-    const auto writers = static_cast<double>(std::ranges::count_if(
-        jobs_, [&](const auto& job) { return job.writes && writing(job); }));
-    const auto context =
-        std::accumulate(jobs_.begin(), jobs_.end(), 0.0, [&](double sum, const auto& job) {
-            return sum + (writing(job) ? job.context_tokens : 0);
-        });
+reading reading::of(std::uint32_t prompt_tokens, std::size_t parts) {
+    const auto count = static_cast<std::uint32_t>(std::max<std::size_t>(parts, 1));
+    if (count == 1) {
+        return {prompt_tokens, 0, 1};
+    }
+    return {prompt_tokens / count, prompt_tokens / 2.0, 0};
+}
+
+double engine_forecast::reading_ms(const engine_figures& figures, const reading& part) {
+    const double steps = std::ceil(static_cast<double>(part.tokens) /
+                                   std::max(1U, figures.tokens_per_step));
+    return read_cost_ms(figures, part, 0, part.tokens) + steps * figures.step_ms;
+}
+
+double engine_forecast::plain_pass_ms(std::uint32_t more_context) const {
+    double writers = more_context > 0 ? 1 : 0;
+    double context = more_context;
+    for (const auto& job : jobs_) {
+        writers += is_writing(job) ? 1 : 0;
+        context += is_writing(job) ? job.context_tokens + job.tokens_written
+                   : job.is_part && is_read(job) ? job.context_tokens
+                                                 : 0;
+    }
     const double step = figures_.step_ms + figures_.step_ms_per_request * writers +
                         figures_.step_ms_per_thousand_context * context / per_thousand;
-    return step * figures_.steps_per_pass;
+    return step * (writers > 0 ? figures_.steps_per_pass : 1);
+}
+
+void engine_forecast::begin_pass(time_point at) {
+    const bool has_writers = std::ranges::any_of(jobs_, is_writing);
+    double budget = static_cast<double>(figures_.tokens_per_step) *
+                    (has_writers ? figures_.steps_per_pass : 1);
+    double length = plain_pass_ms();
+    bool reads = false;
+    std::uint32_t taken_slots = 0;
+    const auto give = [&](engine_job& job) {
+        const double count = std::min(budget, job.read.tokens - job.tokens_read);
+        job.tokens_in_pass = std::max(count, 0.0);
+        length += read_cost_ms(figures_, job.read, job.tokens_read, job.tokens_in_pass);
+        budget -= job.tokens_in_pass;
+        reads = reads || job.tokens_in_pass > 0;
+    };
+    // Parts come first, the newest of them before the others.
+    for (auto& job : jobs_ | std::views::reverse) {
+        job.tokens_in_pass = 0;
+        if (is_shared(job) && !is_read(job)) {
+            give(job);
+        }
+    }
+    for (auto& job : jobs_) {
+        taken_slots += job.is_part ? 0 : 1;
+        if (!is_shared(job) && !is_read(job) && taken_slots <= figures_.slots) {
+            give(job);
+        }
+    }
+    is_in_pass_ = has_writers || reads;
+    pass_begin_ = at;
+    pass_end_ = at + to_duration(length);
 }
 
-bool engine_forecast::has_writers(time_point now) const {
-    return std::ranges::any_of(
-        jobs_, [now](const auto& job) { return job.writes && job.read_end <= now; });
+void engine_forecast::end_pass() {
+    is_in_pass_ = false;
+    longest_pass_ = std::max(longest_pass_, pass_end_ - pass_begin_);
+    for (auto& job : jobs_) {
+        if (is_writing(job)) {
+            job.tokens_written += figures_.steps_per_pass;
+            job.longest_pause = std::max(job.longest_pause, pass_end_ - job.last_event);
+            job.last_event = pass_end_;
+            continue;
+        }
+        job.tokens_read += std::exchange(job.tokens_in_pass, 0.0);
+        // The end of the last helper is seen, not predicted.
+        if (!job.is_part && is_read(job) && !job.has_helpers) {
+            job.first_event = pass_end_;
+            job.last_event = pass_end_;
+        }
+    }
 }
 
-double engine_forecast::most_read_ms(double read_ms) const {
-    const double most = static_cast<double>(figures_.steps_per_pass) * figures_.tokens_per_step /
-                        figures_.read_tokens_per_ms;
-    return std::min(read_ms, most);
+/// Ends the pass under way now: what it reads has been read as far as the time went.
+void engine_forecast::cut_pass() {
+    const double plain = plain_pass_ms();
+    const double reading = to_ms(pass_end_ - pass_begin_) - plain;
+    const double passed = to_ms(now_ - pass_begin_) - plain;
+    const double share = reading > 0 ? std::clamp(passed / reading, 0.0, 1.0) : 1.0;
+    for (auto& job : jobs_) {
+        job.tokens_in_pass *= share;
+    }
+    pass_end_ = now_;
+    end_pass();
 }
 
 void engine_forecast::advance(time_point now) {
     now_ = std::max(now, now_);
-    if (next_.end > next_.begin && now_ >= next_.begin) {
-        current_ = std::exchange(next_, {});
+    while (is_in_pass_ && pass_end_ <= now_) {
+        end_pass();
+        begin_pass(pass_end_);
     }
-    if (now_ >= current_.end) {
-        current_ = {};
+    if (!is_in_pass_ && !jobs_.empty()) {
+        begin_pass(now_);
     }
-    std::erase_if(jobs_, [this](const auto& job) { return now_ > job.done + forget_after; });
 }
 
-engine_forecast::reading_pass engine_forecast::pass_for(time_point now) const {
-    const auto plain = to_duration(plain_pass_ms());
-    if (current_.end <= now) {
-        // Half of the pass under way is left, on average.
-        const auto begin = has_writers(now) ? now + plain / 2 : now;
-        return {begin, begin + (has_writers(now) ? plain : duration{0})};
-    }
-    if (now < current_.begin) {
-        return current_;
+void engine_forecast::drop_forgotten(time_point now) {
+    std::erase_if(jobs_, [now](const auto& job) {
+        return now - std::max(job.placed, job.last_event) > forget_after;
+    });
+}
+
+bool engine_forecast::play_last_reading(time_point horizon) {
+    if (!is_in_pass_) {
+        begin_pass(now_);
     }
-    if (next_.end > next_.begin) {
-        return next_;
+    while (is_in_pass_ && pass_end_ < horizon) {
+        end_pass();
+        if (is_read(jobs_.back())) {
+            return true;
+        }
+        begin_pass(pass_end_);
     }
-    return {current_.end, current_.end + plain};
+    return false;
 }
 
-double engine_forecast::damage_of(const reading_pass& before, time_point end, double read_ms,
-                                  time_point now) const {
-    double lost = 0;
-    const auto old_length = before.end - before.begin;
-    const auto new_length = old_length + to_duration(most_read_ms(read_ms));
-    for (const auto& job : jobs_) {
-        if (!job.writes || job.is_late) {
-            continue;
-        }
-        if (job.read_end <= now || job.read_end <= before.begin) {
-            const bool has_limit = job.target_pause.count() > 0;
-            if (has_limit && job.done > before.begin && is_over(new_length, job.target_pause) &&
-                !is_over(old_length, job.target_pause)) {
-                lost += job.value;
-            }
-        } else if (job.read_end >= before.end && is_over(end - job.placed, job.target_latency) &&
-                   !is_over(job.read_end - job.placed, job.target_latency)) {
-            lost += job.value;
-        }
+double engine_forecast::expected_loss(const engine_job& job) const {
+    const bool is_done_part = job.is_part && is_read(job);
+    if (is_done_part) {
+        return 0;
     }
-    return lost;
+    const auto first = is_writing(job) ? job.first_event : std::max(now_, pass_end_);
+    const auto wait = first - job.placed;
+    const auto late = job.is_late ? 0
+                                  : std::max(miss_probability(wait, job.target_latency),
+                                             miss_probability(job.longest_pause, job.target_pause));
+    return job.value *
+           (late_loss * late + (1 - late_loss) * miss_probability(wait, job.time_limit));
 }
 
-reading_effect engine_forecast::try_reading(double read_ms, time_point now) {
+reading_effect engine_forecast::try_job(const engine_job& job, time_point now) {
     advance(now);
-    const auto before = pass_for(now_);
-    const auto end = before.end + to_duration(read_ms);
-    return {end, damage_of(before, end, read_ms, now_)};
+    auto with = *this;
+    auto without = *this;
+    for (auto* copy : {&with, &without}) {
+        std::ranges::for_each(copy->jobs_, [](auto& item) { item.longest_pause = duration{0}; });
+        copy->longest_pass_ = duration{0};
+    }
+    with.jobs_.push_back(job);
+    with.jobs_.back().placed = now_;
+    const bool is_done = with.play_last_reading(now_ + longest_play);
+    const auto end = is_done ? with.pass_end_ : now_ + longest_play;
+    without.advance(end);
+    with.now_ = end;
+    reading_effect effect{.read_end = end, .longest_pass = with.longest_pass_};
+    for (std::size_t index = 0; index < without.jobs_.size(); ++index) {
+        const double more =
+            with.expected_loss(with.jobs_[index]) - without.expected_loss(without.jobs_[index]);
+        effect.damage += std::max(more, 0.0);
+    }
+    return effect;
 }
 
-const engine_job& engine_forecast::place(engine_job job, time_point now) {
+void engine_forecast::place(engine_job job, time_point now) {
+    drop_forgotten(now);
     advance(now);
-    auto pass = pass_for(now_);
-    pass.end += to_duration(job.read_ms);
-    const bool joins_current =
-        current_.end <= now_ || now_ < current_.begin || current_.begin == pass.begin;
-    const auto shift = to_duration(job.read_ms);
-    for (auto& other : jobs_) {
-        if (other.read_end > now_ && other.read_end >= pass.end - shift) {
-            other.read_end += shift;
-            other.done += shift;
-        }
-    }
-    (joins_current ? current_ : next_) = pass;
     job.placed = now_;
-    job.read_end = pass.end;
-    const double passes = figures_.steps_per_pass == 0
-                              ? 0
-                              : static_cast<double>(job.answer_tokens) / figures_.steps_per_pass;
-    job.done = job.read_end + (job.writes ? to_duration(passes * plain_pass_ms()) : duration{0});
     jobs_.push_back(job);
-    return jobs_.back();
+    advance(now);
+}
+
+engine_job* engine_forecast::find(job_id id) {
+    const auto found = std::ranges::find(jobs_, id, &engine_job::id);
+    return found == jobs_.end() ? nullptr : &*found;
 }
 
 void engine_forecast::remove(job_id id, time_point now) {
     advance(now);
-    const auto found = std::ranges::find(jobs_, id, &engine_job::id);
-    if (found == jobs_.end()) {
-        return;
-    }
-    // Reading that has not begun is not done.
-    if (found->read_end > now_ && next_.end > next_.begin && found->read_end > current_.end) {
-        next_.end = std::max(next_.begin, next_.end - to_duration(found->read_ms));
-    }
-    jobs_.erase(found);
+    std::erase_if(jobs_, [id](const auto& job) { return job.id == id; });
 }
 
-void engine_forecast::on_first_event(job_id id, time_point now) {
+void engine_forecast::on_event(job_id id, time_point now) {
     advance(now);
-    const auto found = std::ranges::find(jobs_, id, &engine_job::id);
-    if (found == jobs_.end()) {
+    auto* job = find(id);
+    if (job == nullptr) {
+        return;
+    }
+    if (job->is_part) {
+        job->tokens_read = job->read.tokens;
+        job->tokens_in_pass = 0;
         return;
     }
-    if (found->target_latency.count() > 0 && now_ - found->placed > found->target_latency) {
-        found->is_late = true;
+    if (is_in_pass_) {
+        // A pass has just ended in fact: the one that is played, or the one played before it.
+        if (now_ - pass_begin_ <= same_pass) {
+            pass_end_ += now_ - pass_begin_;
+            pass_begin_ = now_;
+        } else {
+            cut_pass();
+        }
+    }
+    job->tokens_read = job->read.tokens;
+    job->tokens_in_pass = 0;
+    if (!job->has_begun) {
+        job->has_begun = true;
+        job->first_event = now_;
+        job->is_late = job->is_late || now_ - job->placed > job->target_latency;
     }
-    found->done += now_ - found->read_end;
-    found->read_end = now_;
+    job->last_event = now_;
+    advance(now);
 }
 
 void engine_forecast::set_late(job_id id) {
-    const auto found = std::ranges::find(jobs_, id, &engine_job::id);
-    if (found != jobs_.end()) {
-        found->is_late = true;
+    if (auto* job = find(id)) {
+        job->is_late = true;
     }
 }
 
@@ -191,21 +289,30 @@
 }
 
 std::uint32_t engine_forecast::running() const {
-    return static_cast<std::uint32_t>(std::ranges::count_if(jobs_, &engine_job::writes));
-}
-
-time_point engine_forecast::reading_until(time_point now) {
-    advance(now);
-    return std::max({now_, current_.end, next_.end});
+    return static_cast<std::uint32_t>(
+        std::ranges::count_if(jobs_, [](const auto& job) { return !job.is_part; }));
 }
 
-time_point engine_forecast::slot_free_at(time_point now) const {
+std::vector<time_point> engine_forecast::expected_ends(time_point now) const {
     std::vector<time_point> ends;
+    const double pass = plain_pass_ms();
+    const double steps = std::max(1U, figures_.steps_per_pass);
     for (const auto& job : jobs_) {
-        if (job.writes) {
-            ends.push_back(std::max(job.done, now));
+        if (!job.is_part) {
+            const double left = std::max(job.answer_tokens - job.tokens_written, 0.0);
+            ends.push_back(now + to_duration(left / steps * pass));
         }
     }
+    return ends;
+}
+
+time_point engine_forecast::first_end(time_point now) const {
+    const auto ends = expected_ends(now);
+    return ends.empty() ? now : std::ranges::min(ends);
+}
+
+time_point engine_forecast::slot_free_at(time_point now) const {
+    auto ends = expected_ends(now);
     if (ends.size() < figures_.slots) {
         return now;
     }
--- a/src/engine_forecast.h
+++ b/src/engine_forecast.h
@@ -1,9 +1,10 @@
-/// Predicts one model engine from its published figures and the work that was placed on it: when a
-/// prompt would be read, and which streams the reading would hold up.
+/// Predicts one model engine from its published figures and the work that was placed on it, by
+/// playing its passes ahead: when a prompt would be read, and which streams that would hold up.
 ///
-/// An engine works in passes. While it writes answers, a pass runs a fixed number of steps, gives
-/// each stream one event, and reads the prompts that came before it began; its length is the pause
-/// that every stream on the engine sees.
+/// An engine works in passes. While it writes answers, a pass runs a fixed number of steps, at whose
+/// end each stream gets one event; without streams a pass is one step. Each step reads up to a fixed
+/// number of prompt tokens, first the parts that are read for other engines, then prompts in the
+/// order of their arrival. The length of a pass is the pause that every stream there sees.
 #pragma once
 
 #include "forward_types.h"
@@ -31,37 +32,66 @@
     duration target_pause{0};
     /// What is lost if the request is late, in units of a short request.
     double value = 1;
+    /// Time until which an answer is of any use; zero if there is no bound.
+    duration time_limit{0};
+};
+
+/// Tokens of a prompt that one engine reads.
+struct reading {
+    std::uint32_t tokens = 0;
+    /// Earlier tokens that the first of them is paired with, and by how many more each next one.
+    double first_pairs = 0;
+    double more_pairs = 1;
+
+    /// Even share of a prompt that `parts` engines read together.
+    [[nodiscard]] static reading of(std::uint32_t prompt_tokens, std::size_t parts);
 };
 
 /// Work of one request on one engine.
 struct engine_job {
     job_id id;
-    /// Prompt that is read here, ms of the engine.
-    double read_ms = 0;
+    reading read;
+    /// Read for another engine, ahead of other reading.
+    bool is_part = false;
+    /// Others read parts of the prompt: the answer begins when all are done.
+    bool has_helpers = false;
     /// KV memory that is taken here, tokens.
     std::uint32_t memory_tokens = 0;
     /// Context that each step pays for here while the answer is written, tokens.
     std::uint32_t context_tokens = 0;
     std::uint32_t answer_tokens = 0;
-    /// Whether the answer is written here; else a part of a prompt is read for another engine.
-    bool writes = true;
     /// Set when the first event was late or a pause was too long: nothing more can be lost.
     bool is_late = false;
     duration target_latency{0};
     duration target_pause{0};
+    duration time_limit{0};
     double value = 1;
+
+    // Filled in by the forecast.
     time_point placed{};
-    /// Predicted end of the reading, and of the whole.
-    time_point read_end{};
-    time_point done{};
+    double tokens_read = 0;
+    double tokens_written = 0;
+    /// The first event was seen, not only predicted.
+    bool has_begun = false;
+    /// Predicted or seen moment of the first event; time_point{} before.
+    time_point first_event{};
+    time_point last_event{};
+    duration longest_pause{0};
+    /// Tokens of its prompt in the pass under way.
+    double tokens_in_pass = 0;
 };
 
+/// Part of a request's value that is lost if it is late; the rest goes if it is not served at all.
+inline constexpr double late_loss = 0.75;
+
 /// What placing a reading on an engine would do.
 struct reading_effect {
-    /// End of the pass in which the reading ends; the first event comes then.
+    /// Moment at which the reading ends.
     time_point read_end{};
-    /// Value lost by the streams and readings on the engine that it makes late.
+    /// Value that other work on the engine is expected to lose by it.
     double damage = 0;
+    /// Longest pass while it is read: a stream there would see it as a pause.
+    duration longest_pass{0};
 };
 
 /// Work on one engine. Not thread-safe; time never runs backwards.
@@ -72,56 +102,54 @@
     [[nodiscard]] const engine_figures& figures() const { return figures_; }
     void set_figures(const engine_figures& figures) { figures_ = figures; }
 
-    /// Time to read `tokens` of a prompt divided evenly over `parts` engines, ms.
-    [[nodiscard]] static double reading_ms(const engine_figures& figures, std::uint32_t tokens,
-                                           std::size_t parts);
+    /// Time that an idle engine takes to read, ms.
+    [[nodiscard]] static double reading_ms(const engine_figures& figures, const reading& part);
 
-    /// Effect of reading for `read_ms` from now.
-    [[nodiscard]] reading_effect try_reading(double read_ms, time_point now);
-    /// Adds work; fills in the predicted times.
-    const engine_job& place(engine_job job, time_point now);
+    /// Effect of adding the job now.
+    [[nodiscard]] reading_effect try_job(const engine_job& job, time_point now);
+    /// Adds work.
+    void place(engine_job job, time_point now);
     /// Takes work out. Unknown ids are ignored.
     void remove(job_id id, time_point now);
-    /// The first event was seen.
-    void on_first_event(job_id id, time_point now);
+    /// The first event, or a later one, was seen: a pass has just ended.
+    void on_event(job_id id, time_point now);
     /// The request is late already; delaying it further costs nothing.
     void set_late(job_id id);
     /// Takes out all work of a start of an entry.
     void remove_origin(std::uint64_t origin);
 
-    /// Length of a pass that reads nothing, ms.
-    [[nodiscard]] double plain_pass_ms() const;
+    /// Length of a pass that reads nothing, with one more stream of this context, ms.
+    [[nodiscard]] double plain_pass_ms(std::uint32_t more_context = 0) const;
     /// Memory that is not taken, tokens; negative if more is expected than there is.
     [[nodiscard]] std::int64_t free_memory() const;
+    /// Requests whose answers are written here.
     [[nodiscard]] std::uint32_t running() const;
     [[nodiscard]] const std::vector<engine_job>& jobs() const { return jobs_; }
-    /// Time at which the reading that is placed so far ends; `now` if there is none.
-    [[nodiscard]] time_point reading_until(time_point now);
+    /// Time at which the first of the answers written here is expected to end.
+    [[nodiscard]] time_point first_end(time_point now) const;
     /// Time at which a slot is expected to be free; `now` if one is.
     [[nodiscard]] time_point slot_free_at(time_point now) const;
 
 private:
-    /// A pass that reads.
-    struct reading_pass {
-        time_point begin{};
-        time_point end{};
-    };
-
     void advance(time_point now);
-    /// Begin of the pass that a reading placed now belongs to, and its end without it.
-    [[nodiscard]] reading_pass pass_for(time_point now) const;
-    /// Longest reading in one pass beside streams, ms.
-    [[nodiscard]] double most_read_ms(double read_ms) const;
-    [[nodiscard]] bool has_writers(time_point now) const;
-    [[nodiscard]] double damage_of(const reading_pass& before, time_point end, double read_ms,
-                                   time_point now) const;
+    void begin_pass(time_point at);
+    void end_pass();
+    void cut_pass();
+    void drop_forgotten(time_point now);
+    /// Plays until the reading of the last job has ended, `horizon` at most; false if it has not.
+    bool play_last_reading(time_point horizon);
+    [[nodiscard]] double expected_loss(const engine_job& job) const;
+    [[nodiscard]] engine_job* find(job_id id);
+    /// Expected ends of the answers written here, in no order.
+    [[nodiscard]] std::vector<time_point> expected_ends(time_point now) const;
 
     engine_figures figures_;
     std::vector<engine_job> jobs_;
-    /// The pass under way or next, and the one after it.
-    reading_pass current_;
-    reading_pass next_;
     time_point now_{};
+    bool is_in_pass_ = false;
+    time_point pass_begin_{};
+    time_point pass_end_{};
+    duration longest_pass_{0};
 };
 
 } // namespace magnolia
--- /dev/null
+++ b/src/engine_partition.cpp
@@ -0,0 +1,66 @@
+#include "engine_partition.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace magnolia {
+namespace {
+
+using seconds = std::chrono::duration<double>;
+
+/// Time over which work counts: about the length of a short answer.
+constexpr seconds memory{2.0};
+/// Reading beyond this is long, ms: with a plain pass it exceeds the pauses of short answers.
+constexpr double longest_short_reading_ms = 180;
+/// Share of an engine's time that long reading may fill before it queues.
+constexpr double long_utilization = 0.7;
+/// Share of an engine's time that short prompts may be read in without holding up streams.
+constexpr double short_utilization = 0.35;
+/// Answers that are written on one engine at a time with room in their pauses.
+constexpr double short_writers = 10;
+/// Change of the wanted number that moves the kept one, engines.
+constexpr double hysteresis = 0.7;
+
+} // namespace
+
+bool engine_partition::is_long(const engine_figures& figures, const reading& part) {
+    return engine_forecast::reading_ms(figures, part) > longest_short_reading_ms;
+}
+
+void engine_partition::decay(time_point now) {
+    const seconds passed = now - std::max(as_of_, time_point{});
+    const double factor = std::exp(-std::max(passed / memory, 0.0));
+    long_reading_ *= factor;
+    short_reading_ *= factor;
+    short_writing_ *= factor;
+    as_of_ = std::max(as_of_, now);
+}
+
+void engine_partition::note(const engine_figures& figures, const engine_job& job, time_point now) {
+    decay(now);
+    const double reading_ms = engine_forecast::reading_ms(figures, job.read);
+    if (job.is_part || job.has_helpers || is_long(figures, job.read)) {
+        long_reading_ += reading_ms;
+        return;
+    }
+    const double passes = static_cast<double>(job.answer_tokens) / std::max(1U, figures.steps_per_pass);
+    short_reading_ += reading_ms;
+    short_writing_ += passes * figures.steps_per_pass * figures.step_ms;
+}
+
+std::size_t engine_partition::kept(std::size_t count, time_point now) {
+    decay(now);
+    const double memory_ms = memory.count() * 1000;
+    const double long_need = long_reading_ / memory_ms / long_utilization;
+    const double short_need = std::max(short_reading_ / memory_ms / short_utilization,
+                                       short_writing_ / memory_ms / short_writers);
+    const double sum = long_need + short_need;
+    const double wanted = sum > 0 ? static_cast<double>(count) * long_need / sum : 0;
+    if (std::abs(wanted - last_) > hysteresis) {
+        last_ = wanted;
+    }
+    const auto most = count > 0 ? static_cast<double>(count - 1) : 0.0;
+    return static_cast<std::size_t>(std::clamp(std::round(last_), 0.0, most));
+}
+
+} // namespace magnolia
--- /dev/null
+++ b/src/engine_partition.h
@@ -0,0 +1,32 @@
+/// How many engines of a service are kept for long prompts. Answers the pattern of long prompts that
+/// come in waves among many short ones: a share that follows the work of the last seconds, the same
+/// at every gateway, as all hear of all work.
+#pragma once
+
+#include "engine_forecast.h"
+
+namespace magnolia {
+
+class engine_partition {
+public:
+    /// Work was placed on an engine.
+    void note(const engine_figures& figures, const engine_job& job, time_point now);
+    /// Engines to keep for long prompts, out of `count`.
+    [[nodiscard]] std::size_t kept(std::size_t count, time_point now);
+
+    /// Whether a reading holds streams up for longer than short prompts bear.
+    [[nodiscard]] static bool is_long(const engine_figures& figures, const reading& part);
+
+private:
+    void decay(time_point now);
+
+    /// Decayed sums of work, ms of an engine.
+    double long_reading_ = 0;
+    double short_reading_ = 0;
+    double short_writing_ = 0;
+    time_point as_of_{};
+    /// Last answer of kept(), as a fraction of an engine count.
+    double last_ = 0;
+};
+
+} // namespace magnolia
--- a/src/forward_call.cpp
+++ b/src/forward_call.cpp
@@ -1,5 +1,7 @@
 #include "forward_call.h"
 
+#include "log.h"
+
 #include <algorithm>
 #include <array>
 
@@ -50,6 +52,20 @@
     return kept;
 }
 
+const logger& log_of() {
+    static const logger log{"call"};
+    return log;
+}
+
+std::string names_of(const chosen_backends& chosen) {
+    std::string names;
+    for (const auto& member : chosen.members) {
+        names += (names.empty() ? "" : ",") + member.id +
+                 (member.reserved_tokens > 0 ? ":" + std::to_string(member.reserved_tokens) : "");
+    }
+    return names;
+}
+
 milliseconds whole_ms(duration span) {
     return std::chrono::duration_cast<milliseconds>(span);
 }
@@ -130,6 +146,7 @@
     }
     demand_.target_latency = route_->target_latency;
     demand_.target_pause = route_->target_pause;
+    demand_.time_limit = deadline_ - now;
     demand_.value = 1 + head_.prompt_tokens / tokens_per_value;
     auto& budget = shared_.budgets.try_emplace(service_, shared_.make_budget()).first->second;
     budget.on_first_attempt(1, now);
@@ -259,6 +276,11 @@
         }
     };
     ++sends_;
+    log_of().info("send id=" + head_.attempt + " attempt=" + std::to_string(sends_) +
+                  " route=" + route_->name + " tokens=" + std::to_string(head_.prompt_tokens) +
+                  " members=" + names_of(chosen) +
+                  " predicted_ms=" + std::to_string(whole_ms(predicted_).count()) +
+                  " left_ms=" + std::to_string(whole_ms(deadline_ - now).count()));
     call_ = shared_.client.stream(first.address,
                                   shared_.codec.write_request(request_, terms_of(chosen)), limits,
                                   std::move(handlers));
@@ -333,17 +355,14 @@
         return fail_attempt(run_evidence::in_doubt, attempt_result::failed,
                             {error_code::backend_failed, "stream continued at another event"});
     }
+    shared_.fleet.on_event(job_, !has_begun_ || is_continuing_, now);
     if (!has_begun_) {
-        shared_.fleet.on_first_event(job_, now);
         is_late_ = now - request_.received > route_->target_latency;
     } else {
         const auto pause = now - last_event_at_;
         longest_pause_ = std::max(longest_pause_, pause);
         is_late_ = is_late_ || (route_->target_pause.count() > 0 && pause > route_->target_pause);
-        if (is_continuing_) {
-            shared_.fleet.on_first_event(job_, now);
-            is_continuing_ = false;
-        }
+        is_continuing_ = false;
     }
     if (is_late_) {
         shared_.fleet.on_late(job_);
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -1,5 +1,7 @@
 #include "placement.h"
 
+#include "engine_partition.h"
+
 #include <algorithm>
 #include <array>
 #include <cmath>
@@ -20,8 +22,6 @@
 constexpr double member_cost = 0.01;
 /// Value lost on an engine whose slots are all taken.
 constexpr double load_cost = 0.15;
-/// Part of a request's value that being late costs: late answers keep a quarter of their worth.
-constexpr double late_share = 0.75;
 /// Value lost for each target latency of waiting, met or not; prefers the earlier of two engines.
 constexpr double waiting_cost = 0.05;
 /// Predicted times are off by about this share either way.
@@ -30,6 +30,10 @@
 constexpr double memory_fill = 0.95;
 /// Memory of a reservation that other requests should find free on each engine, tokens.
 constexpr std::int64_t memory_left_free = 20'000;
+/// Value lost by a short prompt on an engine that is kept for long ones: it will be held up.
+constexpr double kept_cost = 0.4;
+/// Value lost by each part of a long prompt on an engine for short ones: those that come next.
+constexpr double unkept_cost = 0.15;
 /// Differences below this are drawn at random, so that hosts do not choose alike.
 constexpr double jitter_cost = 0.01;
 
@@ -74,7 +78,8 @@
     [[nodiscard]] result<placement_choice> run();
 
 private:
-    [[nodiscard]] std::vector<part_cost> price_parts(double read_ms) const;
+    [[nodiscard]] std::vector<part_cost> price_parts(const reading& part,
+                                                     std::size_t count) const;
     [[nodiscard]] double own_cost(time_point first_event) const;
     [[nodiscard]] double writer_cost(const placement_option& option) const;
     [[nodiscard]] std::uint32_t memory_needed() const;
@@ -102,29 +107,42 @@
     }
     const double target = std::max(to_seconds(demand.target_latency), 0.001);
     const double ratio = to_seconds(wait) / target;
-    return demand.value * (late_share * miss_probability(ratio) + waiting_cost * std::min(ratio, 2.0));
+    return demand.value * (late_loss * miss_probability(ratio) + waiting_cost * std::min(ratio, 2.0));
 }
 
 double pause_search::writer_cost(const placement_option& option) const {
     const auto& forecast = *option.forecast;
     const double load = static_cast<double>(forecast.running()) / std::max(1U, option.slots);
-    const double pause_ms = std::chrono::duration<double, std::milli>{query_.demand.target_pause}.count();
-    const double ratio = pause_ms > 0 ? forecast.plain_pass_ms() / pause_ms : 0;
-    return load_cost * load * load + query_.demand.value * late_share * miss_probability(ratio);
+    const double pause = std::chrono::duration<double, std::milli>{query_.demand.target_pause}.count();
+    const double pass = forecast.plain_pass_ms(query_.demand.prompt_tokens);
+    const double ratio = pause > 0 ? pass / pause : 0;
+    return load_cost * load * load + query_.demand.value * late_loss * miss_probability(ratio);
 }
 
-std::vector<part_cost> pause_search::price_parts(double read_ms) const {
+std::vector<part_cost> pause_search::price_parts(const reading& part, std::size_t count) const {
     std::uniform_real_distribution<double> jitter{0, jitter_cost};
+    engine_job job;
+    job.read = part;
+    job.is_part = count > 1;
+    job.target_latency = query_.demand.target_latency;
+    job.target_pause = query_.demand.target_pause;
+    job.time_limit = query_.demand.time_limit;
+    job.value = query_.demand.value;
     std::vector<part_cost> parts;
     parts.reserve(options_.size());
+    const bool is_long = engine_partition::is_long(
+        options_.front().forecast->figures(), reading::of(query_.demand.prompt_tokens, 1));
     for (const auto& option : options_) {
         auto& forecast = *option.forecast;
-        const auto effect = forecast.try_reading(read_ms, now_);
+        const auto effect = forecast.try_job(job, now_);
+        const double place_cost = is_long && !option.is_kept   ? unkept_cost
+                                  : !is_long && option.is_kept ? kept_cost
+                                                               : 0;
         const auto slot_at = forecast.slot_free_at(now_);
         const auto room = static_cast<double>(forecast.free_memory()) -
                           (1 - memory_fill) * forecast.figures().memory_tokens;
         parts.push_back({.option = &option,
-                         .cost = effect.damage * late_share + member_cost + jitter(random_) +
+                         .cost = effect.damage + member_cost + jitter(random_) + place_cost +
                                  option.failure_share * query_.demand.value +
                                  (option.is_own_zone ? 0 : other_zone_cost),
                          .writer_cost = writer_cost(option),
@@ -136,12 +154,10 @@
 }
 
 void pause_search::consider(std::size_t count) {
-    const auto& figures = options_.front().forecast->figures();
-    const double read_ms =
-        engine_forecast::reading_ms(figures, query_.demand.prompt_tokens, count);
-    auto parts = price_parts(read_ms);
-    const auto writer = std::ranges::min_element(parts, {}, [&](const part_cost& part) {
-        return part.can_write ? part.cost + part.writer_cost + own_cost(part.read_end)
+    const auto part = reading::of(query_.demand.prompt_tokens, count);
+    auto parts = price_parts(part, count);
+    const auto writer = std::ranges::min_element(parts, {}, [&](const part_cost& item) {
+        return item.can_write ? item.cost + item.writer_cost + own_cost(item.read_end)
                               : std::numeric_limits<double>::infinity();
     });
     if (writer == parts.end() || !writer->can_write) {
@@ -152,15 +168,16 @@
     const auto first_event = std::ranges::max(parts, {}, &part_cost::read_end).read_end;
     const double cost = std::accumulate(
         parts.begin(), parts.end(), parts.front().writer_cost + own_cost(first_event),
-        [](double sum, const part_cost& part) { return sum + part.cost; });
+        [](double sum, const part_cost& item) { return sum + item.cost; });
     if (cost >= best_cost_) {
         return;
     }
     best_cost_ = cost;
     best_.first_event = first_event;
+    best_.part = part;
     best_.members.clear();
-    for (const auto& part : parts) {
-        best_.members.push_back({part.option->index, read_ms, 0});
+    for (const auto& item : parts) {
+        best_.members.push_back({item.option->index, 0});
     }
 }
 
@@ -191,20 +208,21 @@
     }
     // Further members read without holding memory; they shorten the pass at every member.
     const auto members = std::min({holders.size(), most_members, 2 * count});
-    const auto& figures = options_.front().forecast->figures();
-    const double read_ms =
-        engine_forecast::reading_ms(figures, query_.demand.prompt_tokens, members);
     placement_choice choice;
+    choice.part = reading::of(query_.demand.prompt_tokens, members);
+    engine_job job;
+    job.read = choice.part;
+    job.is_part = true;
     std::int64_t left = memory_needed();
     // The first member holds what the reservations leave over.
     for (std::size_t index = 0; index < members; ++index) {
         const auto& item = holders[index];
-        const auto effect = item.option->forecast->try_reading(read_ms, now_);
+        const auto effect = item.option->forecast->try_job(job, now_);
         choice.first_event = std::max(choice.first_event, effect.read_end);
         const auto share = std::clamp<std::int64_t>(left, 0, item.room);
         left -= share;
         choice.members.push_back(
-            {item.option->index, read_ms, static_cast<std::uint32_t>(share)});
+            {item.option->index, static_cast<std::uint32_t>(share)});
     }
     return choice;
 }
@@ -212,9 +230,7 @@
 time_point pause_search::first_room() const {
     auto first = time_point::max();
     for (const auto& option : options_) {
-        for (const auto& job : option.forecast->jobs()) {
-            first = std::min(first, std::max(job.done, now_));
-        }
+        first = std::min(first, option.forecast->first_end(now_));
     }
     return first == time_point::max() ? now_ : first;
 }
@@ -226,7 +242,7 @@
     if (memory_needed() > memory_fill * largest.memory_tokens) {
         return run_reserved();
     }
-    const double whole = engine_forecast::reading_ms(largest, query_.demand.prompt_tokens, 1);
+    const double whole = engine_forecast::reading_ms(largest, reading::of(query_.demand.prompt_tokens, 1));
     for (const auto count : sharing_counts) {
         const bool is_useful = count == 1 || whole >= least_divided_ms;
         if (is_useful && count <= options_.size()) {
@@ -249,7 +265,7 @@
         return tl::unexpected{no_capacity(now, now)};
     }
     const auto& option = options[next_++ % options.size()];
-    return placement_choice{{{option.index, 0, 0}}, now};
+    return placement_choice{{{option.index, 0}}, reading{}, now};
 }
 
 result<placement_choice>
@@ -266,7 +282,7 @@
         scores.push_back(outstanding_score(option) + jitter(random));
     }
     const auto best = std::ranges::min_element(scores) - scores.begin();
-    return placement_choice{{{options[static_cast<std::size_t>(best)].index, 0, 0}}, now};
+    return placement_choice{{{options[static_cast<std::size_t>(best)].index, 0}}, reading{}, now};
 }
 
 result<placement_choice> pause_aware_placement::choose(const placement_query& query,
--- a/src/placement.h
+++ b/src/placement.h
@@ -20,6 +20,8 @@
     std::uint32_t slots = 1;
     /// Share of recent requests that it failed.
     double failure_share = 0;
+    /// Kept for long prompts.
+    bool is_kept = false;
     /// Set for engines.
     engine_forecast* forecast = nullptr;
 };
@@ -34,7 +36,6 @@
 /// An engine that takes part.
 struct placement_member {
     std::uint32_t index = 0;
-    double read_ms = 0;
     /// Memory to reserve there for the prompt; 0 if none is.
     std::uint32_t reserved_tokens = 0;
 };
@@ -42,6 +43,8 @@
 /// The first member gets the request; the others read parts of its prompt.
 struct placement_choice {
     std::vector<placement_member> members;
+    /// What each member reads.
+    reading part;
     /// Predicted moment of the first event.
     time_point first_event{};
 };
