--- a/src/engine_forecast.cpp
+++ b/src/engine_forecast.cpp
@@ -35,7 +35,14 @@
 }
 
 bool is_writing(const engine_job& job) {
-    return !job.is_part && job.first_event != time_point{};
+    return !job.is_part && !job.has_ended && job.first_event != time_point{};
+}
+
+/// Length of an answer that is under way; one that is longer than expected has as much again to come
+/// as a third of what came.
+double expected_length(const engine_job& job) {
+    constexpr double longer = 1.3;
+    return job.tokens_written < job.answer_tokens ? job.answer_tokens : longer * job.tokens_written;
 }
 
 /// Whether other engines read parts of the same prompt.
@@ -112,7 +119,7 @@
         }
     }
     for (auto& job : jobs_) {
-        taken_slots += job.is_part ? 0 : 1;
+        taken_slots += job.is_part || job.has_ended ? 0 : 1;
         if (!is_shared(job) && !is_read(job) && taken_slots <= figures_.slots) {
             give(job);
         }
@@ -130,6 +137,7 @@
             job.tokens_written += figures_.steps_per_pass;
             job.longest_pause = std::max(job.longest_pause, pass_end_ - job.last_event);
             job.last_event = pass_end_;
+            job.has_ended = is_played_ahead_ && job.tokens_written >= job.answer_tokens;
             continue;
         }
         job.tokens_read += std::exchange(job.tokens_in_pass, 0.0);
@@ -190,7 +198,8 @@
     if (is_done_part) {
         return 0;
     }
-    const auto first = is_writing(job) ? job.first_event : std::max(now_, pass_end_);
+    const bool has_begun = job.first_event != time_point{};
+    const auto first = has_begun ? job.first_event : std::max(now_, pass_end_);
     const auto wait = first - job.placed;
     const auto late = job.is_late ? 0
                                   : std::max(miss_probability(wait, job.target_latency),
@@ -204,8 +213,12 @@
     auto with = *this;
     auto without = *this;
     for (auto* copy : {&with, &without}) {
-        std::ranges::for_each(copy->jobs_, [](auto& item) { item.longest_pause = duration{0}; });
+        copy->is_played_ahead_ = true;
         copy->longest_pass_ = duration{0};
+        for (auto& item : copy->jobs_) {
+            item.longest_pause = duration{0};
+            item.answer_tokens = static_cast<std::uint32_t>(expected_length(item));
+        }
     }
     with.jobs_.push_back(job);
     with.jobs_.back().placed = now_;
@@ -299,7 +312,7 @@
     const double steps = std::max(1U, figures_.steps_per_pass);
     for (const auto& job : jobs_) {
         if (!job.is_part) {
-            const double left = std::max(job.answer_tokens - job.tokens_written, 0.0);
+            const double left = expected_length(job) - job.tokens_written;
             ends.push_back(now + to_duration(left / steps * pass));
         }
     }
--- a/src/engine_forecast.h
+++ b/src/engine_forecast.h
@@ -79,6 +79,8 @@
     duration longest_pause{0};
     /// Tokens of its prompt in the pass under way.
     double tokens_in_pass = 0;
+    /// Predicted to have ended; only in what is played ahead.
+    bool has_ended = false;
 };
 
 /// Part of a request's value that is lost if it is late; the rest goes if it is not served at all.
@@ -147,6 +149,7 @@
     std::vector<engine_job> jobs_;
     time_point now_{};
     bool is_in_pass_ = false;
+    bool is_played_ahead_ = false;
     time_point pass_begin_{};
     time_point pass_end_{};
     duration longest_pass_{0};
--- a/src/forward_call.cpp
+++ b/src/forward_call.cpp
@@ -23,6 +23,8 @@
 /// Time between two looks for room, and the share of the time left that may be spent on it.
 constexpr milliseconds room_interval{20};
 constexpr int room_wait_divisor = 2;
+/// Time between two tries to reserve memory at several engines: each try holds what it gets.
+constexpr milliseconds memory_interval{150};
 /// Pauses between looks at a silent backend server.
 constexpr milliseconds silence_interval{100};
 /// Part of the silence limit after which a sign of life is asked for.
@@ -162,7 +164,7 @@
     }
     auto chosen = shared_.fleet.choose(service_, {demand_, deadline_ - now}, tried_, now);
     if (!chosen) {
-        return wait_for_room(chosen.error());
+        return wait_for_room(chosen.error(), room_interval);
     }
     const bool needs_memory =
         std::ranges::any_of(chosen->members, [](const auto& item) { return item.reserved_tokens > 0; });
@@ -173,13 +175,13 @@
     }
 }
 
-void forward_call::wait_for_room(const error& failure) {
+void forward_call::wait_for_room(const error& failure, milliseconds pause) {
     const auto now = steady_now();
-    const bool may_wait = now + room_interval < wait_until_ && shared_.fleet.has_live(service_, now);
+    const bool may_wait = now + pause < wait_until_ && shared_.fleet.has_live(service_, now);
     if (!may_wait) {
         return finish(is_in_doubt_ ? error{error_code::backend_lost, failure.subject} : failure);
     }
-    const auto timer = std::make_shared<boost::asio::steady_timer>(shared_.io, room_interval);
+    const auto timer = std::make_shared<boost::asio::steady_timer>(shared_.io, pause);
     timer->async_wait([self = shared_from_this(), timer](const auto& cancelled) {
         if (!cancelled) {
             self->next_attempt();
@@ -213,7 +215,8 @@
             }
             self->reservation_.clear();
             self->end_attempt(attempt_result::cancelled);
-            self->wait_for_room({error_code::no_capacity, "memory of several engines", room_interval});
+            self->wait_for_room({error_code::no_capacity, "memory of several engines"},
+                                memory_interval);
         });
 }
 
--- a/src/forward_call.h
+++ b/src/forward_call.h
@@ -81,7 +81,7 @@
     void set_deadline();
     void next_attempt();
     /// Waits for a backend server to have room, or refuses.
-    void wait_for_room(const error& failure);
+    void wait_for_room(const error& failure, milliseconds pause);
     void reserve_and_send(chosen_backends chosen);
     void send(chosen_backends chosen);
     [[nodiscard]] attempt_terms terms_of(const chosen_backends& chosen) const;
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -29,7 +29,7 @@
 /// Share of an engine's memory that is filled; the rest is left to answers longer than expected.
 constexpr double memory_fill = 0.95;
 /// Memory of a reservation that other requests should find free on each engine, tokens.
-constexpr std::int64_t memory_left_free = 20'000;
+constexpr std::int64_t memory_left_free = 45'000;
 /// Value lost by a short prompt on an engine that is kept for long ones: it will be held up.
 constexpr double kept_cost = 0.4;
 /// Value lost by each part of a long prompt on an engine for short ones: those that come next.
