A request that costs others more than it gains is held back for a while

Cause: a long prompt was placed at once even where its reading made several streams late. Change: the choice tells what is gained less what others lose; a call below zero looks again every 40 ms, for a quarter of its time at most.

--- a/src/backend_fleet.cpp
+++ b/src/backend_fleet.cpp
@@ -191,6 +191,7 @@
     chosen_backends chosen;
     chosen.first_event = choice->first_event;
     chosen.part = choice->part;
+    chosen.net_value = choice->net_value;
     for (const auto& member : choice->members) {
         const auto& info = usable[member.index]->info;
         chosen.members.push_back({info.id, info.address, member.reserved_tokens});
--- a/src/backend_fleet.h
+++ b/src/backend_fleet.h
@@ -45,6 +45,8 @@
     /// What each member reads.
     reading part;
     time_point first_event{};
+    /// Value that is expected to be gained, less what others lose by it.
+    double net_value = 0;
 };
 
 class backend_fleet {
--- a/src/forward_call.cpp
+++ b/src/forward_call.cpp
@@ -16,6 +16,10 @@
 /// Longest wait for a connection to a backend server: a round trip between zones, and one packet
 /// lost and sent again at once.
 constexpr milliseconds connect_timeout{250};
+/// A request that would cost others more than it gains is held back for this share of its time at
+/// most, and looked at again at this interval.
+constexpr double hold_share = 0.25;
+constexpr milliseconds hold_interval{40};
 /// Bytes of an answer that are held before it is sent on as it comes.
 constexpr std::size_t held_answer_bytes = std::size_t{64} << 10U;
 /// Bytes that a slow caller may leave unread before the backend server is slowed down.
@@ -130,6 +134,7 @@
     deadline_ = request_.received + patience;
     const auto now = steady_now();
     wait_until_ = now + (deadline_ - now) / room_wait_divisor;
+    hold_until_ = now + std::chrono::duration_cast<duration>((deadline_ - now) * hold_share);
     last_event_ = head_.resume_after;
     service_ = services_.front();
     for (const auto& service : services_) {
@@ -166,6 +171,9 @@
     if (!chosen) {
         return wait_for_room(chosen.error(), room_interval);
     }
+    if (chosen->net_value < 0 && now < hold_until_) {
+        return wait_for_room({error_code::no_capacity, "held back"}, hold_interval);
+    }
     const bool needs_memory =
         std::ranges::any_of(chosen->members, [](const auto& item) { return item.reserved_tokens > 0; });
     if (needs_memory) {
--- a/src/forward_call.h
+++ b/src/forward_call.h
@@ -121,6 +121,7 @@
     job_demand demand_;
     time_point deadline_{};
     time_point wait_until_{};
+    time_point hold_until_{};
     boost::asio::steady_timer timer_;
     bool is_closed_ = false;
 
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -173,6 +173,7 @@
         return;
     }
     best_cost_ = cost;
+    best_.net_value = query_.demand.value - cost;
     best_.first_event = first_event;
     best_.part = part;
     best_.members.clear();
@@ -214,16 +215,19 @@
     job.read = choice.part;
     job.is_part = true;
     std::int64_t left = memory_needed();
+    double damage = 0;
     // The first member holds what the reservations leave over.
     for (std::size_t index = 0; index < members; ++index) {
         const auto& item = holders[index];
         const auto effect = item.option->forecast->try_job(job, now_);
         choice.first_event = std::max(choice.first_event, effect.read_end);
+        damage += effect.damage;
         const auto share = std::clamp<std::int64_t>(left, 0, item.room);
         left -= share;
         choice.members.push_back(
             {item.option->index, static_cast<std::uint32_t>(share)});
     }
+    choice.net_value = query_.demand.value - own_cost(choice.first_event) - damage;
     return choice;
 }
 
@@ -265,7 +269,7 @@
         return tl::unexpected{no_capacity(now, now)};
     }
     const auto& option = options[next_++ % options.size()];
-    return placement_choice{{{option.index, 0}}, reading{}, now};
+    return placement_choice{{{option.index, 0}}, reading{}, now, 1};
 }
 
 result<placement_choice>
@@ -282,7 +286,7 @@
         scores.push_back(outstanding_score(option) + jitter(random));
     }
     const auto best = std::ranges::min_element(scores) - scores.begin();
-    return placement_choice{{{options[static_cast<std::size_t>(best)].index, 0}}, reading{}, now};
+    return placement_choice{{{options[static_cast<std::size_t>(best)].index, 0}}, reading{}, now, 1};
 }
 
 result<placement_choice> pause_aware_placement::choose(const placement_query& query,
--- a/src/placement.h
+++ b/src/placement.h
@@ -47,6 +47,8 @@
     reading part;
     /// Predicted moment of the first event.
     time_point first_event{};
+    /// Value that is expected to be gained, less what others lose by it.
+    double net_value = 0;
 };
 
 /// Next backend server in turn.
