Tests of forecasts, placement, fleet, codecs, store and news; odd transfer codings are refused

Cause: the new parts had no tests; a test of smuggled requests failed: Transfer-Encoding other than chunked was taken, so that a backend server might see another end of the request. Change: such requests get 400.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -38,6 +38,15 @@
 constexpr auto linger_time = std::chrono::milliseconds{1000};
 constexpr auto overload_retry = std::chrono::milliseconds{500};
 
+/// Whether a message's end depends on a coding that this server does not know; a backend server
+/// might see another end.
+bool has_unknown_coding(const http::fields& fields) {
+    const auto [first, last] = fields.equal_range(http::field::transfer_encoding);
+    return std::any_of(first, last, [](const auto& field) {
+        return !beast::iequals(field.value(), "chunked");
+    });
+}
+
 std::string header_text(unsigned status, const http_headers& headers, bool keep_alive) {
     http::response_header<> header;
     header.version(http_11);
@@ -273,6 +282,9 @@
     if (server_ == nullptr || failure == http::error::end_of_stream) {
         co_return false;
     }
+    if (!failure && has_unknown_coding(parser.get())) {
+        failure = http::error::bad_transfer_encoding;
+    }
     if (!failure && !take_body_memory(body_bound(parser))) {
         // g++ 12 destroys temporaries in the arguments of an awaited call twice.
         const error refusal{error_code::overloaded, "memory for bodies", overload_retry};
--- /dev/null
+++ b/tests/backend_fleet_test.cpp
@@ -0,0 +1,143 @@
+#include "backend_fleet.h"
+
+#include <gtest/gtest.h>
+
+namespace magnolia {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr time_point start{std::chrono::seconds{100}};
+
+backend_info backend_of(const std::string& id, const std::string& service = "llm") {
+    backend_info info;
+    info.id = id;
+    info.service = service;
+    info.address = {"127.0.0.1", 1};
+    info.zone = "z1";
+    info.slots = 16;
+    return info;
+}
+
+placement_query short_query() {
+    placement_query query;
+    query.demand.prompt_tokens = 5000;
+    query.demand.answer_tokens = 1000;
+    query.demand.target_latency = milliseconds{300};
+    query.time_left = milliseconds{10'000};
+    return query;
+}
+
+std::vector<service_info_entry> services() {
+    engine_figures figures;
+    figures.memory_tokens = 232'000;
+    figures.steps_per_pass = 43;
+    return {{"llm", 64, figures}, {"desk", 64, std::nullopt}};
+}
+
+class fleet_test : public testing::Test {
+protected:
+    void SetUp() override {
+        for (auto* fleet : {&fleet_, &other_}) {
+            fleet->set_services(services());
+            for (const auto* id : {"a", "b"}) {
+                fleet->put(backend_of(id), start);
+            }
+        }
+    }
+
+    std::string chosen(const std::vector<std::string>& tried = {}, time_point now = start) {
+        const auto choice = fleet_.choose("llm", short_query(), tried, now);
+        return choice ? choice->members.front().id : "none";
+    }
+
+    backend_fleet fleet_{"z1", 1, placement_policy::pause_aware};
+    backend_fleet other_{"z1", 2, placement_policy::pause_aware};
+};
+
+TEST_F(fleet_test, a_leaving_backend_server_gets_nothing) {
+    auto leaving = backend_of("a");
+    leaving.is_leaving = true;
+    fleet_.put(leaving, start);
+    for (int round = 0; round < 20; ++round) {
+        EXPECT_EQ(chosen(), "b");
+    }
+    fleet_.set_gone("b");
+    EXPECT_EQ(chosen(), "none");
+    EXPECT_FALSE(fleet_.has_live("llm", start));
+}
+
+TEST_F(fleet_test, a_removal_may_be_held_back_and_taken_back) {
+    fleet_.remove("a", milliseconds{1000}, start);
+    fleet_.remove("b", duration{0}, start);
+    EXPECT_EQ(chosen(), "a");
+    EXPECT_EQ(chosen({}, start + milliseconds{1000}), "none");
+    fleet_.put(backend_of("a"), start + milliseconds{1500});
+    EXPECT_EQ(chosen({}, start + milliseconds{9000}), "a");
+}
+
+TEST_F(fleet_test, a_new_list_takes_out_what_it_lacks) {
+    fleet_.replace_all({backend_of("b"), backend_of("c")}, duration{0}, start);
+    EXPECT_EQ(chosen({"b"}), "c");
+    EXPECT_EQ(fleet_.live_count(), 2U);
+}
+
+TEST_F(fleet_test, another_start_under_the_same_id_is_another_backend_server) {
+    fleet_.set_gone("a");
+    fleet_.set_gone("b");
+    EXPECT_EQ(chosen(), "none");
+    auto again = backend_of("a");
+    again.started_ms = 7;
+    fleet_.put(again, start);
+    EXPECT_EQ(chosen(), "a");
+}
+
+TEST_F(fleet_test, what_was_tried_comes_last) {
+    EXPECT_EQ(chosen({"a"}), "b");
+    EXPECT_EQ(chosen({"b"}), "a");
+    EXPECT_NE(chosen({"a", "b"}), "none");
+}
+
+TEST_F(fleet_test, a_backend_server_that_keeps_failing_is_left_out_for_a_while) {
+    for (int round = 0; round < 3; ++round) {
+        const auto choice = fleet_.choose("llm", short_query(), {"b"}, start);
+        const auto job = fleet_.start(*choice, short_query().demand, start);
+        fleet_.on_ended(job, attempt_result::lost, start);
+    }
+    for (int round = 0; round < 20; ++round) {
+        EXPECT_EQ(chosen(), "b");
+    }
+}
+
+TEST_F(fleet_test, gateways_know_of_each_others_work) {
+    const auto choice = fleet_.choose("llm", short_query(), {"b"}, start);
+    const auto job = fleet_.start(*choice, short_query().demand, start);
+    const auto placed = fleet_.take_news("one", false);
+    ASSERT_TRUE(placed);
+    EXPECT_FALSE(fleet_.take_news("one", false));
+    other_.on_news(*placed, start);
+    const auto away = other_.choose("llm", short_query(), {}, start);
+    EXPECT_EQ(away->members.front().id, "b");
+    // The news of the end is lost; the next digest makes it good.
+    fleet_.on_ended(job, attempt_result::done, start);
+    static_cast<void>(fleet_.take_news("one", false));
+    other_.on_news(*fleet_.take_news("one", true), start);
+    const auto later = start + milliseconds{500};
+    const auto busy = other_.choose("llm", short_query(), {"b"}, later);
+    const auto idle = other_.choose("llm", short_query(), {"a"}, later);
+    EXPECT_EQ(busy->first_event, idle->first_event);
+}
+
+TEST_F(fleet_test, silence_is_told_apart_by_what_else_was_heard) {
+    EXPECT_EQ(fleet_.evidence_of("a", start), life_evidence::none);
+    fleet_.on_heard("a", start);
+    EXPECT_EQ(fleet_.evidence_of("a", start + milliseconds{100}), life_evidence::answers_others);
+    fleet_.on_probe_failed("a", start + milliseconds{500});
+    EXPECT_EQ(fleet_.evidence_of("a", start + milliseconds{600}), life_evidence::silent);
+    fleet_.on_probe_answered("a", start + milliseconds{700});
+    EXPECT_EQ(fleet_.evidence_of("a", start + milliseconds{800}), life_evidence::answers_probes);
+    EXPECT_EQ(fleet_.evidence_of("a", start + milliseconds{3000}), life_evidence::none);
+}
+
+} // namespace
+} // namespace magnolia
--- /dev/null
+++ b/tests/engine_forecast_test.cpp
@@ -0,0 +1,148 @@
+#include "engine_forecast.h"
+#include "engine_partition.h"
+
+#include <gtest/gtest.h>
+
+namespace magnolia {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Figures of the engines that the measured times below come from.
+engine_figures sample_figures() {
+    engine_figures figures;
+    figures.slots = 16;
+    figures.memory_tokens = 232'000;
+    figures.steps_per_pass = 43;
+    figures.step_ms = 1.02;
+    figures.step_ms_per_request = 0.00226;
+    figures.step_ms_per_thousand_context = 0.00431;
+    figures.read_tokens_per_ms = 206;
+    figures.read_ms_per_million_pairs = 0.138;
+    figures.tokens_per_step = 2048;
+    return figures;
+}
+
+time_point at(double ms) {
+    return time_point{std::chrono::duration_cast<duration>(
+        std::chrono::duration<double, std::milli>{ms})};
+}
+
+double ms_of(time_point when) {
+    return std::chrono::duration<double, std::milli>{when.time_since_epoch()}.count();
+}
+
+engine_job job_of(std::uint64_t number, std::uint32_t prompt, std::size_t parts = 1) {
+    engine_job job;
+    job.id = {1, number};
+    job.read = reading::of(prompt, parts);
+    job.is_part = parts > 1;
+    job.memory_tokens = prompt;
+    job.context_tokens = prompt;
+    job.answer_tokens = 1300;
+    job.target_latency = milliseconds{300};
+    job.target_pause = milliseconds{250};
+    return job;
+}
+
+/// A stream whose first event was seen.
+void add_stream(engine_forecast& engine, std::uint64_t number, double ms) {
+    engine.place(job_of(number, 1000), at(ms - 50));
+    engine.on_event({1, number}, at(ms));
+}
+
+TEST(engine_forecast, reading_alone_takes_what_was_measured) {
+    // Tokens, engines, measured ms to the first event less 3 ms of the way.
+    struct measured {
+        std::uint32_t tokens;
+        std::size_t parts;
+        double ms;
+    };
+    for (const auto& [tokens, parts, ms] :
+         {measured{2355, 1, 12}, measured{28656, 1, 209}, measured{40361, 1, 328},
+          measured{33809, 2, 130}, measured{105627, 4, 333}, measured{158177, 6, 428}}) {
+        EXPECT_NEAR(engine_forecast::reading_ms(sample_figures(), reading::of(tokens, parts)), ms,
+                    0.03 * ms + 3)
+            << tokens;
+    }
+}
+
+TEST(engine_forecast, the_newest_part_is_read_first) {
+    engine_forecast engine{sample_figures()};
+    engine.place(job_of(1, 436'000, 6), at(0));
+    const auto small = engine.try_job(job_of(2, 28'000, 2), at(100));
+    EXPECT_LT(ms_of(small.read_end), 300);
+    engine.place(job_of(2, 28'000, 2), at(100));
+    engine.place(job_of(3, 28'000), at(100));
+    const auto plain = engine.try_job(job_of(4, 1000), at(200));
+    EXPECT_GT(ms_of(plain.read_end), 2000); // Prompts wait behind all parts.
+}
+
+TEST(engine_forecast, a_long_reading_costs_the_streams_beside_it) {
+    engine_forecast engine{sample_figures()};
+    add_stream(engine, 1, 0);
+    add_stream(engine, 2, 0);
+    EXPECT_NEAR(engine.try_job(job_of(9, 5000), at(10)).damage, 0, 0.01);
+    EXPECT_GT(engine.try_job(job_of(9, 133'000), at(10)).damage, 1.0);
+    engine.set_late({1, 1});
+    engine.set_late({1, 2});
+    EXPECT_NEAR(engine.try_job(job_of(9, 133'000), at(10)).damage, 0, 0.01);
+}
+
+TEST(engine_forecast, an_event_in_the_middle_of_a_pass_does_not_finish_its_reading) {
+    engine_forecast engine{sample_figures()};
+    add_stream(engine, 1, 0);
+    engine.place(job_of(2, 436'000, 6), at(20)); // 2.5 s on this engine.
+    engine.on_event({1, 1}, at(200));
+    EXPECT_GT(ms_of(engine.try_job(job_of(3, 1000), at(210)).read_end), 1500);
+}
+
+TEST(engine_forecast, a_request_beyond_the_slots_waits_for_an_answer_to_end) {
+    engine_forecast engine{sample_figures()};
+    for (std::uint64_t number = 1; number <= 16; ++number) {
+        add_stream(engine, number, 0);
+    }
+    EXPECT_GT(engine.slot_free_at(at(10)), at(10));
+    const auto effect = engine.try_job(job_of(99, 1000), at(10));
+    EXPECT_GT(ms_of(effect.read_end), 1000);
+    EXPECT_LT(ms_of(effect.read_end), 4000); // 31 passes of about 60 ms.
+    engine.remove({1, 1}, at(20));
+    EXPECT_EQ(engine.slot_free_at(at(20)), at(20));
+}
+
+TEST(engine_forecast, work_of_a_gone_gateway_is_dropped) {
+    engine_forecast engine{sample_figures()};
+    engine.place(job_of(1, 100'000), at(0));
+    EXPECT_EQ(engine.free_memory(), 132'000);
+    engine.remove_origin(1);
+    EXPECT_EQ(engine.free_memory(), 232'000);
+    EXPECT_EQ(engine.running(), 0U);
+}
+
+TEST(engine_partition, kept_engines_follow_the_work_of_the_last_seconds) {
+    const auto figures = sample_figures();
+    engine_partition partition;
+    EXPECT_EQ(partition.kept(16, at(0)), 0U);
+    for (int index = 0; index < 50; ++index) {
+        partition.note(figures, job_of(1, 5000), at(index * 20));
+    }
+    EXPECT_EQ(partition.kept(16, at(1000)), 0U);
+    for (int index = 0; index < 8; ++index) {
+        partition.note(figures, job_of(1, 133'000), at(1000 + index * 100));
+    }
+    const auto kept = partition.kept(16, at(2000));
+    EXPECT_GE(kept, 6U);
+    EXPECT_LT(kept, 16U);
+    for (int index = 0; index < 200; ++index) {
+        partition.note(figures, job_of(1, 5000), at(2000 + index * 40));
+    }
+    EXPECT_LE(partition.kept(16, at(10000)), 1U);
+}
+
+TEST(engine_partition, long_is_what_short_streams_would_notice) {
+    EXPECT_FALSE(engine_partition::is_long(sample_figures(), reading::of(23'800, 1)));
+    EXPECT_TRUE(engine_partition::is_long(sample_figures(), reading::of(45'000, 1)));
+}
+
+} // namespace
+} // namespace magnolia
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -235,5 +235,96 @@
     EXPECT_EQ(percent_decode("%zz"), "%zz");
 }
 
+TEST_F(http_pair, a_response_of_another_call_is_passed_over) {
+    asio::ip::tcp::acceptor acceptor{context_, {asio::ip::make_address("127.0.0.1"), 0}};
+    peer_.port = acceptor.local_endpoint().port();
+    asio::ip::tcp::socket socket{context_};
+    const std::string text = "HTTP/1.1 200 OK\r\nnumber: 1\r\nContent-Length: 3\r\n\r\nold"
+                             "HTTP/1.1 200 OK\r\nnumber: 2\r\nContent-Length: 3\r\n\r\nnew";
+    acceptor.async_accept(socket, [&](const auto&) {
+        asio::async_write(socket, asio::buffer(text), [](const auto&, auto) {});
+    });
+    http_call_limits limits;
+    limits.echo = {"number", "2"};
+    const auto answer = call({}, limits);
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->body, "new");
+}
+
+TEST_F(http_pair, an_answer_that_comes_before_the_body_is_read_is_whole) {
+    asio::ip::tcp::acceptor acceptor{context_, {asio::ip::make_address("127.0.0.1"), 0}};
+    peer_.port = acceptor.local_endpoint().port();
+    asio::ip::tcp::socket socket{context_};
+    const std::string text = "HTTP/1.1 413 Too Large\r\nContent-Length: 3\r\n\r\nfar";
+    acceptor.async_accept(socket, [&](const auto&) {
+        asio::async_write(socket, asio::buffer(text), [](const auto&, auto) {});
+    });
+    http_request request{"POST", "/", {}, std::string(std::size_t{8} << 20U, 'x'), {}};
+    const auto answer = call(std::move(request));
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->status, 413U);
+}
+
+TEST_F(http_pair, an_answer_without_a_length_ends_with_its_connection_unless_it_is_reset) {
+    for (const bool is_reset : {false, true}) {
+        asio::ip::tcp::acceptor acceptor{context_, {asio::ip::make_address("127.0.0.1"), 0}};
+        peer_.port = acceptor.local_endpoint().port();
+        asio::ip::tcp::socket socket{context_};
+        const std::string text = "HTTP/1.1 200 OK\r\n\r\nwhole";
+        std::array<char, 1024> request{};
+        acceptor.async_accept(socket, [&](const auto&) {
+            socket.async_read_some(asio::buffer(request), [&](const auto&, auto) {
+                asio::async_write(socket, asio::buffer(text), [&](const auto&, auto) {
+                    if (is_reset) {
+                        socket.set_option(asio::socket_base::linger{true, 0});
+                    }
+                    socket.close();
+                });
+            });
+        });
+        EXPECT_EQ(call({"POST", "/", {}, {}, {}}).has_value(), !is_reset);
+    }
+}
+
+TEST_F(http_pair, a_header_over_its_bound_is_told_apart_from_a_body) {
+    http_server_limits limits;
+    limits.max_header_bytes = 512;
+    limits.max_body_bytes = 16;
+    serve(echo, limits);
+    EXPECT_EQ(call({"GET", "/", {{"big", std::string(1024, 'x')}}, {}, {}})->status, 431U);
+    EXPECT_EQ(call({"POST", "/", {}, std::string(17, 'x'), {}})->status, 413U);
+}
+
+TEST_F(http_pair, smuggled_requests_are_refused) {
+    serve(echo);
+    const std::string line = "POST / HTTP/1.1\r\nHost: a\r\n";
+    for (const std::string& fields :
+         {std::string{"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
+          std::string{"Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd"},
+          std::string{"Transfer-Encoding: xchunked\r\nContent-Length: 3\r\n\r\nabc"},
+          std::string{"Transfer-Encoding: identity\r\n\r\n"},
+          std::string{"Content-Length : 3\r\n\r\nabc"}}) {
+        asio::ip::tcp::socket socket{context_};
+        socket.connect({asio::ip::make_address("127.0.0.1"), peer_.port});
+        asio::write(socket, asio::buffer(line + fields));
+        std::array<char, 256> buffer{};
+        std::string received;
+        socket.async_read_some(asio::buffer(buffer), [&](const auto&, auto count) {
+            received.assign(buffer.data(), count);
+        });
+        run_until([&] { return !received.empty(); });
+        EXPECT_TRUE(received.starts_with("HTTP/1.1 400")) << fields;
+    }
+}
+
+TEST_F(http_pair, draining_closes_kept_connections_and_takes_new_ones) {
+    serve(echo);
+    ASSERT_TRUE(call({"GET", "/", {}, {}, {}}));
+    server_->begin_drain();
+    const auto answer = call({"GET", "/", {}, {}, {}});
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(find_header(answer->headers, "Connection"), "close");
+}
+
 } // namespace
 } // namespace magnolia
--- /dev/null
+++ b/tests/placement_test.cpp
@@ -0,0 +1,160 @@
+#include "placement.h"
+
+#include <gtest/gtest.h>
+
+namespace magnolia {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr time_point start{std::chrono::seconds{100}};
+
+engine_figures sample_figures() {
+    engine_figures figures;
+    figures.memory_tokens = 232'000;
+    figures.steps_per_pass = 43;
+    figures.step_ms = 1.02;
+    figures.read_tokens_per_ms = 206;
+    figures.read_ms_per_million_pairs = 0.138;
+    return figures;
+}
+
+/// Engines with a choice among them.
+class fleet_of_engines {
+public:
+    explicit fleet_of_engines(std::size_t count) : engines_(count, engine_forecast{sample_figures()}) {}
+
+    engine_forecast& operator[](std::size_t index) { return engines_[index]; }
+
+    result<placement_choice> choose(const placement_query& query, std::size_t kept = 0) {
+        std::vector<placement_option> options;
+        for (std::uint32_t index = 0; index < engines_.size(); ++index) {
+            options.push_back({.index = index,
+                               .slots = 16,
+                               .is_kept = index < kept,
+                               .forecast = &engines_[index]});
+        }
+        return pause_aware_placement{}.choose(query, options, start, random_);
+    }
+
+private:
+    std::vector<engine_forecast> engines_;
+    std::mt19937_64 random_{1};
+};
+
+placement_query query_of(std::uint32_t prompt, milliseconds latency, milliseconds pause) {
+    placement_query query;
+    query.demand.prompt_tokens = prompt;
+    query.demand.answer_tokens = 1000;
+    query.demand.target_latency = latency;
+    query.demand.target_pause = pause;
+    query.demand.value = 1 + prompt / 10'000.0;
+    query.time_left = milliseconds{10'000};
+    return query;
+}
+
+placement_query short_query() {
+    return query_of(5000, milliseconds{300}, milliseconds{250});
+}
+
+placement_query long_query(std::uint32_t prompt = 133'000) {
+    return query_of(prompt, milliseconds{2500}, milliseconds{1000});
+}
+
+engine_job stream_of(std::uint64_t number) {
+    engine_job job;
+    job.id = {2, number};
+    job.read = reading::of(1000, 1);
+    job.memory_tokens = 2000;
+    job.answer_tokens = 1300;
+    job.target_latency = milliseconds{300};
+    job.target_pause = milliseconds{250};
+    return job;
+}
+
+TEST(placement, a_short_prompt_avoids_the_engine_that_reads_a_long_one) {
+    fleet_of_engines fleet{2};
+    auto reading_job = stream_of(1);
+    reading_job.read = reading::of(133'000, 1);
+    fleet[0].place(reading_job, start);
+    const auto choice = fleet.choose(short_query());
+    ASSERT_TRUE(choice);
+    ASSERT_EQ(choice->members.size(), 1U);
+    EXPECT_EQ(choice->members.front().index, 1U);
+    EXPECT_GT(choice->net_value, 0);
+}
+
+TEST(placement, a_long_prompt_avoids_engines_with_streams) {
+    fleet_of_engines fleet{4};
+    for (std::uint64_t number = 0; number < 4; ++number) {
+        fleet[0].place(stream_of(10 + number), start - milliseconds{200});
+        fleet[1].place(stream_of(20 + number), start - milliseconds{200});
+    }
+    const auto choice = fleet.choose(long_query());
+    ASSERT_TRUE(choice);
+    for (const auto& member : choice->members) {
+        EXPECT_GE(member.index, 2U);
+    }
+}
+
+TEST(placement, kept_engines_are_left_to_long_prompts) {
+    fleet_of_engines fleet{4};
+    EXPECT_GE(fleet.choose(short_query(), 2)->members.front().index, 2U);
+    EXPECT_LT(fleet.choose(long_query(), 2)->members.front().index, 2U);
+}
+
+TEST(placement, a_prompt_beyond_one_memory_is_held_by_as_many_engines_as_it_takes) {
+    fleet_of_engines fleet{6};
+    const auto choice = fleet.choose(long_query(400'000));
+    ASSERT_TRUE(choice);
+    std::uint64_t reserved = 0;
+    for (const auto& member : choice->members) {
+        reserved += member.reserved_tokens;
+        EXPECT_LE(member.reserved_tokens, 232'000U);
+    }
+    EXPECT_EQ(reserved, 401'000U);
+    EXPECT_GT(choice->members.front().reserved_tokens, 0U);
+    EXPECT_FALSE(fleet_of_engines{1}.choose(long_query(400'000)));
+}
+
+TEST(placement, no_engine_is_chosen_whose_memory_is_taken) {
+    fleet_of_engines fleet{1};
+    auto job = stream_of(1);
+    job.memory_tokens = 230'000;
+    fleet[0].place(job, start);
+    const auto choice = fleet.choose(short_query());
+    ASSERT_FALSE(choice);
+    EXPECT_EQ(choice.error().code, error_code::no_capacity);
+    EXPECT_GT(choice.error().retry_after.count(), 0);
+}
+
+TEST(placement, a_long_prompt_that_would_cost_more_than_it_gains_says_so) {
+    fleet_of_engines fleet{1};
+    for (std::uint64_t number = 0; number < 14; ++number) {
+        auto job = stream_of(number);
+        job.value = 2;
+        fleet[0].place(job, start - milliseconds{300});
+    }
+    EXPECT_LT(fleet.choose(long_query(60'000))->net_value, 0);
+}
+
+TEST(placement, the_plain_policies) {
+    std::vector<placement_option> options{
+        {.index = 0, .is_own_zone = false, .slots = 6},
+        {.index = 1, .is_own_zone = true, .open_calls = 1, .slots = 6},
+        {.index = 2, .is_own_zone = true, .open_calls = 5, .slots = 6}};
+    std::mt19937_64 random{1};
+    least_outstanding_placement least;
+    EXPECT_EQ(least.choose({}, options, start, random)->members.front().index, 1U);
+    options[1].failure_share = 0.9;
+    EXPECT_EQ(least.choose({}, options, start, random)->members.front().index, 0U);
+    round_robin_placement in_turn;
+    for (const std::uint32_t expected : {0U, 1U, 2U, 0U}) {
+        EXPECT_EQ(in_turn.choose({}, options, start, random)->members.front().index, expected);
+    }
+    EXPECT_FALSE(in_turn.choose({}, {}, start, random));
+    EXPECT_FALSE(least.choose({}, {}, start, random));
+}
+
+} // namespace
+} // namespace magnolia
--- /dev/null
+++ b/tests/platform_codec_test.cpp
@@ -0,0 +1,223 @@
+#include "wire_codec.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+namespace magnolia::platform {
+namespace {
+
+using json = nlohmann::json;
+
+constexpr auto config_text = R"({"Version":7,"Routes":[
+  {"Name":"r1","Host":"a.example","PathPrefix":"/x/","Kind":"streaming","TimeoutMs":10000,
+   "TargetLatencyMs":300,"Priority":1,"TrafficSplit":[{"Service":"s1","Weight":90},
+   {"Service":"s2","Weight":10}],"Attempts":2,"Public":false,"Resumable":true,"TargetGapMs":250},
+  {"Name":"r2","Host":"a.example","PathPrefix":"/y/","Kind":"unsafe","TimeoutMs":600,
+   "Service":"s2","Attempts":1,"Public":true}],
+ "Services":[{"Name":"s1","HealthPath":"/health","MaxConnections":434,"Engine":{"Slots":16,
+   "KvTokens":232000,"Stride":43,"step_ms":1.02,"per_seq_ms":0.00226,"context_per_k":0.00431,
+   "read_per_s":206000.0,"pairs_per_m":0.138,"chunk":2048,"usual":{"prompt":12331,"answer":1303},
+   "HopMs":0.075}},{"Name":"s2","MaxConnections":110}],
+ "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,
+   "IdleTimeoutMs":15000},
+ "Tenants":[{"Name":"t1","ApiKeys":["k1","k2"],"Priority":1}]})";
+
+http_request sample_request() {
+    return {"POST",
+            "/x/2f",
+            {{"Host", "a.example"},
+             {"X-Attempt-Id", "9c41"},
+             {"Last-Event-Id", "12"},
+             {"X-Model", "m"},
+             {"X-Token-Usage", "1460,80"},
+             {"X-Deadline-Ms", "10000"},
+             {"X-Tenant", "forged"},
+             {"X-Helpers", "10.0.0.1:1"},
+             {"Api-Key", "k1"}},
+            "body",
+            {}};
+}
+
+TEST(wire_codec, reads_the_configuration) {
+    const auto config = wire_codec{}.read_config(config_text);
+    ASSERT_TRUE(config);
+    EXPECT_EQ(config->version, 7U);
+    ASSERT_EQ(config->routes.size(), 2U);
+    const auto& stream = config->routes[0];
+    EXPECT_TRUE(stream.is_stream);
+    EXPECT_EQ(stream.repeat, repeat_rule::continued);
+    EXPECT_EQ(stream.timeout, milliseconds{10000});
+    EXPECT_EQ(stream.target_pause, milliseconds{250});
+    EXPECT_EQ(stream.max_attempts, 2U);
+    EXPECT_TRUE(stream.needs_key);
+    ASSERT_EQ(stream.services.size(), 2U);
+    EXPECT_EQ(stream.services[0].weight, 90U);
+    EXPECT_EQ(config->routes[1].repeat, repeat_rule::never);
+    EXPECT_FALSE(config->routes[1].needs_key);
+    const auto& engine = config->services[0].engine;
+    ASSERT_TRUE(engine);
+    EXPECT_EQ(engine->memory_tokens, 232'000U);
+    EXPECT_DOUBLE_EQ(engine->read_tokens_per_ms, 206);
+    EXPECT_EQ(engine->usual_answer_tokens, 1303U);
+    EXPECT_FALSE(config->services[1].engine);
+    EXPECT_EQ(config->workspaces[0].keys.size(), 2U);
+}
+
+TEST(wire_codec, a_configuration_that_cannot_be_read_names_the_field) {
+    const wire_codec codec;
+    EXPECT_EQ(codec.read_config("nothing").error().code, error_code::bad_request);
+    EXPECT_EQ(codec.read_config(R"({"Routes":[]})").error().subject, "configuration.Version");
+    EXPECT_EQ(codec.read_config(R"({"Version":1,"Routes":[{"Name":"r","Host":"h"}]})")
+                  .error()
+                  .subject,
+              "Routes.PathPrefix");
+}
+
+TEST(wire_codec, entries_of_other_writers_name_no_backend_server) {
+    const wire_codec codec;
+    const json good{{"Service", "s1"}, {"Address", "10.128.0.9:8080"}, {"Zone", "z"},
+                    {"Slots", 16},     {"State", "ready"},             {"born", 5}};
+    const auto backend = codec.read_backend("i-1", good.dump());
+    ASSERT_TRUE(backend);
+    EXPECT_EQ(backend->address.address, "10.128.0.9");
+    EXPECT_EQ(backend->address.port, 8080);
+    EXPECT_EQ(backend->started_ms, 5);
+    EXPECT_FALSE(backend->is_leaving);
+    auto draining = good;
+    draining["State"] = "draining";
+    EXPECT_TRUE(codec.read_backend("i-1", draining.dump())->is_leaving);
+    for (const auto& [field, value] :
+         {std::pair<std::string, json>{"State", "asleep"}, {"Service", 7}, {"Address", "x"}}) {
+        auto bad = good;
+        bad[field] = value;
+        EXPECT_FALSE(codec.read_backend("i-1", bad.dump())) << field;
+        bad.erase(field);
+        EXPECT_FALSE(codec.read_backend("i-1", bad.dump())) << field;
+    }
+    EXPECT_FALSE(codec.read_backend("i-1", "\x01\x02"));
+}
+
+TEST(wire_codec, the_head_of_a_request) {
+    const auto head = wire_codec{}.read_request(sample_request());
+    ASSERT_TRUE(head);
+    EXPECT_EQ(head->attempt, "9c41");
+    EXPECT_EQ(head->key, "k1");
+    EXPECT_EQ(head->time_left, milliseconds{10000});
+    EXPECT_EQ(head->prompt_tokens, 1460U);
+    EXPECT_EQ(head->max_answer_tokens, 80U);
+    EXPECT_EQ(head->resume_after, 12U);
+    auto nameless = sample_request();
+    nameless.headers.erase(nameless.headers.begin() + 1);
+    EXPECT_EQ(wire_codec{}.read_request(nameless).error().code, error_code::bad_request);
+    auto endless = sample_request();
+    endless.headers[5].value = "soon";
+    EXPECT_FALSE(wire_codec{}.read_request(endless));
+}
+
+TEST(wire_codec, what_a_backend_server_gets) {
+    attempt_terms terms;
+    terms.time_left = milliseconds{9500};
+    terms.backend_id = "i-7";
+    terms.workspace = "t1";
+    terms.helpers = {{{"10.2.64.3", 8080}, "t81"}, {{"10.2.64.5", 8080}, ""}};
+    const auto out = wire_codec{}.write_request(sample_request(), terms);
+    const auto field = [&](std::string_view name) { return find_header(out.headers, name); };
+    EXPECT_EQ(field("X-Deadline-Ms"), "9500");
+    EXPECT_EQ(field("X-Expect-Instance"), "i-7");
+    EXPECT_EQ(field("X-Tenant"), "t1");
+    EXPECT_EQ(field("X-Helpers"), "10.2.64.3:8080/t81,10.2.64.5:8080");
+    EXPECT_EQ(field("Api-Key"), "");
+    EXPECT_EQ(field("X-Model"), "m");
+    EXPECT_EQ(field("X-Token-Usage"), "1460,80");
+    EXPECT_EQ(field("X-Attempt-Id"), "9c41");
+    EXPECT_EQ(field("Last-Event-Id"), "12");
+    EXPECT_EQ(out.body, "body");
+    terms.workspace.clear();
+    terms.helpers.clear();
+    terms.resume_after = 15;
+    const auto open = wire_codec{}.write_request(sample_request(), terms);
+    EXPECT_EQ(find_header(open.headers, "X-Tenant"), "");
+    EXPECT_EQ(find_header(open.headers, "X-Helpers"), "");
+    EXPECT_EQ(find_header(open.headers, "Last-Event-Id"), "15");
+}
+
+TEST(wire_codec, what_an_answer_proves) {
+    const wire_codec codec;
+    EXPECT_TRUE(codec.read_answer(503, {{"X-Not-Executed", "1"}}).is_not_run);
+    EXPECT_TRUE(codec.read_answer(421, {}).is_not_run);
+    EXPECT_TRUE(codec.read_answer(421, {}).is_other_backend);
+    EXPECT_FALSE(codec.read_answer(503, {}).is_not_run);
+    const auto whole = codec.read_answer(200, {{"X-Response-Signature", "s"},
+                                               {"Content-Type", "text/event-stream"}});
+    EXPECT_TRUE(whole.is_signed);
+    EXPECT_TRUE(whole.is_event_stream);
+    EXPECT_EQ(codec.read_answer(503, {{"Retry-After", "0.25"}}).retry_after, milliseconds{250});
+}
+
+TEST(wire_codec, a_refusal_says_when_to_come_back) {
+    request_head head;
+    head.attempt = "9c41";
+    const auto response =
+        wire_codec{}.write_failure(head, {error_code::no_capacity, "x", milliseconds{250}});
+    EXPECT_EQ(response.status, 503U);
+    EXPECT_EQ(find_header(response.headers, "Retry-After"), "0.25");
+    EXPECT_EQ(find_header(response.headers, "X-Attempt-Id"), "9c41");
+    EXPECT_EQ(find_header(response.headers, "X-Response-Signature"), "");
+}
+
+TEST(wire_codec, orders_for_memory) {
+    const auto reserve = wire_codec{}.write_reserve("t81", 60000, milliseconds{3000});
+    EXPECT_EQ(reserve.method + reserve.target, "POST/-/order");
+    EXPECT_EQ(json::parse(reserve.body), json::parse(R"({"Operation":"reserve","Id":"t81",
+        "Tokens":60000,"HoldMs":3000,"Wait":false})"));
+    EXPECT_EQ(json::parse(wire_codec{}.write_release("t81").body),
+              json::parse(R"({"Operation":"release","Id":"t81"})"));
+}
+
+TEST(object_store_codec, calls) {
+    const object_store_codec codec;
+    EXPECT_EQ(codec.encode(object_get{{"config", "main"}}).target, "/-/objects/config/main");
+    EXPECT_EQ(codec.encode(object_list{"servers", "i-7", 0, false}).target,
+              "/-/objects/servers?After=i-7");
+    EXPECT_EQ(codec.encode(object_list{"servers", {}, 0, true}).target,
+              "/-/objects/servers?AllowStale=1");
+    EXPECT_EQ(codec.encode(object_watch{"servers", 530, milliseconds{1500}}).target,
+              "/-/objects/servers?Watch=530&WaitMs=1500");
+    const auto create = codec.encode(object_put{{"k", "n"}, 0, "1"});
+    EXPECT_EQ(create.method + create.target, "POST/-/objects/k");
+    EXPECT_EQ(json::parse(create.body)["Metadata"]["Name"], "n");
+    const auto replace = codec.encode(object_put{{"k", "n"}, 412, "1"});
+    EXPECT_EQ(replace.method + replace.target, "PUT/-/objects/k/n");
+    EXPECT_EQ(json::parse(replace.body)["Metadata"]["Revision"], 412);
+}
+
+TEST(object_store_codec, replies) {
+    const object_store_codec codec;
+    const object_list list{"servers", {}, 0, false};
+    const auto page = codec.decode(
+        list, {200, {}, R"({"Items":[{"Metadata":{"Name":"a","Revision":3},"Spec":{"x":1}}],
+                           "HasMore":true,"StoreRevision":530})"});
+    ASSERT_TRUE(page);
+    const auto& items = std::get<object_page>(*page);
+    EXPECT_EQ(items.revision, 530U);
+    EXPECT_TRUE(items.more);
+    ASSERT_EQ(items.items.size(), 1U);
+    EXPECT_EQ(items.items[0].id.name, "a");
+    EXPECT_EQ(items.items[0].value, R"({"x":1})");
+    const object_watch watch{"servers", 530, milliseconds{1500}};
+    const auto changes = codec.decode(
+        watch, {200, {}, R"({"events":[{"Deleted":true,"Object":{"Metadata":{"Name":"a"}}}],
+                            "StoreRevision":533})"});
+    EXPECT_TRUE(std::get<watch_page>(*changes).changes[0].deleted);
+    EXPECT_TRUE(std::get<watch_page>(*codec.decode(watch, {410, {}, {}})).gap);
+    EXPECT_EQ(codec.decode(watch, {429, {{"Retry-After", "0.5"}}, {}}).error(),
+              (error{error_code::platform_busy, "status 429", milliseconds{500}}));
+    EXPECT_EQ(codec.decode(list, {200, {}, "?"}).error().code, error_code::platform_down);
+    EXPECT_EQ(codec.decode(object_put{{"k", "n"}, 1, "1"}, {409, {}, "{}"}).error().code,
+              error_code::conflict);
+    const auto none = codec.decode(object_get{{"k", "n"}}, {404, {}, {}});
+    EXPECT_EQ(std::get<stored_object>(*none).version, 0U);
+}
+
+} // namespace
+} // namespace magnolia::platform
