Metrics and request-named log lines of the gateway; magnoliactl explain

Cause: a failed request could be followed by its id only by searching by hand. Change: one line for each send and each end under the caller's id, with the deciding inputs (prediction, members, age of the configuration); beliefs as they change; counters, histograms and gauges; logs go to standard output and never block; magnoliactl explain ID reads the logs of all hosts.

--- a/include/magnolia/schema.h
+++ b/include/magnolia/schema.h
@@ -457,6 +457,8 @@
     std::string zone{};
     /// debug, info, warn or error. [4..5 characters]
     std::string log_level{"info"};
+    /// Write the log to standard output, never blocking, instead of standard error.
+    bool log_to_output{false};
     /// Listener of /metrics, /healthz and /readyz; port 0 turns it off.
     endpoint metrics{};
     /// Address of magnolia-timeline; port 0 turns events off.
--- a/src/forward_call.cpp
+++ b/src/forward_call.cpp
@@ -287,7 +287,8 @@
         }
     };
     ++sends_;
-    log_of().info("send id=" + head_.attempt + " attempt=" + std::to_string(sends_) +
+    log_of().info(head_.attempt,
+                  "send attempt=" + std::to_string(sends_) +
                   " route=" + route_->name + " tokens=" + std::to_string(head_.prompt_tokens) +
                   " members=" + names_of(chosen) +
                   " predicted_ms=" + std::to_string(whole_ms(predicted_).count()) +
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway.h"
 
 #include "forward_call.h"
+#include "gateway_metrics.h"
 #include "news_exchange.h"
 #include "object_follower.h"
 
@@ -129,6 +130,7 @@
     platform_client store_;
     http_client client_;
     backend_fleet fleet_;
+    gateway_metrics metrics_;
     reservation_keeper reservations_;
     liveness_prober prober_;
     news_exchange exchange_;
@@ -153,7 +155,7 @@
     : owner_{owner}, settings_{settings}, codec_{codec},
       store_{io_, settings.process.platform, budget_of(settings), owner.boot(), &store},
       client_{io_, 0}, fleet_{settings.process.zone, owner.boot(), settings.policy},
-      reservations_{io_, client_, codec,
+      metrics_{owner.metrics()}, reservations_{io_, client_, codec,
                     std::min(share_of(settings.late_reservation_ms, hold_share),
                              settings.max_reservation_ms)},
       prober_{client_, fleet_, codec},
@@ -309,6 +311,13 @@
         read_members();
     }
     exchange_.check_silence(now);
+    metrics_.set_beliefs({.config_version = shared_.routes ? shared_.routes->version() : 0,
+                          .config_age = now - config_.confirmed_at(),
+                          .live_backends = fleet_.live_count(),
+                          .live_gateways = exchange_.live_peers() + 1,
+                          .is_store_reachable = !config_.is_cut_off() && !backends_.is_cut_off(),
+                          .open_requests = front_.active_requests(),
+                          .reservations = reservations_.size()});
     if (const auto news = fleet_.take_news(settings_.process.name, true)) {
         exchange_.send(*news);
     }
@@ -348,20 +357,24 @@
 }
 
 void gateway::state::on_call_end(const call_end& end) {
+    metrics_.count(end);
     std::string backends;
     for (const auto& backend : end.backends) {
         backends += (backends.empty() ? "" : ",") + backend;
     }
-    log_.info("end id=" + end.attempt + " status=" + std::to_string(end.status) +
-              " route=" + end.route + " tokens=" + std::to_string(end.prompt_tokens) +
-              " backends=" + (backends.empty() ? "-" : backends) +
-              " members=" + std::to_string(end.members) +
-              " ms=" + std::to_string(whole_ms(end.elapsed)) +
-              " first_ms=" + std::to_string(whole_ms(end.first_byte)) +
-              " predicted_ms=" + std::to_string(whole_ms(end.predicted)) +
-              " pause_ms=" + std::to_string(whole_ms(end.longest_pause)) +
-              " config=" + std::to_string(end.config_version) +
-              (end.cause.empty() ? "" : " cause=\"" + end.cause + "\""));
+    const auto age = steady_now() - config_.confirmed_at();
+    log_.info(end.attempt.empty() ? "-" : end.attempt,
+              "end status=" + std::to_string(end.status) + " route=" + end.route +
+                  " tokens=" + std::to_string(end.prompt_tokens) +
+                  " backends=" + (backends.empty() ? "-" : backends) +
+                  " members=" + std::to_string(end.members) +
+                  " ms=" + std::to_string(whole_ms(end.elapsed)) +
+                  " first_ms=" + std::to_string(whole_ms(end.first_byte)) +
+                  " predicted_ms=" + std::to_string(whole_ms(end.predicted)) +
+                  " pause_ms=" + std::to_string(whole_ms(end.longest_pause)) +
+                  " config=" + std::to_string(end.config_version) +
+                  " config_age_ms=" + std::to_string(whole_ms(age)) +
+                  (end.cause.empty() ? "" : " cause=\"" + end.cause + "\""));
 }
 
 // Start, reload and stop.
--- /dev/null
+++ b/src/gateway_metrics.cpp
@@ -0,0 +1,84 @@
+#include "gateway_metrics.h"
+
+namespace magnolia {
+namespace {
+
+/// Upper bounds of the lengths of prompts that share a histogram, tokens; the last one has none.
+constexpr std::array<std::uint32_t, 3> length_bounds{1, 24'000, 100'000};
+constexpr std::array<const char*, 4> length_names{"none", "short", "long", "longest"};
+
+double seconds(duration value) {
+    return std::chrono::duration<double>(value).count();
+}
+
+std::size_t length_class_of(std::uint32_t tokens) {
+    std::size_t index = 0;
+    while (index < length_bounds.size() && tokens >= length_bounds[index]) {
+        ++index;
+    }
+    return index;
+}
+
+/// Type of an error text without its subject.
+std::string cause_name(const std::string& cause) {
+    return cause.empty() ? "answered" : cause.substr(0, cause.find(':'));
+}
+
+} // namespace
+
+gateway_metrics::gateway_metrics(metrics_registry& registry)
+    : registry_{registry},
+      longest_pause_{registry.make_histogram("magnolia_longest_pause_seconds",
+                                             "Longest pause between two events of a stream.")},
+      further_sends_{registry.make_counter("magnolia_further_sends_total",
+                                           "Sends of requests beyond the first.")},
+      config_version_{registry.make_gauge("magnolia_config_version", "Configuration in force.")},
+      config_age_{registry.make_gauge("magnolia_config_age_seconds",
+                                      "Time since the store confirmed the configuration.")},
+      live_backends_{registry.make_gauge("magnolia_live_backends",
+                                         "Backend servers that take new work.")},
+      live_gateways_{registry.make_gauge("magnolia_live_gateways",
+                                         "Gateways that are heard, this one included.")},
+      store_reachable_{registry.make_gauge("magnolia_store_reachable",
+                                           "1 while the platform's store answers.")},
+      open_requests_{registry.make_gauge("magnolia_open_requests", "Requests under way.")},
+      reservations_{registry.make_gauge("magnolia_reservations",
+                                        "Requests that hold memory of several engines.")} {
+    for (std::size_t index = 0; index < first_byte_.size(); ++index) {
+        first_byte_[index] = registry.make_histogram("magnolia_first_byte_seconds",
+                                                     "Time from arrival to the first byte sent.",
+                                                     {{"prompt", length_names[index]}});
+    }
+}
+
+void gateway_metrics::count(const call_end& end) {
+    const auto cause = cause_name(end.cause);
+    const auto status = std::to_string(end.status);
+    const auto [found, is_new] = outcomes_.try_emplace(status + "/" + cause);
+    if (is_new) {
+        found->second = registry_.make_counter("magnolia_requests_total", "Requests that ended.",
+                                               {{"status", status}, {"cause", cause}});
+    }
+    found->second.add();
+    if (end.first_byte.count() > 0) {
+        first_byte_[length_class_of(end.prompt_tokens)].observe(seconds(end.first_byte));
+    }
+    if (end.longest_pause.count() > 0) {
+        longest_pause_.observe(seconds(end.longest_pause));
+    }
+    if (end.backends.size() > 1) {
+        further_sends_.add(static_cast<double>(end.backends.size() - 1));
+    }
+}
+
+void gateway_metrics::set_beliefs(const gateway_beliefs& beliefs) const {
+    config_version_.set(static_cast<double>(beliefs.config_version));
+    config_age_.set(seconds(beliefs.config_age));
+    live_backends_.set(static_cast<double>(beliefs.live_backends));
+    live_gateways_.set(static_cast<double>(beliefs.live_gateways));
+    store_reachable_.set(beliefs.is_store_reachable ? 1 : 0);
+    open_requests_.set(static_cast<double>(beliefs.open_requests));
+    reservations_.set(static_cast<double>(beliefs.reservations));
+}
+
+} // namespace magnolia
--- /dev/null
+++ b/src/gateway_metrics.h
@@ -0,0 +1,47 @@
+/// Metrics of a gateway: outcomes of requests, times by length of the prompt, and beliefs.
+#pragma once
+
+#include "forward_call.h"
+#include "metrics.h"
+
+#include <array>
+#include <map>
+
+namespace magnolia {
+
+/// What a gateway believes now.
+struct gateway_beliefs {
+    std::uint64_t config_version = 0;
+    /// Time since the store last confirmed the configuration.
+    duration config_age{0};
+    std::size_t live_backends = 0;
+    std::size_t live_gateways = 0;
+    bool is_store_reachable = false;
+    std::size_t open_requests = 0;
+    std::size_t reservations = 0;
+};
+
+class gateway_metrics {
+public:
+    explicit gateway_metrics(metrics_registry& registry);
+
+    void count(const call_end& end);
+    void set_beliefs(const gateway_beliefs& beliefs) const;
+
+private:
+    metrics_registry& registry_;
+    std::map<std::string, counter> outcomes_;
+    /// Time to the first byte by length of the prompt.
+    std::array<histogram, 4> first_byte_;
+    histogram longest_pause_;
+    counter further_sends_;
+    gauge config_version_;
+    gauge config_age_;
+    gauge live_backends_;
+    gauge live_gateways_;
+    gauge store_reachable_;
+    gauge open_requests_;
+    gauge reservations_;
+};
+
+} // namespace magnolia
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -2,14 +2,18 @@
 
 #include <magnolia/config.h>
 
+#include <log4cplus/appender.h>
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 
 #include <algorithm>
+#include <climits>
 #include <memory>
 #include <mutex>
+#include <poll.h>
+#include <unistd.h>
 #include <utility>
 
 namespace magnolia {
@@ -35,6 +39,31 @@
     return "%d{%Y-%m-%dT%H:%M:%S.%q}Z %-5p [%-10c] host=" + name + " %m%n";
 }
 
+/// Writes to standard output what it takes at once.
+class output_appender final : public log4cplus::Appender {
+public:
+    ~output_appender() override { destructorImpl(); }
+    void close() override { closed = true; }
+
+protected:
+    void append(const log4cplus::spi::InternalLoggingEvent& event) override {
+        auto line = formatEvent(event);
+        if (dropped_ > 0) {
+            line.insert(line.size() - 1, " (" + std::to_string(dropped_) + " lines lost before)");
+        }
+        // A pipe that is ready takes PIPE_BUF bytes without blocking.
+        pollfd output{STDOUT_FILENO, POLLOUT, 0};
+        const bool is_ready = ::poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+        const bool is_written =
+            is_ready && ::write(STDOUT_FILENO, line.data(),
+                                std::min<std::size_t>(line.size(), PIPE_BUF)) > 0;
+        dropped_ = is_written ? 0 : dropped_ + 1;
+    }
+
+private:
+    std::uint64_t dropped_ = 0;
+};
+
 struct budget_guard {
     std::mutex mutex;
     log_budget budget{config::log_lines_per_second};
@@ -57,12 +86,14 @@
     return name == "error" ? log_level::error : log_level::info;
 }
 
-void open_log(std::string_view host, log_level least) {
+void open_log(std::string_view host, log_level least, log_target target) {
     static log4cplus::Initializer initializer;
     constexpr bool to_stderr = true;
     constexpr bool flush_each_line = true;
     log4cplus::SharedAppenderPtr appender{
-        new log4cplus::ConsoleAppender{to_stderr, flush_each_line}};
+        target == log_target::standard_output
+            ? static_cast<log4cplus::Appender*>(new output_appender)
+            : new log4cplus::ConsoleAppender{to_stderr, flush_each_line}};
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>(line_pattern(host)));
     auto root = log4cplus::Logger::getRoot();
     root.removeAllAppenders();
--- a/src/log.h
+++ b/src/log.h
@@ -1,4 +1,4 @@
-/// Log lines to stderr: `time level [part      ] host=… req=… sentence`.
+/// Log lines: `time level [part      ] host=… req=… sentence`.
 #pragma once
 
 #include <magnolia/types.h>
@@ -15,10 +15,20 @@
 /// Level by its name in the settings; info for an unknown name.
 [[nodiscard]] log_level log_level_of(std::string_view name);
 
+/// Where log lines go.
+enum class log_target : std::uint8_t {
+    /// For programs whose standard output is read by people or scripts.
+    standard_error,
+    /// For servers whose log a platform collects. Lines that a full pipe does not take are dropped
+    /// and counted; writing never blocks.
+    standard_output,
+};
+
 /// Opens the log of this process; call once, before the first line.
 /// @param host   name of the process, which stands in every line.
 /// @param least  lines below this level are not written.
-void open_log(std::string_view host, log_level least);
+void open_log(std::string_view host, log_level least,
+              log_target target = log_target::standard_error);
 
 /// Limits lines to a rate and counts the ones it refuses.
 class log_budget {
@@ -66,6 +76,14 @@
         write(log_level::error, to_string(id), sentence);
     }
 
+    /// Lines about a request that its caller has named.
+    void info(std::string_view request, std::string_view sentence) const {
+        write(log_level::info, request, sentence);
+    }
+    void warn(std::string_view request, std::string_view sentence) const {
+        write(log_level::warn, request, sentence);
+    }
+
 private:
     void write(log_level level, std::string_view request, std::string_view sentence) const;
 
--- a/src/process.cpp
+++ b/src/process.cpp
@@ -287,7 +287,8 @@
 exit_code run_process(const program_info& info, const process_settings& settings,
                       const std::filesystem::path& settings_file,
                       const std::function<result<void>(process&)>& body) {
-    open_log(settings.name, log_level_of(settings.log_level));
+    open_log(settings.name, log_level_of(settings.log_level),
+             settings.log_to_output ? log_target::standard_output : log_target::standard_error);
     const logger log{"process"};
     log.info(info.name + " " + std::string{config::program_release} + " starts in zone " +
              settings.zone + ".");
--- a/tools/magnoliactl.cpp
+++ b/tools/magnoliactl.cpp
@@ -1,5 +1,6 @@
 /// The operators' command line over the administration API. See docs/operators/magnoliactl.md.
 #include "contract_rules.h"
+#include "explain.h"
 #include "http_client.h"
 #include "settings.h"
 
@@ -36,7 +37,7 @@
 constexpr unsigned first_failed_status = 400;
 
 const char* const completion = R"(_magnoliactl() {
-    local words="create change retire list show watch history diff rollback apply status completion"
+    local words="create change retire list show watch history diff rollback apply status explain completion"
     local options="--server --key --output --version --dry-run --help"
     local current="${COMP_WORDS[COMP_CWORD]}"
     if [[ $current == -* ]]; then
@@ -380,6 +381,17 @@
     });
 }
 
+outcome_of<void> explain(const options& asked) {
+    const auto lines = explain_request(std::cin, asked.words.at(1));
+    if (lines.empty()) {
+        return stop(exit_status::not_found, "no line about request " + asked.words.at(1));
+    }
+    for (const auto& line : lines) {
+        std::cout << line << '\n';
+    }
+    return {};
+}
+
 outcome_of<void> print_completion(const options& /*asked*/) {
     std::cout << completion;
     return {};
@@ -404,6 +416,7 @@
     command{"rollback", 2, "rollback WORKSPACE VERSION [--version N]", rollback},
     command{"apply", 1, "apply FILE ... [--dry-run]", apply},
     command{"status", 0, "status", status},
+    command{"explain", 1, "explain REQUEST < LOGS", explain},
     command{"completion", 0, "completion", print_completion},
 };
 
