One giant prompt keeps fewer engines; lapsed entries are waited for until 1.8 s after an outage

Change: one prompt counts for 4 s at most; a removal learnt after an outage waits for the rest of 1.8 s.

--- a/src/engine_forecast.cpp
+++ b/src/engine_forecast.cpp
@@ -77,6 +77,11 @@
     return {prompt_tokens / count, prompt_tokens / 2.0, 0};
 }
 
+std::uint32_t reading::whole_prompt() const {
+    // Each token of a share is paired with half of the prompt.
+    return more_pairs > 0 ? tokens : static_cast<std::uint32_t>(2 * first_pairs);
+}
+
 double engine_forecast::reading_ms(const engine_figures& figures, const reading& part) {
     const double steps = std::ceil(static_cast<double>(part.tokens) /
                                    std::max(1U, figures.tokens_per_step));
--- a/src/engine_forecast.h
+++ b/src/engine_forecast.h
@@ -45,6 +45,8 @@
 
     /// Even share of a prompt that `parts` engines read together.
     [[nodiscard]] static reading of(std::uint32_t prompt_tokens, std::size_t parts);
+    /// Length of the prompt that this is a share of.
+    [[nodiscard]] std::uint32_t whole_prompt() const;
 };
 
 /// Work of one request on one engine.
--- a/src/engine_partition.cpp
+++ b/src/engine_partition.cpp
@@ -12,6 +12,8 @@
 constexpr seconds memory{2.0};
 /// Reading beyond this is long, ms: with a plain pass it exceeds the pauses of short answers.
 constexpr double longest_short_reading_ms = 180;
+/// Reading of one prompt that counts, ms: a single giant one is no reason to crowd all short ones.
+constexpr double most_counted_ms = 4000;
 /// Share of an engine's time that long reading may fill before it queues.
 constexpr double long_utilization = 0.7;
 /// Share of an engine's time that short prompts may be read in without holding up streams.
@@ -40,7 +42,9 @@
     decay(now);
     const double reading_ms = engine_forecast::reading_ms(figures, job.read);
     if (job.is_part || job.has_helpers || is_long(figures, job.read)) {
-        long_reading_ += reading_ms;
+        const auto whole = reading::of(job.read.whole_prompt(), 1);
+        const double whole_ms = engine_forecast::reading_ms(figures, whole);
+        long_reading_ += reading_ms * std::min(1.0, most_counted_ms / whole_ms);
         return;
     }
     const double passes = static_cast<double>(job.answer_tokens) / std::max(1U, figures.steps_per_pass);
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -35,10 +35,9 @@
 constexpr double store_reads_per_s = 30;
 constexpr double store_writes_per_s = 5;
 
-/// Entries of backend servers that lapsed during an outage are back within 2 s of its end; until
-/// then a removal is held back, and within the bound for leaving backend servers.
-constexpr milliseconds removal_span{2500};
-constexpr milliseconds removal_grace{1200};
+/// Entries of backend servers that lapsed during an outage are back within 2 s of its end; a removal
+/// is held back until shortly before, within the bound for leaving backend servers.
+constexpr milliseconds lapsed_back_within{1800};
 
 /// Share of the time until the end of a planned stop, up to which new requests are taken.
 constexpr double take_share = 0.4;
@@ -219,9 +218,10 @@
 }
 
 duration gateway::state::removal_delay() const {
-    const bool is_after_outage = backends_.back_since() != time_point{} &&
-                                 steady_now() - backends_.back_since() < removal_span;
-    return is_after_outage ? duration{removal_grace} : duration{0};
+    if (backends_.back_since() == time_point{}) {
+        return duration{0};
+    }
+    return std::max(backends_.back_since() + lapsed_back_within - steady_now(), duration{0});
 }
 
 void gateway::state::take_backend(const stored_object& object) {
--- a/tests/engine_forecast_test.cpp
+++ b/tests/engine_forecast_test.cpp
@@ -139,6 +139,18 @@
     EXPECT_LE(partition.kept(16, at(10000)), 1U);
 }
 
+TEST(engine_partition, one_giant_prompt_does_not_crowd_the_short_ones) {
+    const auto figures = sample_figures();
+    engine_partition partition;
+    for (int index = 0; index < 100; ++index) {
+        partition.note(figures, job_of(1, 5000), at(index * 10));
+    }
+    for (std::uint64_t part = 0; part < 16; ++part) {
+        partition.note(figures, job_of(part, 600'000, 16), at(1000));
+    }
+    EXPECT_LE(partition.kept(16, at(1000)), 6U);
+}
+
 TEST(engine_partition, long_is_what_short_streams_would_notice) {
     EXPECT_FALSE(engine_partition::is_long(sample_figures(), reading::of(23'800, 1)));
     EXPECT_TRUE(engine_partition::is_long(sample_figures(), reading::of(45'000, 1)));
