--- a/src/attempt_policy.cpp
+++ b/src/attempt_policy.cpp
@@ -29,8 +29,7 @@
 next_step decide_after_failure(const failed_attempt& attempt) {
     const bool is_proved_unrun = attempt.evidence != run_evidence::in_doubt;
     const bool may_run_again = is_proved_unrun || attempt.repeat != repeat_rule::never;
-    const bool can_continue =
-        !attempt.has_begun_answer || attempt.repeat == repeat_rule::continued;
+    const bool can_continue = !attempt.has_begun_answer || attempt.repeat == repeat_rule::continued;
     const bool has_sends_left = attempt.sends < attempt.max_sends && attempt.unsent < max_unsent;
     if (may_run_again && can_continue && has_sends_left && attempt.time_left > least_time) {
         return next_step::send_again;
--- a/src/attempt_policy.h
+++ b/src/attempt_policy.h
@@ -71,8 +71,8 @@
     life_evidence evidence = life_evidence::none;
 };
 
-/// Whether another backend server should be asked: this one is lost, or has forgotten the request. A
-/// busy one is left alone; reading the prompt again elsewhere would only add to the load.
+/// Whether another backend server should be asked: this one is lost, or has forgotten the request.
+/// A busy one is left alone; reading the prompt again elsewhere would only add to the load.
 [[nodiscard]] bool is_backend_lost(const silent_attempt& attempt);
 
 } // namespace magnolia
--- a/src/backend_fleet.cpp
+++ b/src/backend_fleet.cpp
@@ -38,8 +38,8 @@
 } // namespace
 
 backend_fleet::backend_fleet(std::string zone, std::uint64_t origin, placement_policy policy)
-    : zone_{std::move(zone)}, origin_{origin}, placement_{make_placement(policy)},
-      random_{origin} {}
+    : zone_{std::move(zone)}, origin_{origin}, placement_{make_placement(policy)}, random_{origin} {
+}
 
 void backend_fleet::set_services(const std::vector<service_info_entry>& services) {
     figures_.clear();
@@ -80,10 +80,10 @@
 
 void backend_fleet::put(const backend_info& backend, time_point now) {
     auto found = backends_.find(backend.id);
-    const bool is_other_start = found != backends_.end() &&
-                                (found->second.info.started_ms != backend.started_ms ||
-                                 found->second.info.address != backend.address ||
-                                 found->second.info.service != backend.service);
+    const bool is_other_start =
+        found != backends_.end() && (found->second.info.started_ms != backend.started_ms ||
+                                     found->second.info.address != backend.address ||
+                                     found->second.info.service != backend.service);
     if (is_other_start) {
         backends_.erase(found);
         found = backends_.end();
@@ -127,9 +127,9 @@
     return is_listed && !item.info.is_leaving && !item.is_gone;
 }
 
-std::vector<backend_fleet::record*>
-backend_fleet::candidates(std::string_view service, const std::vector<std::string>& tried,
-                          time_point now) {
+std::vector<backend_fleet::record*> backend_fleet::candidates(std::string_view service,
+                                                              const std::vector<std::string>& tried,
+                                                              time_point now) {
     drop_expired(now);
     std::vector<record*> usable;
     for (auto& item : backends_ | std::views::values) {
@@ -144,9 +144,8 @@
             usable = std::move(kept);
         }
     };
-    narrow([&](const record* item) {
-        return std::ranges::find(tried, item->info.id) == tried.end();
-    });
+    narrow(
+        [&](const record* item) { return std::ranges::find(tried, item->info.id) == tried.end(); });
     narrow([now](const record* item) { return item->failures.allows(now); });
     return usable;
 }
@@ -182,9 +181,9 @@
                            .is_kept = kept.contains(item.info.id),
                            .forecast = item.forecast ? &*item.forecast : nullptr});
     }
-    const auto choice = std::visit(
-        [&](auto& placement) { return placement.choose(query, options, now, random_); },
-        placement_);
+    const auto choice =
+        std::visit([&](auto& placement) { return placement.choose(query, options, now, random_); },
+                   placement_);
     if (!choice) {
         return tl::unexpected{choice.error()};
     }
@@ -203,8 +202,8 @@
                             time_point now) {
     const job_id id{origin_, next_number_++};
     auto& job = open_[id.number];
-    const bool has_reservations =
-        std::ranges::any_of(chosen.members, [](const auto& item) { return item.reserved_tokens > 0; });
+    const bool has_reservations = std::ranges::any_of(
+        chosen.members, [](const auto& item) { return item.reserved_tokens > 0; });
     for (std::size_t index = 0; index < chosen.members.size(); ++index) {
         const auto& member = chosen.members[index];
         auto* item = find(member.id);
@@ -253,6 +252,7 @@
                                                   const std::vector<record*>& engines,
                                                   time_point now) {
     std::vector<std::pair<std::uint64_t, std::string>> order;
+    order.reserve(engines.size());
     for (const auto* item : engines) {
         order.emplace_back(XXH3_64bits(item->info.id.data(), item->info.id.size()), item->info.id);
     }
--- a/src/backend_fleet.h
+++ b/src/backend_fleet.h
@@ -116,13 +116,11 @@
     [[nodiscard]] bool is_usable(const record& item, time_point now) const;
     void drop_expired(time_point now);
     void apply_figures(record& item);
-    [[nodiscard]] std::vector<record*> candidates(std::string_view service,
-                                                  const std::vector<std::string>& tried,
-                                                  time_point now);
+    [[nodiscard]] std::vector<record*>
+    candidates(std::string_view service, const std::vector<std::string>& tried, time_point now);
     void place(record& item, const engine_job& job, time_point now);
-    [[nodiscard]] std::set<std::string> kept_engines(std::string_view service,
-                                                     const std::vector<record*>& engines,
-                                                     time_point now);
+    [[nodiscard]] std::set<std::string>
+    kept_engines(std::string_view service, const std::vector<record*>& engines, time_point now);
     void count_result(record& item, attempt_result result, time_point now);
     void take_job(const placed_work& work, std::uint64_t origin, time_point now);
 
--- a/src/engine_forecast.cpp
+++ b/src/engine_forecast.cpp
@@ -38,8 +38,8 @@
     return !job.is_part && !job.has_ended && job.first_event != time_point{};
 }
 
-/// Length of an answer that is under way; one that is longer than expected has as much again to come
-/// as a third of what came.
+/// Length of an answer that is under way; one that is longer than expected has as much again to
+/// come as a third of what came.
 double expected_length(const engine_job& job) {
     constexpr double longer = 1.3;
     return job.tokens_written < job.answer_tokens ? job.answer_tokens : longer * job.tokens_written;
@@ -83,8 +83,8 @@
 }
 
 double engine_forecast::reading_ms(const engine_figures& figures, const reading& part) {
-    const double steps = std::ceil(static_cast<double>(part.tokens) /
-                                   std::max(1U, figures.tokens_per_step));
+    const double steps =
+        std::ceil(static_cast<double>(part.tokens) / std::max(1U, figures.tokens_per_step));
     return read_cost_ms(figures, part, 0, part.tokens) + steps * figures.step_ms;
 }
 
@@ -93,7 +93,7 @@
     double context = more_context;
     for (const auto& job : jobs_) {
         writers += is_writing(job) ? 1 : 0;
-        context += is_writing(job) ? job.context_tokens + job.tokens_written
+        context += is_writing(job)               ? job.context_tokens + job.tokens_written
                    : job.is_part && is_read(job) ? job.context_tokens
                                                  : 0;
     }
@@ -104,8 +104,8 @@
 
 void engine_forecast::begin_pass(time_point at) {
     const bool has_writers = std::ranges::any_of(jobs_, is_writing);
-    double budget = static_cast<double>(figures_.tokens_per_step) *
-                    (has_writers ? figures_.steps_per_pass : 1);
+    double budget =
+        static_cast<double>(figures_.tokens_per_step) * (has_writers ? figures_.steps_per_pass : 1);
     double length = plain_pass_ms();
     bool reads = false;
     std::uint32_t taken_slots = 0;
@@ -300,9 +300,9 @@
 }
 
 std::int64_t engine_forecast::free_memory() const {
-    const auto taken = std::accumulate(
-        jobs_.begin(), jobs_.end(), std::int64_t{0},
-        [](std::int64_t sum, const auto& job) { return sum + job.memory_tokens; });
+    const auto taken =
+        std::accumulate(jobs_.begin(), jobs_.end(), std::int64_t{0},
+                        [](std::int64_t sum, const auto& job) { return sum + job.memory_tokens; });
     return static_cast<std::int64_t>(figures_.memory_tokens) - taken;
 }
 
--- a/src/engine_forecast.h
+++ b/src/engine_forecast.h
@@ -1,10 +1,10 @@
 /// Predicts one model engine from its published figures and the work that was placed on it, by
 /// playing its passes ahead: when a prompt would be read, and which streams that would hold up.
 ///
-/// An engine works in passes. While it writes answers, a pass runs a fixed number of steps, at whose
-/// end each stream gets one event; without streams a pass is one step. Each step reads up to a fixed
-/// number of prompt tokens, first the parts that are read for other engines, then prompts in the
-/// order of their arrival. The length of a pass is the pause that every stream there sees.
+/// An engine works in passes. While it writes answers, a pass runs a fixed number of steps, at
+/// whose end each stream gets one event; without streams a pass is one step. Each step reads up to
+/// a fixed number of prompt tokens, first the parts that are read for other engines, then prompts
+/// in the order of their arrival. The length of a pass is the pause that every stream there sees.
 #pragma once
 
 #include "forward_types.h"
--- a/src/engine_partition.cpp
+++ b/src/engine_partition.cpp
@@ -47,7 +47,8 @@
         long_reading_ += reading_ms * std::min(1.0, most_counted_ms / whole_ms);
         return;
     }
-    const double passes = static_cast<double>(job.answer_tokens) / std::max(1U, figures.steps_per_pass);
+    const double passes =
+        static_cast<double>(job.answer_tokens) / std::max(1U, figures.steps_per_pass);
     short_reading_ += reading_ms;
     short_writing_ += passes * figures.steps_per_pass * figures.step_ms;
 }
--- a/src/engine_partition.h
+++ b/src/engine_partition.h
@@ -1,6 +1,6 @@
-/// How many engines of a service are kept for long prompts. Answers the pattern of long prompts that
-/// come in waves among many short ones: a share that follows the work of the last seconds, the same
-/// at every gateway, as all hear of all work.
+/// How many engines of a service are kept for long prompts. Answers the pattern of long prompts
+/// that come in waves among many short ones: a share that follows the work of the last seconds, the
+/// same at every gateway, as all hear of all work.
 #pragma once
 
 #include "engine_forecast.h"
--- a/src/forward_call.cpp
+++ b/src/forward_call.cpp
@@ -2,14 +2,14 @@
 
 #include "log.h"
 
-#include <algorithm>
-#include <array>
-
 #include <boost/algorithm/string/classification.hpp>
 #include <boost/algorithm/string/predicate.hpp>
 #include <boost/algorithm/string/split.hpp>
 #include <boost/algorithm/string/trim.hpp>
 
+#include <algorithm>
+#include <array>
+
 namespace magnolia {
 namespace {
 
@@ -42,8 +42,8 @@
 
 /// Fields that concern one connection only.
 constexpr std::array<std::string_view, 9> hop_fields{
-    "Connection", "Keep-Alive", "Proxy-Connection", "TE",  "Trailer",
-    "Upgrade",    "Expect",     "Transfer-Encoding", "Content-Length"};
+    "Connection", "Keep-Alive",        "Proxy-Connection", "TE", "Trailer", "Upgrade",
+    "Expect",     "Transfer-Encoding", "Content-Length"};
 
 bool is_success(unsigned status) {
     return status >= first_success && status < first_redirect;
@@ -52,8 +52,8 @@
 http_headers end_to_end(const http_headers& headers) {
     http_headers kept;
     std::ranges::copy_if(headers, std::back_inserter(kept), [](const auto& field) {
-        return std::ranges::none_of(
-            hop_fields, [&](auto name) { return boost::iequals(field.name, name); });
+        return std::ranges::none_of(hop_fields,
+                                    [&](auto name) { return boost::iequals(field.name, name); });
     });
     return kept;
 }
@@ -103,15 +103,14 @@
     if (!routes_) {
         return fail(error_code::platform_down, "no configuration yet", milliseconds{500});
     }
-    const bool is_current =
-        steady_now() - shared_.routes_confirmed <= shared_.confirmation_limit;
+    const bool is_current = steady_now() - shared_.routes_confirmed <= shared_.confirmation_limit;
     const auto unknown = [&](error_code code, std::string subject) {
-        return is_current ? fail(code, std::move(subject))
-                          : fail(error_code::platform_down, "configuration may be old",
-                                 milliseconds{500});
+        return is_current
+                   ? fail(code, std::move(subject))
+                   : fail(error_code::platform_down, "configuration may be old", milliseconds{500});
     };
-    route_ = routes_->find_route(find_header(request_.headers, "Host"),
-                                 target_path(request_.target));
+    route_ =
+        routes_->find_route(find_header(request_.headers, "Host"), target_path(request_.target));
     if (route_ == nullptr) {
         return unknown(error_code::not_found, "route");
     }
@@ -174,8 +173,8 @@
     if (chosen->net_value < 0 && now < hold_until_) {
         return wait_for_room({error_code::no_capacity, "held back"}, hold_interval);
     }
-    const bool needs_memory =
-        std::ranges::any_of(chosen->members, [](const auto& item) { return item.reserved_tokens > 0; });
+    const bool needs_memory = std::ranges::any_of(
+        chosen->members, [](const auto& item) { return item.reserved_tokens > 0; });
     if (needs_memory) {
         reserve_and_send(std::move(*chosen));
     } else {
@@ -206,8 +205,8 @@
     }
     ++attempt_number_;
     const auto number = attempt_number_;
-    reservation_ = std::to_string(shared_.origin) + "-" + head_.attempt + "-" +
-                   std::to_string(number);
+    reservation_ =
+        std::to_string(shared_.origin) + "-" + head_.attempt + "-" + std::to_string(number);
     // Others see the memory as taken from now on.
     job_ = shared_.fleet.start(chosen, demand_, steady_now());
     has_job_ = true;
@@ -288,11 +287,10 @@
     };
     ++sends_;
     log_of().info(head_.attempt,
-                  "send attempt=" + std::to_string(sends_) +
-                  " route=" + route_->name + " tokens=" + std::to_string(head_.prompt_tokens) +
-                  " members=" + names_of(chosen) +
-                  " predicted_ms=" + std::to_string(whole_ms(predicted_).count()) +
-                  " left_ms=" + std::to_string(whole_ms(deadline_ - now).count()));
+                  "send attempt=" + std::to_string(sends_) + " route=" + route_->name + " tokens=" +
+                      std::to_string(head_.prompt_tokens) + " members=" + names_of(chosen) +
+                      " predicted_ms=" + std::to_string(whole_ms(predicted_).count()) +
+                      " left_ms=" + std::to_string(whole_ms(deadline_ - now).count()));
     call_ = shared_.client.stream(first.address,
                                   shared_.codec.write_request(request_, terms_of(chosen)), limits,
                                   std::move(handlers));
@@ -302,8 +300,8 @@
     shared_.fleet.on_heard(backend_, steady_now());
     status_ = status;
     answer_ = shared_.codec.read_answer(status, headers);
-    const bool is_events = route_->is_stream && is_success(status) && answer_.is_signed &&
-                           answer_.is_event_stream;
+    const bool is_events =
+        route_->is_stream && is_success(status) && answer_.is_signed && answer_.is_event_stream;
     form_ = is_events ? answer_form::events : answer_form::whole;
     if (!has_begun_) {
         headers_ = end_to_end(headers);
@@ -413,8 +411,9 @@
 void forward_call::on_whole_answer() {
     if (answer_.is_other_backend) {
         shared_.fleet.set_gone(backend_);
-        return fail_attempt(run_evidence::refused, attempt_result::cancelled,
-                            {error_code::backend_refused, "another backend server has the address"});
+        return fail_attempt(
+            run_evidence::refused, attempt_result::cancelled,
+            {error_code::backend_refused, "another backend server has the address"});
     }
     if (answer_.is_not_run) {
         return fail_attempt(run_evidence::refused, attempt_result::refused,
@@ -467,7 +466,7 @@
         if (is_paid || evidence == run_evidence::not_sent || try_retry_budget()) {
             return next_attempt();
         }
-        step = has_begun_      ? next_step::break_off
+        step = has_begun_     ? next_step::break_off
                : is_in_doubt_ ? next_step::tell_failed
                               : next_step::tell_not_run;
     }
@@ -602,8 +601,9 @@
                     .prompt_tokens = head_.prompt_tokens,
                     .members = members_,
                     .elapsed = now - request_.received,
-                    .first_byte = first_byte_at_ == time_point{} ? duration{0}
-                                                                 : first_byte_at_ - request_.received,
+                    .first_byte = first_byte_at_ == time_point{}
+                                      ? duration{0}
+                                      : first_byte_at_ - request_.received,
                     .predicted = predicted_,
                     .longest_pause = longest_pause_,
                     .config_version = routes_ ? routes_->version() : 0});
--- a/src/forward_call.h
+++ b/src/forward_call.h
@@ -1,6 +1,6 @@
 /// One caller's request from its arrival to its final answer: sent to a backend server, sent on to
-/// another one where that is safe, and answered in full, in events, or with a failure that says what
-/// is known.
+/// another one where that is safe, and answered in full, in events, or with a failure that says
+/// what is known.
 #pragma once
 
 #include "attempt_policy.h"
--- a/src/forward_types.h
+++ b/src/forward_types.h
@@ -1,5 +1,6 @@
-/// What a gateway knows of routes, workspaces, services and backend servers, and of one request. The
-/// values hold no name of any deployment's wire; a deployment's codec fills them (gateway_port.h).
+/// What a gateway knows of routes, workspaces, services and backend servers, and of one request.
+/// The values hold no name of any deployment's wire; a deployment's codec fills them
+/// (gateway_port.h).
 #pragma once
 
 #include "http_types.h"
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -22,21 +22,21 @@
 /// Kind of the objects by which gateways find each other.
 constexpr auto member_kind = "gateways";
 
-/// Wait of a watch: with the answer's own timeout, a connection that has gone silent is found within
-/// three quarters of the contact time.
+/// Wait of a watch: with the answer's own timeout, a connection that has gone silent is found
+/// within three quarters of the contact time.
 constexpr double watch_share = 0.5;
 constexpr double timeout_share = 0.23;
 
-/// Pauses between tries while the platform is away: short, as hosts that are back have to be current
-/// within the contact time.
+/// Pauses between tries while the platform is away: short, as hosts that are back have to be
+/// current within the contact time.
 constexpr milliseconds first_store_pause{60};
 constexpr milliseconds longest_store_pause{500};
 /// This host's share of the platform's rates.
 constexpr double store_reads_per_s = 30;
 constexpr double store_writes_per_s = 5;
 
-/// Entries of backend servers that lapsed during an outage are back within 2 s of its end; a removal
-/// is held back until shortly before, within the bound for leaving backend servers.
+/// Entries of backend servers that lapsed during an outage are back within 2 s of its end; a
+/// removal is held back until shortly before, within the bound for leaving backend servers.
 constexpr milliseconds lapsed_back_within{1800};
 
 /// Share of the time until the end of a planned stop, up to which new requests are taken.
@@ -149,12 +149,13 @@
     time_point stop_began_{};
 };
 
-gateway::state::state(process& owner, const gateway_settings& settings,
-                      const gateway_codec& codec, const store_codec& store)
+gateway::state::state(process& owner, const gateway_settings& settings, const gateway_codec& codec,
+                      const store_codec& store)
     : owner_{owner}, settings_{settings}, codec_{codec},
       store_{io_, settings.process.platform, budget_of(settings), owner.boot(), &store},
       client_{io_, 0}, fleet_{settings.process.zone, owner.boot(), settings.policy},
-      metrics_{owner.metrics()}, reservations_{io_, client_, codec,
+      metrics_{owner.metrics()},
+      reservations_{io_, client_, codec,
                     std::min(share_of(settings.late_reservation_ms, hold_share),
                              settings.max_reservation_ms)},
       prober_{client_, fleet_, codec},
@@ -185,13 +186,17 @@
                  [this](const http_request& request, const http_responder& responder) {
                      responder.send(answer_readiness(request));
                  }},
-      config_{store_, codec.config_object().kind, share_of(settings.contact_ms, watch_share),
+      config_{store_,
+              codec.config_object().kind,
+              share_of(settings.contact_ms, watch_share),
               {[this](const auto& objects) {
                    std::ranges::for_each(objects, [this](const auto& item) { take_config(item); });
                    shared_.routes_confirmed = steady_now();
                },
                [this](const auto& object) { take_config(object); }}},
-      backends_{store_, codec.backend_kind(), share_of(settings.contact_ms, watch_share),
+      backends_{store_,
+                codec.backend_kind(),
+                share_of(settings.contact_ms, watch_share),
                 {[this](const auto& objects) { take_backends(objects); },
                  [this](const auto& object) { take_backend(object); }}},
       tick_{io_}, stop_timer_{io_}, hangup_{io_, SIGHUP} {}
@@ -261,8 +266,7 @@
     const auto value = nlohmann::json(settings_.peer_listen).dump();
     store_.execute(object_put{{member_kind, settings_.process.name}, 0, value},
                    call_priority::status, [this](const result<platform_reply>& reply) {
-                       const bool is_there =
-                           reply || reply.error().code == error_code::conflict;
+                       const bool is_there = reply || reply.error().code == error_code::conflict;
                        is_registered_ = is_there;
                        if (!is_there) {
                            log_.warn("not registered yet: " + to_string(reply.error()));
@@ -271,21 +275,20 @@
 }
 
 void gateway::state::read_members() {
-    store_.execute(
-        object_list{.kind = member_kind, .after = {}, .limit = 0, .may_be_stale = true},
-        call_priority::status, [this](const result<platform_reply>& reply) {
-            if (!reply) {
-                return log_.info("gateways not listed: " + to_string(reply.error()));
-            }
-            for (const auto& object : std::get<object_page>(*reply).items) {
-                endpoint where;
-                schema_reader reader{unknown_keys::accept};
-                read(nlohmann::json::parse(object.value, nullptr, false), reader, where);
-                if (reader.errors().empty()) {
-                    exchange_.add_peer(where);
-                }
-            }
-        });
+    store_.execute(object_list{.kind = member_kind, .after = {}, .limit = 0, .may_be_stale = true},
+                   call_priority::status, [this](const result<platform_reply>& reply) {
+                       if (!reply) {
+                           return log_.info("gateways not listed: " + to_string(reply.error()));
+                       }
+                       for (const auto& object : std::get<object_page>(*reply).items) {
+                           endpoint where;
+                           schema_reader reader{unknown_keys::accept};
+                           read(nlohmann::json::parse(object.value, nullptr, false), reader, where);
+                           if (reader.errors().empty()) {
+                               exchange_.add_peer(where);
+                           }
+                       }
+                   });
 }
 
 /// Sends what has changed since the last news, once for all changes of this turn.
@@ -365,9 +368,8 @@
     const auto age = steady_now() - config_.confirmed_at();
     log_.info(end.attempt.empty() ? "-" : end.attempt,
               "end status=" + std::to_string(end.status) + " route=" + end.route +
-                  " tokens=" + std::to_string(end.prompt_tokens) +
-                  " backends=" + (backends.empty() ? "-" : backends) +
-                  " members=" + std::to_string(end.members) +
+                  " tokens=" + std::to_string(end.prompt_tokens) + " backends=" +
+                  (backends.empty() ? "-" : backends) + " members=" + std::to_string(end.members) +
                   " ms=" + std::to_string(whole_ms(end.elapsed)) +
                   " first_ms=" + std::to_string(whole_ms(end.first_byte)) +
                   " predicted_ms=" + std::to_string(whole_ms(end.predicted)) +
@@ -435,8 +437,8 @@
 }
 
 result<void> gateway::state::run() {
-    for (auto& [server, where] : {std::pair{&front_, settings_.listen},
-                                  std::pair{&readiness_, settings_.readiness}}) {
+    for (auto& [server, where] :
+         {std::pair{&front_, settings_.listen}, std::pair{&readiness_, settings_.readiness}}) {
         if (auto opened = server->listen(where); !opened) {
             return opened;
         }
--- a/src/gateway_metrics.cpp
+++ b/src/gateway_metrics.cpp
@@ -35,12 +35,12 @@
       config_version_{registry.make_gauge("magnolia_config_version", "Configuration in force.")},
       config_age_{registry.make_gauge("magnolia_config_age_seconds",
                                       "Time since the store confirmed the configuration.")},
-      live_backends_{registry.make_gauge("magnolia_live_backends",
-                                         "Backend servers that take new work.")},
+      live_backends_{
+          registry.make_gauge("magnolia_live_backends", "Backend servers that take new work.")},
       live_gateways_{registry.make_gauge("magnolia_live_gateways",
                                          "Gateways that are heard, this one included.")},
-      store_reachable_{registry.make_gauge("magnolia_store_reachable",
-                                           "1 while the platform's store answers.")},
+      store_reachable_{
+          registry.make_gauge("magnolia_store_reachable", "1 while the platform's store answers.")},
       open_requests_{registry.make_gauge("magnolia_open_requests", "Requests under way.")},
       reservations_{registry.make_gauge("magnolia_reservations",
                                         "Requests that hold memory of several engines.")} {
--- a/src/gateway_port.h
+++ b/src/gateway_port.h
@@ -49,9 +49,8 @@
                                                             std::string_view value) const = 0;
 
     /// Sets memory of an engine aside, or renews the reservation.
-    [[nodiscard]] virtual http_request write_reserve(std::string_view reservation,
-                                                     std::uint32_t tokens,
-                                                     milliseconds hold) const = 0;
+    [[nodiscard]] virtual http_request
+    write_reserve(std::string_view reservation, std::uint32_t tokens, milliseconds hold) const = 0;
     [[nodiscard]] virtual http_request write_release(std::string_view reservation) const = 0;
 
     /// Asks a backend server for a sign of life; costs it no slot.
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -31,8 +31,8 @@
     std::chrono::milliseconds total_timeout{0};
     /// Longest body of the response, bytes.
     std::size_t max_body_bytes = config::max_body_bytes;
-    /// Header field that the peer repeats in its response; a response in which it differs belongs to
-    /// another call and is passed over. No check if the name is empty.
+    /// Header field that the peer repeats in its response; a response in which it differs belongs
+    /// to another call and is passed over. No check if the name is empty.
     http_header echo{};
     /// Whether a connection of the pool may be used.
     bool may_reuse = true;
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -42,9 +42,8 @@
 /// might see another end.
 bool has_unknown_coding(const http::fields& fields) {
     const auto [first, last] = fields.equal_range(http::field::transfer_encoding);
-    return std::any_of(first, last, [](const auto& field) {
-        return !beast::iequals(field.value(), "chunked");
-    });
+    return std::any_of(first, last,
+                       [](const auto& field) { return !beast::iequals(field.value(), "chunked"); });
 }
 
 std::string header_text(unsigned status, const http_headers& headers, bool keep_alive) {
--- a/src/liveness_prober.h
+++ b/src/liveness_prober.h
@@ -1,5 +1,5 @@
-/// Asks backend servers that have fallen silent for a sign of life, so that a slow one is told apart
-/// from one that is lost.
+/// Asks backend servers that have fallen silent for a sign of life, so that a slow one is told
+/// apart from one that is lost.
 #pragma once
 
 #include "backend_fleet.h"
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -7,13 +7,13 @@
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
+#include <poll.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <climits>
 #include <memory>
 #include <mutex>
-#include <poll.h>
-#include <unistd.h>
 #include <utility>
 
 namespace magnolia {
@@ -55,8 +55,8 @@
         pollfd output{STDOUT_FILENO, POLLOUT, 0};
         const bool is_ready = ::poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
         const bool is_written =
-            is_ready && ::write(STDOUT_FILENO, line.data(),
-                                std::min<std::size_t>(line.size(), PIPE_BUF)) > 0;
+            is_ready &&
+            ::write(STDOUT_FILENO, line.data(), std::min<std::size_t>(line.size(), PIPE_BUF)) > 0;
         dropped_ = is_written ? 0 : dropped_ + 1;
     }
 
--- a/src/object_follower.h
+++ b/src/object_follower.h
@@ -21,7 +21,8 @@
     object_follower(platform_client& client, std::string kind, milliseconds wait, handlers on);
 
     void start();
-    /// Last moment at which the store confirmed that nothing is missing here; time_point{} if never.
+    /// Last moment at which the store confirmed that nothing is missing here; time_point{} if
+    /// never.
     [[nodiscard]] time_point confirmed_at() const { return confirmed_; }
     [[nodiscard]] bool has_list() const { return confirmed_ != time_point{}; }
     /// Whether a call failed since the last confirmation.
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -78,8 +78,7 @@
     [[nodiscard]] result<placement_choice> run();
 
 private:
-    [[nodiscard]] std::vector<part_cost> price_parts(const reading& part,
-                                                     std::size_t count) const;
+    [[nodiscard]] std::vector<part_cost> price_parts(const reading& part, std::size_t count) const;
     [[nodiscard]] double own_cost(time_point first_event) const;
     [[nodiscard]] double writer_cost(const placement_option& option) const;
     [[nodiscard]] std::uint32_t memory_needed() const;
@@ -107,13 +106,15 @@
     }
     const double target = std::max(to_seconds(demand.target_latency), 0.001);
     const double ratio = to_seconds(wait) / target;
-    return demand.value * (late_loss * miss_probability(ratio) + waiting_cost * std::min(ratio, 2.0));
+    return demand.value *
+           (late_loss * miss_probability(ratio) + waiting_cost * std::min(ratio, 2.0));
 }
 
 double pause_search::writer_cost(const placement_option& option) const {
     const auto& forecast = *option.forecast;
     const double load = static_cast<double>(forecast.running()) / std::max(1U, option.slots);
-    const double pause = std::chrono::duration<double, std::milli>{query_.demand.target_pause}.count();
+    const double pause =
+        std::chrono::duration<double, std::milli>{query_.demand.target_pause}.count();
     const double pass = forecast.plain_pass_ms(query_.demand.prompt_tokens);
     const double ratio = pause > 0 ? pass / pause : 0;
     return load_cost * load * load + query_.demand.value * late_loss * miss_probability(ratio);
@@ -130,8 +131,8 @@
     job.value = query_.demand.value;
     std::vector<part_cost> parts;
     parts.reserve(options_.size());
-    const bool is_long = engine_partition::is_long(
-        options_.front().forecast->figures(), reading::of(query_.demand.prompt_tokens, 1));
+    const bool is_long = engine_partition::is_long(options_.front().forecast->figures(),
+                                                   reading::of(query_.demand.prompt_tokens, 1));
     for (const auto& option : options_) {
         auto& forecast = *option.forecast;
         const auto effect = forecast.try_job(job, now_);
@@ -182,8 +183,8 @@
     }
 }
 
-/// Divides a prompt that fits no single engine: memory is reserved at as few engines as hold it, and
-/// as many read it as the search finds best.
+/// Divides a prompt that fits no single engine: memory is reserved at as few engines as hold it,
+/// and as many read it as the search finds best.
 result<placement_choice> pause_search::run_reserved() {
     struct holder {
         const placement_option* option = nullptr;
@@ -224,8 +225,7 @@
         damage += effect.damage;
         const auto share = std::clamp<std::int64_t>(left, 0, item.room);
         left -= share;
-        choice.members.push_back(
-            {item.option->index, static_cast<std::uint32_t>(share)});
+        choice.members.push_back({item.option->index, static_cast<std::uint32_t>(share)});
     }
     choice.net_value = query_.demand.value - own_cost(choice.first_event) - damage;
     return choice;
@@ -246,7 +246,8 @@
     if (memory_needed() > memory_fill * largest.memory_tokens) {
         return run_reserved();
     }
-    const double whole = engine_forecast::reading_ms(largest, reading::of(query_.demand.prompt_tokens, 1));
+    const double whole =
+        engine_forecast::reading_ms(largest, reading::of(query_.demand.prompt_tokens, 1));
     for (const auto count : sharing_counts) {
         const bool is_useful = count == 1 || whole >= least_divided_ms;
         if (is_useful && count <= options_.size()) {
@@ -286,7 +287,8 @@
         scores.push_back(outstanding_score(option) + jitter(random));
     }
     const auto best = std::ranges::min_element(scores) - scores.begin();
-    return placement_choice{{{options[static_cast<std::size_t>(best)].index, 0}}, reading{}, now, 1};
+    return placement_choice{
+        {{options[static_cast<std::size_t>(best)].index, 0}}, reading{}, now, 1};
 }
 
 result<placement_choice> pause_aware_placement::choose(const placement_query& query,
--- a/src/placement.h
+++ b/src/placement.h
@@ -1,5 +1,5 @@
-/// Chooses the backend servers of a request among those that may take it. Pure: all that it looks at
-/// is passed in.
+/// Chooses the backend servers of a request among those that may take it. Pure: all that it looks
+/// at is passed in.
 #pragma once
 
 #include "engine_forecast.h"
@@ -72,7 +72,8 @@
 
 /// Engine, or set of engines that share the reading, where the least value is expected to be lost:
 /// by the request itself, and by the streams that the reading would hold up. Answers the pattern of
-/// few very long prompts among many short ones. Without forecasts it is least_outstanding_placement.
+/// few very long prompts among many short ones. Without forecasts it is
+/// least_outstanding_placement.
 class pause_aware_placement {
 public:
     [[nodiscard]] result<placement_choice> choose(const placement_query& query,
--- a/src/platform_client.h
+++ b/src/platform_client.h
@@ -40,7 +40,8 @@
 class platform_client {
 public:
     /// @param seed   seed of the jitter.
-    /// @param codec  codec of a deployment, which has to outlive the client; null for the product's.
+    /// @param codec  codec of a deployment, which has to outlive the client; null for the
+    /// product's.
     platform_client(boost::asio::io_context& context, const endpoint& address,
                     const platform_budget& budget, std::uint64_t seed,
                     const store_codec* codec = nullptr);
--- a/src/process.h
+++ b/src/process.h
@@ -116,8 +116,9 @@
         print_document(nlohmann::json(*settings));
         return static_cast<int>(exit_code::ok);
     }
-    return static_cast<int>(run_process(
-        info, settings->process, asked.settings_file, [&](process& running) { return body(running, *settings); }));
+    return static_cast<int>(
+        run_process(info, settings->process, asked.settings_file,
+                    [&](process& running) { return body(running, *settings); }));
 }
 
 } // namespace magnolia
--- a/src/reservations.cpp
+++ b/src/reservations.cpp
@@ -28,10 +28,9 @@
     limits.connect_timeout = order_timeout;
     limits.silence_timeout = order_timeout;
     limits.total_timeout = order_timeout;
-    client_.call(address, std::move(request), limits,
-                 [done = std::move(done)](const auto& answer) {
-                     done(answer && answer->status == status_ok);
-                 });
+    client_.call(address, std::move(request), limits, [done = std::move(done)](const auto& answer) {
+        done(answer && answer->status == status_ok);
+    });
 }
 
 void reservation_keeper::reserve(const std::string& name, std::vector<memory_part> parts,
--- a/src/route_table.cpp
+++ b/src/route_table.cpp
@@ -57,9 +57,9 @@
     std::vector<std::string> order;
     auto left = route.services;
     while (!left.empty()) {
-        const auto total = std::accumulate(
-            left.begin(), left.end(), std::uint64_t{0},
-            [](std::uint64_t sum, const auto& item) { return sum + item.weight; });
+        const auto total =
+            std::accumulate(left.begin(), left.end(), std::uint64_t{0},
+                            [](std::uint64_t sum, const auto& item) { return sum + item.weight; });
         if (total == 0) {
             // A weight of 0 takes a service out of the route.
             break;
--- a/tests/engine_forecast_test.cpp
+++ b/tests/engine_forecast_test.cpp
@@ -24,8 +24,8 @@
 }
 
 time_point at(double ms) {
-    return time_point{std::chrono::duration_cast<duration>(
-        std::chrono::duration<double, std::milli>{ms})};
+    return time_point{
+        std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>{ms})};
 }
 
 double ms_of(time_point when) {
--- a/tests/forward_call_test.cpp
+++ b/tests/forward_call_test.cpp
@@ -183,13 +183,10 @@
         responder.on_gone([&] { is_gone = true; });
     });
     http_client caller{context_, 0};
-    const auto id = caller.call({"127.0.0.1", front_.port()},
-                                {"POST",
-                                 "/stream/",
-                                 {{"Host", "shop.example"}, {"attempt", "a1"}, {"key", "k1"}},
-                                 "p",
-                                 {}},
-                                {}, [](const auto&) {});
+    const auto id = caller.call(
+        {"127.0.0.1", front_.port()},
+        {"POST", "/stream/", {{"Host", "shop.example"}, {"attempt", "a1"}, {"key", "k1"}}, "p", {}},
+        {}, [](const auto&) {});
     run_until([&] { return !only.requests().empty(); });
     caller.cancel(id);
     run_until([&] { return is_gone; });
--- a/tests/gateway_fixture.cpp
+++ b/tests/gateway_fixture.cpp
@@ -87,8 +87,7 @@
     return config;
 }
 
-result<backend_info> test_codec::read_backend(const std::string& id,
-                                              std::string_view value) const {
+result<backend_info> test_codec::read_backend(const std::string& id, std::string_view value) const {
     backend_info backend;
     backend.id = id;
     backend.service = value;
@@ -175,7 +174,10 @@
               .routes = nullptr,
               .routes_confirmed = steady_now(),
               .confirmation_limit = std::chrono::hours{1},
-              .make_budget = [] { return retry_budget{0.5, 10, std::chrono::seconds{10}, 1}; },
+              .make_budget =
+                  [] {
+                      return retry_budget{0.5, 10, std::chrono::seconds{10}, 1};
+                  },
               .budgets = {},
               .on_end = [this](const call_end& end) { ends_.push_back(end); },
               .on_work_changed = [] {}},
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -1,5 +1,5 @@
-/// Gateway parts on loopback without a platform: a codec with names of its own, backend servers whose
-/// answers a test writes, and callers.
+/// Gateway parts on loopback without a platform: a codec with names of its own, backend servers
+/// whose answers a test writes, and callers.
 #pragma once
 
 #include "forward_call.h"
@@ -30,7 +30,9 @@
     [[nodiscard]] http_request write_reserve(std::string_view reservation, std::uint32_t tokens,
                                              milliseconds hold) const override;
     [[nodiscard]] http_request write_release(std::string_view reservation) const override;
-    [[nodiscard]] http_request write_probe() const override { return {"GET", "/probe", {}, {}, {}}; }
+    [[nodiscard]] http_request write_probe() const override {
+        return {"GET", "/probe", {}, {}, {}};
+    }
     [[nodiscard]] std::string_view readiness_path() const override { return "/ready"; }
 };
 
@@ -68,7 +70,8 @@
 
     /// Adds a backend server of the service "llm" or "desk".
     test_backend& add_backend(const std::string& id, const std::string& service);
-    /// Sets the configuration; routes: /stream/ and /once-stream/ to llm, /safe/ and /unsafe/ to desk.
+    /// Sets the configuration; routes: /stream/ and /once-stream/ to llm, /safe/ and /unsafe/ to
+    /// desk.
     void configure();
     [[nodiscard]] static routing_config default_config();
 
--- a/tests/news_exchange_test.cpp
+++ b/tests/news_exchange_test.cpp
@@ -34,9 +34,9 @@
     std::vector<work_news> heard_by_one_;
     std::vector<work_news> heard_by_two_;
     std::vector<std::uint64_t> gone_;
-    news_exchange one_{context_,
-                       {[this](const work_news& news) { heard_by_one_.push_back(news); },
-                        [](std::uint64_t) {}}};
+    news_exchange one_{
+        context_,
+        {[this](const work_news& news) { heard_by_one_.push_back(news); }, [](std::uint64_t) {}}};
     news_exchange two_{context_,
                        {[this](const work_news& news) { heard_by_two_.push_back(news); },
                         [this](std::uint64_t origin) { gone_.push_back(origin); }}};
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -22,7 +22,8 @@
 /// Engines with a choice among them.
 class fleet_of_engines {
 public:
-    explicit fleet_of_engines(std::size_t count) : engines_(count, engine_forecast{sample_figures()}) {}
+    explicit fleet_of_engines(std::size_t count)
+        : engines_(count, engine_forecast{sample_figures()}) {}
 
     engine_forecast& operator[](std::size_t index) { return engines_[index]; }
 
--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -67,16 +67,16 @@
     const wire_codec codec;
     EXPECT_EQ(codec.read_config("nothing").error().code, error_code::bad_request);
     EXPECT_EQ(codec.read_config(R"({"Routes":[]})").error().subject, "configuration.Version");
-    EXPECT_EQ(codec.read_config(R"({"Version":1,"Routes":[{"Name":"r","Host":"h"}]})")
-                  .error()
-                  .subject,
-              "Routes.PathPrefix");
+    EXPECT_EQ(
+        codec.read_config(R"({"Version":1,"Routes":[{"Name":"r","Host":"h"}]})").error().subject,
+        "Routes.PathPrefix");
 }
 
 TEST(wire_codec, entries_of_other_writers_name_no_backend_server) {
     const wire_codec codec;
-    const json good{{"Service", "s1"}, {"Address", "10.128.0.9:8080"}, {"Zone", "z"},
-                    {"Slots", 16},     {"State", "ready"},             {"born", 5}};
+    const json good{{"Service", "s1"},  {"Address", "10.128.0.9:8080"},
+                    {"Zone", "z"},      {"Slots", 16},
+                    {"State", "ready"}, {"born", 5}};
     const auto backend = codec.read_backend("i-1", good.dump());
     ASSERT_TRUE(backend);
     EXPECT_EQ(backend->address.address, "10.128.0.9");
@@ -147,8 +147,8 @@
     EXPECT_TRUE(codec.read_answer(421, {}).is_not_run);
     EXPECT_TRUE(codec.read_answer(421, {}).is_other_backend);
     EXPECT_FALSE(codec.read_answer(503, {}).is_not_run);
-    const auto whole = codec.read_answer(200, {{"X-Response-Signature", "s"},
-                                               {"Content-Type", "text/event-stream"}});
+    const auto whole = codec.read_answer(
+        200, {{"X-Response-Signature", "s"}, {"Content-Type", "text/event-stream"}});
     EXPECT_TRUE(whole.is_signed);
     EXPECT_TRUE(whole.is_event_stream);
     EXPECT_EQ(codec.read_answer(503, {{"Retry-After", "0.25"}}).retry_after, milliseconds{250});
