Hosts share the watching of the store

Change: hosts that hear each other wait longer, so that all together ask 2.5 times a second for each kind; digests carry the version of the configuration and a hash of the list, and a host that is behind for 250 ms lists again. A host that hears no other waits 1.5 s as before. Ruled out: comparing revisions, which rise with every change of any kind.

--- a/include/magnolia/schema.h
+++ b/include/magnolia/schema.h
@@ -1222,6 +1222,15 @@
     bool is_digest{false};
     /// Numbers of all work under way; other work of the sender has ended.
     std::vector<std::uint64_t> open{};
+    /// Configuration in force at the sender; 0 if none; digests only.
+    std::uint64_t config_version{0};
+    /// Time since the store confirmed it to the sender. [ms]
+    std::chrono::milliseconds config_age{0};
+    /// Revision of the store at the last change of the list of backend servers that the sender
+    /// heard of.
+    std::uint64_t backends_change{0};
+    /// Hash of that list.
+    std::uint64_t backends_hash{0};
 
     bool operator==(const work_news&) const = default;
 };
--- a/src/backend_fleet.cpp
+++ b/src/backend_fleet.cpp
@@ -163,6 +163,20 @@
         }));
 }
 
+std::uint64_t backend_fleet::list_hash() const {
+    std::uint64_t hash = 0;
+    for (const auto& [id, item] : backends_) {
+        if (item.leaves_at) {
+            continue;
+        }
+        const auto text = id + (item.info.is_leaving ? "-" : "+") +
+                          std::to_string(item.info.started_ms) + item.info.address.address + ":" +
+                          std::to_string(item.info.address.port) + item.info.service;
+        hash ^= XXH3_64bits(text.data(), text.size());
+    }
+    return hash;
+}
+
 result<chosen_backends> backend_fleet::choose(std::string_view service,
                                               const placement_query& query,
                                               const std::vector<std::string>& tried,
--- a/src/backend_fleet.h
+++ b/src/backend_fleet.h
@@ -74,6 +74,8 @@
     /// Whether any backend server of the service takes new work.
     [[nodiscard]] bool has_live(std::string_view service, time_point now);
     [[nodiscard]] std::size_t live_count() const;
+    /// Hash of the list as the platform has it, the same at every gateway that knows the same.
+    [[nodiscard]] std::uint64_t list_hash() const;
 
     job_id start(const chosen_backends& chosen, const job_demand& demand, time_point now);
     /// An event of the stream came.
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -22,10 +22,20 @@
 /// Kind of the objects by which gateways find each other.
 constexpr auto member_kind = "gateways";
 
-/// Wait of a watch: with the answer's own timeout, a connection that has gone silent is found
-/// within three quarters of the contact time.
+/// Wait of a watch of a host that hears no other: with the answer's own timeout, a connection that
+/// has gone silent is found within three quarters of the contact time.
 constexpr double watch_share = 0.5;
 constexpr double timeout_share = 0.23;
+/// Hosts that hear each other share the finding out: each waits for longer, so that all together
+/// ask as often as this, and a host whose connection is silent learns from the others' digests.
+constexpr milliseconds shared_watch_interval{400};
+constexpr milliseconds longest_watch{20000};
+/// Each wait is drawn from the upper part of its range, so that hosts do not ask together.
+constexpr double least_watch_share = 0.6;
+/// Time for which another host has to know more before this one lists again, and the least time
+/// between two such lists: changes reach hosts some ms apart.
+constexpr milliseconds behind_for{250};
+constexpr milliseconds catch_up_interval{1000};
 
 /// Pauses between tries while the platform is away: short, as hosts that are back have to be
 /// current within the contact time.
@@ -113,6 +123,11 @@
     [[nodiscard]] http_response answer_readiness(const http_request& request) const;
     [[nodiscard]] bool is_ready() const;
     void send_news();
+    void send_digest(time_point now);
+    void on_news(const work_news& news);
+    /// Lists again what another host has known to be newer for a while.
+    void catch_up(object_follower& follower, time_point& behind_since, bool is_behind);
+    [[nodiscard]] milliseconds watch_wait();
     void tick();
     [[nodiscard]] retry_budget make_budget() const;
     void on_call_end(const call_end& end);
@@ -142,6 +157,11 @@
     boost::asio::steady_timer stop_timer_;
     boost::asio::signal_set hangup_;
     bool is_news_due_ = false;
+    time_point config_behind_{};
+    time_point backends_behind_{};
+    time_point next_catch_up_{};
+    /// Last moment at which another host had this configuration confirmed.
+    time_point confirmed_by_others_{};
     bool is_registered_ = false;
     time_point next_members_{};
     bool is_stopping_ = false;
@@ -160,7 +180,7 @@
                              settings.max_reservation_ms)},
       prober_{client_, fleet_, codec},
       exchange_{io_,
-                {[this](const work_news& news) { fleet_.on_news(news, steady_now()); },
+                {[this](const work_news& news) { on_news(news); },
                  [this](std::uint64_t origin) { fleet_.forget_origin(origin); }}},
       shared_{.io = io_,
               .codec = codec,
@@ -188,7 +208,7 @@
                  }},
       config_{store_,
               codec.config_object().kind,
-              share_of(settings.contact_ms, watch_share),
+              [this] { return watch_wait(); },
               {[this](const auto& objects) {
                    std::ranges::for_each(objects, [this](const auto& item) { take_config(item); });
                    shared_.routes_confirmed = steady_now();
@@ -196,7 +216,7 @@
                [this](const auto& object) { take_config(object); }}},
       backends_{store_,
                 codec.backend_kind(),
-                share_of(settings.contact_ms, watch_share),
+                [this] { return watch_wait(); },
                 {[this](const auto& objects) { take_backends(objects); },
                  [this](const auto& object) { take_backend(object); }}},
       tick_{io_}, stop_timer_{io_}, hangup_{io_, SIGHUP} {}
@@ -220,6 +240,7 @@
     front_.set_limits(limits_of(settings_, config->bounds));
     fleet_.set_services(config->services);
     shared_.routes = std::make_shared<const route_table>(std::move(*config));
+    confirmed_by_others_ = {};
 }
 
 duration gateway::state::removal_delay() const {
@@ -304,6 +325,60 @@
     });
 }
 
+void gateway::state::send_digest(time_point now) {
+    auto news = fleet_.take_news(settings_.process.name, true);
+    if (!news) {
+        return;
+    }
+    news->config_version = shared_.routes ? shared_.routes->version() : 0;
+    news->config_age = std::chrono::duration_cast<milliseconds>(now - config_.confirmed_at());
+    news->backends_change = backends_.last_change();
+    news->backends_hash = fleet_.list_hash();
+    exchange_.send(*news);
+}
+
+void gateway::state::on_news(const work_news& news) {
+    const auto now = steady_now();
+    fleet_.on_news(news, now);
+    if (!news.is_digest) {
+        return;
+    }
+    const auto version = shared_.routes ? shared_.routes->version() : 0;
+    if (news.config_version == version) {
+        confirmed_by_others_ = std::max(confirmed_by_others_, now - news.config_age);
+    }
+    catch_up(config_, config_behind_, news.config_version > version);
+    if (news.backends_change > backends_.last_change()) {
+        catch_up(backends_, backends_behind_, news.backends_hash != fleet_.list_hash());
+    }
+}
+
+void gateway::state::catch_up(object_follower& follower, time_point& behind_since, bool is_behind) {
+    const auto now = steady_now();
+    if (!is_behind) {
+        behind_since = {};
+        return;
+    }
+    if (behind_since == time_point{}) {
+        behind_since = now;
+    }
+    if (now - behind_since < behind_for || now < next_catch_up_) {
+        return;
+    }
+    log_.info("another host knows more than this one; lists again");
+    next_catch_up_ = now + catch_up_interval;
+    behind_since = {};
+    follower.start();
+}
+
+milliseconds gateway::state::watch_wait() {
+    const auto alone = share_of(settings_.contact_ms, watch_share);
+    const auto hosts = static_cast<std::int64_t>(exchange_.live_peers()) + 1;
+    const auto together = std::min(shared_watch_interval * hosts, longest_watch);
+    std::uniform_real_distribution<double> draw{least_watch_share, 1.0};
+    return hosts == 1 ? alone : std::max(alone, share_of(together, draw(shared_.random)));
+}
+
 void gateway::state::tick() {
     const auto now = steady_now();
     if (config_.has_list() && !is_registered_) {
@@ -321,9 +396,7 @@
                           .is_store_reachable = !config_.is_cut_off() && !backends_.is_cut_off(),
                           .open_requests = front_.active_requests(),
                           .reservations = reservations_.size()});
-    if (const auto news = fleet_.take_news(settings_.process.name, true)) {
-        exchange_.send(*news);
-    }
+    send_digest(now);
     if (is_ready() && !was_ready_) {
         was_ready_ = true;
         owner_.set_ready(true);
@@ -339,7 +412,7 @@
 // Callers.
 
 void gateway::state::on_request(http_request request, const http_responder& responder) {
-    shared_.routes_confirmed = config_.confirmed_at();
+    shared_.routes_confirmed = std::max(config_.confirmed_at(), confirmed_by_others_);
     std::make_shared<forward_call>(shared_, std::move(request), responder)->start();
 }
 
--- a/src/object_follower.cpp
+++ b/src/object_follower.cpp
@@ -12,19 +12,28 @@
 
 } // namespace
 
-object_follower::object_follower(platform_client& client, std::string kind, milliseconds wait,
-                                 handlers on)
-    : client_{client}, kind_{std::move(kind)}, wait_{wait}, on_{std::move(on)} {}
+object_follower::object_follower(platform_client& client, std::string kind,
+                                 std::function<milliseconds()> wait, handlers on)
+    : client_{client}, kind_{std::move(kind)}, wait_{std::move(wait)}, on_{std::move(on)} {}
 
 void object_follower::start() {
+    ++run_;
     listed_.clear();
     list({});
 }
 
+void object_follower::call(platform_call request,
+                           void (object_follower::*answered)(const result<platform_reply>&)) {
+    client_.execute(std::move(request), call_priority::configuration,
+                    [this, run = run_, answered](const result<platform_reply>& reply) {
+                        if (run == run_) {
+                            (this->*answered)(reply);
+                        }
+                    });
+}
+
 void object_follower::list(std::string after) {
-    client_.execute(object_list{.kind = kind_, .after = std::move(after)},
-                    call_priority::configuration,
-                    [this](const result<platform_reply>& reply) { on_page(reply); });
+    call(object_list{.kind = kind_, .after = std::move(after)}, &object_follower::on_page);
 }
 
 void object_follower::on_page(const result<platform_reply>& reply) {
@@ -42,14 +51,14 @@
     }
     // Later pages may miss changes to names of earlier ones; the watch tells those again.
     revision_ = list_revision_;
+    last_change_ = revision_;
     confirm();
     on_.on_list(std::exchange(listed_, {}));
     watch();
 }
 
 void object_follower::watch() {
-    client_.execute(object_watch{kind_, revision_, wait_}, call_priority::configuration,
-                    [this](const result<platform_reply>& reply) { on_changes(reply); });
+    call(object_watch{kind_, revision_, wait_()}, &object_follower::on_changes);
 }
 
 void object_follower::on_changes(const result<platform_reply>& reply) {
@@ -64,6 +73,9 @@
     }
     confirm();
     revision_ = page.revision;
+    if (!page.changes.empty()) {
+        last_change_ = page.revision;
+    }
     for (const auto& change : page.changes) {
         on_.on_change(change);
     }
--- a/src/object_follower.h
+++ b/src/object_follower.h
@@ -17,14 +17,18 @@
         std::function<void(const stored_object&)> on_change;
     };
 
-    /// @param wait  longest time that the store is asked to wait for a change.
-    object_follower(platform_client& client, std::string kind, milliseconds wait, handlers on);
+    /// @param wait  gives the longest time that the store is asked to wait for a change.
+    object_follower(platform_client& client, std::string kind, std::function<milliseconds()> wait,
+                    handlers on);
 
+    /// Lists and follows. Called again, it leaves the call under way to its end and lists anew.
     void start();
     /// Last moment at which the store confirmed that nothing is missing here; time_point{} if
     /// never.
     [[nodiscard]] time_point confirmed_at() const { return confirmed_; }
     [[nodiscard]] bool has_list() const { return confirmed_ != time_point{}; }
+    /// Revision of the store at the last list or change that was heard of; 0 if none.
+    [[nodiscard]] std::uint64_t last_change() const { return last_change_; }
     /// Whether a call failed since the last confirmation.
     [[nodiscard]] bool is_cut_off() const { return is_cut_off_; }
     /// Moment at which the store answered again after a failure; time_point{} if it never failed.
@@ -33,6 +37,8 @@
 private:
     void list(std::string after);
     void watch();
+    void call(platform_call request,
+              void (object_follower::*answered)(const result<platform_reply>&));
     void on_page(const result<platform_reply>& reply);
     void on_changes(const result<platform_reply>& reply);
     void on_failure(const error& failure);
@@ -40,7 +46,10 @@
 
     platform_client& client_;
     std::string kind_;
-    milliseconds wait_;
+    std::function<milliseconds()> wait_;
+    /// Raised by each start; answers to calls of a former one are passed over.
+    std::uint64_t run_ = 0;
+    std::uint64_t last_change_ = 0;
     handlers on_;
     std::vector<stored_object> listed_;
     std::uint64_t revision_ = 0;
--- a/tests/object_follower_test.cpp
+++ b/tests/object_follower_test.cpp
@@ -17,10 +17,11 @@
         budget.first_pause = milliseconds{5};
         budget.longest_pause = milliseconds{20};
         client_.emplace(context_, endpoint{"127.0.0.1", server_.port()}, budget, 1);
-        follower_.emplace(*client_, "route", milliseconds{200},
-                          object_follower::handlers{
-                              [this](const auto& objects) { listed_.push_back(objects.size()); },
-                              [this](const auto& object) { changed_.push_back(object); }});
+        follower_.emplace(
+            *client_, "route", [] { return milliseconds{200}; },
+            object_follower::handlers{
+                [this](const auto& objects) { listed_.push_back(objects.size()); },
+                [this](const auto& object) { changed_.push_back(object); }});
     }
 
     template <class Condition>
