--- a/src/forward_call.h
+++ b/src/forward_call.h
@@ -105,6 +105,7 @@
     void on_deadline();
     void caller_left();
 
+    [[nodiscard]] error with_retry_time(error failure);
     void finish(const error& failure);
     void finish_with(unsigned status, std::string cause);
     void close(unsigned status, std::string cause);
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -438,7 +438,7 @@
     for (const auto& backend : end.backends) {
         backends += (backends.empty() ? "" : ",") + backend;
     }
-    const auto age = steady_now() - config_.confirmed_at();
+    const auto age = config_.has_list() ? steady_now() - config_.confirmed_at() : duration{-1000};
     log_.info(end.attempt.empty() ? "-" : end.attempt,
               "end status=" + std::to_string(end.status) + " route=" + end.route +
                   " tokens=" + std::to_string(end.prompt_tokens) + " backends=" +
--- a/src/http_types.cpp
+++ b/src/http_types.cpp
@@ -6,10 +6,19 @@
 #include <boost/url/rfc/unreserved_chars.hpp>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <ranges>
 
 namespace magnolia {
+namespace {
+
+/// Fields that concern one connection only.
+constexpr std::array<std::string_view, 9> hop_fields{
+    "Connection", "Keep-Alive",        "Proxy-Connection", "TE", "Trailer", "Upgrade",
+    "Expect",     "Transfer-Encoding", "Content-Length"};
+
+} // namespace
 
 std::string_view find_header(const http_headers& headers, std::string_view name) {
     const auto found = std::ranges::find_if(
@@ -17,6 +26,15 @@
     return found == headers.end() ? std::string_view{} : std::string_view{found->value};
 }
 
+http_headers end_to_end_headers(const http_headers& headers) {
+    http_headers kept;
+    std::ranges::copy_if(headers, std::back_inserter(kept), [](const auto& field) {
+        return std::ranges::none_of(hop_fields,
+                                    [&](auto name) { return boost::iequals(field.name, name); });
+    });
+    return kept;
+}
+
 http_response json_response(unsigned status, std::string body) {
     return {status, {{"Content-Type", "application/json"}}, std::move(body)};
 }
--- a/src/http_types.h
+++ b/src/http_types.h
@@ -24,6 +24,9 @@
 /// Value of the first field with the name, in any case; empty if there is none.
 [[nodiscard]] std::string_view find_header(const http_headers& headers, std::string_view name);
 
+/// The fields without those that concern one connection only, its framing included.
+[[nodiscard]] http_headers end_to_end_headers(const http_headers& headers);
+
 /// Request with its whole body.
 struct http_request {
     /// For example "GET".
--- a/tests/backend_fleet_test.cpp
+++ b/tests/backend_fleet_test.cpp
@@ -139,5 +139,18 @@
     EXPECT_EQ(fleet_.evidence_of("a", start + milliseconds{3000}), life_evidence::none);
 }
 
+TEST_F(fleet_test, equal_lists_have_equal_hashes) {
+    EXPECT_EQ(fleet_.list_hash(), other_.list_hash());
+    auto leaving = backend_of("a");
+    leaving.is_leaving = true;
+    fleet_.put(leaving, start);
+    EXPECT_NE(fleet_.list_hash(), other_.list_hash());
+    other_.put(leaving, start);
+    EXPECT_EQ(fleet_.list_hash(), other_.list_hash());
+    fleet_.remove("b", milliseconds{500}, start);
+    other_.remove("b", duration{0}, start);
+    EXPECT_EQ(fleet_.list_hash(), other_.list_hash());
+}
+
 } // namespace
 } // namespace magnolia
--- a/tests/forward_call_test.cpp
+++ b/tests/forward_call_test.cpp
@@ -221,5 +221,14 @@
     EXPECT_EQ(answer->body, event_text(1) + event_text(2));
 }
 
+TEST_F(gateway_fixture, a_refusal_tells_when_to_come_back) {
+    add_backend("b1", "desk").will(refuses());
+    const auto refused = call({"POST", "/unsafe/", {}, "order", {}});
+    EXPECT_EQ(refused->status, 503U);
+    EXPECT_GE(std::stoi(std::string{find_header(refused->headers, "Retry-After")}), 200);
+    backends_.front()->will(answers(200));
+    static_cast<void>(call({"POST", "/unsafe/", {}, "order", {}}));
+}
+
 } // namespace
 } // namespace magnolia
--- a/tests/object_follower_test.cpp
+++ b/tests/object_follower_test.cpp
@@ -65,5 +65,16 @@
     EXPECT_NE(follower_->back_since(), time_point{});
 }
 
+TEST_F(follower_test, a_second_start_passes_over_what_the_first_one_asked) {
+    follower_->start();
+    follower_->start();
+    run_until([&] { return !listed_.empty(); });
+    client_->execute(object_put{{"route", "b"}, 0, "1"}, call_priority::claim, [](const auto&) {});
+    run_until([&] { return !changed_.empty(); });
+    EXPECT_EQ(listed_.size(), 1U);
+    EXPECT_EQ(changed_.size(), 1U);
+    EXPECT_GT(follower_->last_change(), 0U);
+}
+
 } // namespace
 } // namespace magnolia
