No long wait is asked of a store that has just failed

Ruled out: the digests' hint, which the pause after a failure also held back. Change: while calls fail, watches wait 100 ms; the longest wait is twice the contact time.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -29,7 +29,7 @@
 /// Hosts that hear each other share the finding out: each waits for longer, so that all together
 /// ask as often as this, and a host whose connection is silent learns from the others' digests.
 constexpr milliseconds shared_watch_interval{400};
-constexpr milliseconds longest_watch{20000};
+constexpr int longest_watch_contacts = 2;
 /// Each wait is drawn from the upper part of its range, so that hosts do not ask together.
 constexpr double least_watch_share = 0.6;
 /// Time for which another host has to know more before this one lists again, and the least time
@@ -374,7 +374,8 @@
 milliseconds gateway::state::watch_wait() {
     const auto alone = share_of(settings_.contact_ms, watch_share);
     const auto hosts = static_cast<std::int64_t>(exchange_.live_peers()) + 1;
-    const auto together = std::min(shared_watch_interval * hosts, longest_watch);
+    const auto together =
+        std::min(shared_watch_interval * hosts, settings_.contact_ms * longest_watch_contacts);
     std::uniform_real_distribution<double> draw{least_watch_share, 1.0};
     return hosts == 1 ? alone : std::max(alone, share_of(together, draw(shared_.random)));
 }
--- a/src/object_follower.cpp
+++ b/src/object_follower.cpp
@@ -5,6 +5,10 @@
 namespace magnolia {
 namespace {
 
+/// Wait of a watch after a failed call: the store may still be silent, and a call that is lost must
+/// not hold up the next one.
+constexpr milliseconds probing_watch{100};
+
 const logger& log_of() {
     static const logger log{"store"};
     return log;
@@ -58,7 +62,8 @@
 }
 
 void object_follower::watch() {
-    call(object_watch{kind_, revision_, wait_()}, &object_follower::on_changes);
+    const auto wait = is_cut_off_ ? probing_watch : wait_();
+    call(object_watch{kind_, revision_, wait}, &object_follower::on_changes);
 }
 
 void object_follower::on_changes(const result<platform_reply>& reply) {
--- a/src/object_follower.h
+++ b/src/object_follower.h
@@ -17,7 +17,8 @@
         std::function<void(const stored_object&)> on_change;
     };
 
-    /// @param wait  gives the longest time that the store is asked to wait for a change.
+    /// @param wait  gives the longest time that the store is asked to wait for a change; not asked
+    ///              while calls fail.
     object_follower(platform_client& client, std::string kind, std::function<milliseconds()> wait,
                     handlers on);
 
--- a/tests/object_follower_test.cpp
+++ b/tests/object_follower_test.cpp
@@ -18,7 +18,11 @@
         budget.longest_pause = milliseconds{20};
         client_.emplace(context_, endpoint{"127.0.0.1", server_.port()}, budget, 1);
         follower_.emplace(
-            *client_, "route", [] { return milliseconds{200}; },
+            *client_, "route",
+            [this] {
+                ++waits_asked_;
+                return milliseconds{200};
+            },
             object_follower::handlers{
                 [this](const auto& objects) { listed_.push_back(objects.size()); },
                 [this](const auto& object) { changed_.push_back(object); }});
@@ -34,6 +38,7 @@
     platform_server server_{context_, 1};
     std::optional<platform_client> client_;
     std::optional<object_follower> follower_;
+    int waits_asked_ = 0;
     std::vector<std::size_t> listed_;
     std::vector<stored_object> changed_;
 };
@@ -76,5 +81,23 @@
     EXPECT_GT(follower_->last_change(), 0U);
 }
 
+TEST_F(follower_test, no_long_wait_is_asked_of_a_store_that_has_just_failed) {
+    follower_->start();
+    run_until([&] { return !listed_.empty(); });
+    server_.model().faults().outage = outage_form::hang;
+    run_until([&] { return follower_->is_cut_off(); });
+    const auto asked = waits_asked_;
+    const auto sent = server_.model().counts().refused_by_outage;
+    boost::asio::steady_timer outage{context_, milliseconds{500}};
+    bool is_over = false;
+    outage.async_wait([&](const auto&) { is_over = true; });
+    run_until([&] { return is_over; });
+    EXPECT_EQ(waits_asked_, asked);
+    EXPECT_GE(server_.model().counts().refused_by_outage, sent);
+    server_.model().faults().outage = outage_form::none;
+    run_until([&] { return waits_asked_ > asked; });
+    EXPECT_FALSE(follower_->is_cut_off());
+}
+
 } // namespace
 } // namespace magnolia
