--- a/src/forward_types.h
+++ b/src/forward_types.h
@@ -50,8 +50,6 @@
     milliseconds target_latency{1000};
     /// Longest pause between two events that counts as met; zero if none is stated.
     milliseconds target_pause{0};
-    /// Rank among the routes; 0 is the most urgent.
-    std::uint32_t rank = 0;
     /// Backend servers that one request may be sent to.
     std::uint32_t max_attempts = 1;
     std::vector<weighted_service> services;
@@ -75,17 +73,13 @@
     double read_ms_per_million_pairs = 0;
     /// Prompt tokens read in one step at most.
     std::uint32_t tokens_per_step = 2048;
-    /// Added to a step for each other engine that holds a part of the context, ms.
-    double step_ms_per_part = 0;
-    /// Mean lengths of prompts and answers, tokens.
-    std::uint32_t usual_prompt_tokens = 1000;
+    /// Mean length of answers, tokens.
     std::uint32_t usual_answer_tokens = 200;
 };
 
+/// A service of the configuration.
 struct service_info_entry {
     std::string name;
-    /// Connections that one of its backend servers accepts from all hosts together.
-    std::uint32_t max_connections = 64;
     /// Set for model engines.
     std::optional<engine_figures> engine;
 };
@@ -101,8 +95,6 @@
 struct workspace_info {
     std::string name;
     std::vector<std::string> keys;
-    /// Overrides the rank of routes.
-    std::optional<std::uint32_t> rank;
 };
 
 /// One version of the operators' configuration.
@@ -159,8 +151,6 @@
     std::string backend_id;
     std::string workspace;
     std::vector<helper_ref> helpers;
-    /// 0 is served first.
-    std::optional<std::uint32_t> urgency;
     std::optional<std::uint64_t> resume_after;
 };
 
@@ -173,8 +163,6 @@
     /// The body is the backend server's own.
     bool is_signed = false;
     bool is_event_stream = false;
-    /// Address of the backend server at fault, if it is another one.
-    std::string culprit;
     milliseconds retry_after{0};
 };
 
