Faults found by reading the gateway again

Read, with tests that were written with the change: the retry budget was fixed before the other hosts were known, which at 76 hosts could send past the slack of all; a host that the store turns away listed again once a second on the others' hint (lag_detector). Also: the hash of the list is kept, not computed for every digest; replacing the list no longer scans it for each entry; the age of a configuration that is not known is a named one; unread members are gone; routed_service in place of service_info_entry. Ruled out: nothing else in the refusals' headers tells the member.

--- a/src/backend_fleet.cpp
+++ b/src/backend_fleet.cpp
@@ -41,7 +41,7 @@
     : zone_{std::move(zone)}, origin_{origin}, placement_{make_placement(policy)}, random_{origin} {
 }
 
-void backend_fleet::set_services(const std::vector<service_info_entry>& services) {
+void backend_fleet::set_services(const std::vector<routed_service>& services) {
     figures_.clear();
     for (const auto& service : services) {
         if (service.engine) {
@@ -68,17 +68,18 @@
     std::set<std::string_view> listed;
     for (const auto& backend : backends) {
         listed.insert(backend.id);
-        put(backend, now);
+        put(backend);
     }
     for (auto& [id, item] : backends_) {
         if (!listed.contains(id) && !item.leaves_at) {
             item.leaves_at = now + grace;
         }
     }
+    list_hash_.reset();
     drop_expired(now);
 }
 
-void backend_fleet::put(const backend_info& backend, time_point now) {
+void backend_fleet::put(const backend_info& backend) {
     auto found = backends_.find(backend.id);
     const bool is_other_start =
         found != backends_.end() && (found->second.info.started_ms != backend.started_ms ||
@@ -95,12 +96,13 @@
     item.info = backend;
     item.leaves_at.reset();
     apply_figures(item);
-    drop_expired(now);
+    list_hash_.reset();
 }
 
 void backend_fleet::remove(const std::string& id, duration grace, time_point now) {
     if (auto* item = find(id); item != nullptr && !item->leaves_at) {
         item->leaves_at = now + grace;
+        list_hash_.reset();
     }
     drop_expired(now);
 }
@@ -111,6 +113,12 @@
     }
 }
 
+void backend_fleet::on_fault(const std::string& id, time_point now) {
+    if (auto* item = find(id)) {
+        count_result(*item, attempt_result::lost, now);
+    }
+}
+
 void backend_fleet::drop_expired(time_point now) {
     std::erase_if(backends_, [now](const auto& entry) {
         return entry.second.leaves_at && *entry.second.leaves_at <= now;
@@ -164,6 +172,9 @@
 }
 
 std::uint64_t backend_fleet::list_hash() const {
+    if (list_hash_) {
+        return *list_hash_;
+    }
     std::uint64_t hash = 0;
     for (const auto& [id, item] : backends_) {
         if (item.leaves_at) {
@@ -174,6 +185,7 @@
                           std::to_string(item.info.address.port) + item.info.service;
         hash ^= XXH3_64bits(text.data(), text.size());
     }
+    list_hash_ = hash;
     return hash;
 }
 
@@ -295,6 +307,7 @@
         }
     }
     if (is_engine && is_first) {
+        found->second.has_begun = true;
         news_.begun.push_back(id.number);
     }
 }
@@ -401,18 +414,33 @@
     news.origin = origin_;
     news.is_digest = is_digest;
     if (is_digest) {
+        const auto again = std::exchange(told_once_, news.placed);
+        for (const auto& work : again) {
+            const auto job = open_.find(work.number);
+            if (job == open_.end()) {
+                continue;
+            }
+            news.placed.push_back(work);
+            if (job->second.has_begun) {
+                news.begun.push_back(work.number);
+            }
+        }
         std::ranges::copy(open_ | std::views::keys, std::back_inserter(news.open));
+    } else {
+        std::ranges::copy(news.placed, std::back_inserter(told_once_));
     }
     return news;
 }
 
 void backend_fleet::take_job(const placed_work& work, std::uint64_t origin, time_point now) {
     auto* item = find(work.backend);
-    if (item == nullptr || !item->forecast) {
+    auto& known = others_[origin][work.number];
+    const bool is_known = std::ranges::find(known, work.backend) != known.end();
+    if (item == nullptr || !item->forecast || is_known) {
         return;
     }
     place(*item, job_of(work, origin), now);
-    others_[origin][work.number].push_back(work.backend);
+    known.push_back(work.backend);
 }
 
 void backend_fleet::on_news(const work_news& news, time_point now) {
--- a/src/backend_fleet.h
+++ b/src/backend_fleet.h
@@ -56,14 +56,16 @@
     backend_fleet(std::string zone, std::uint64_t origin, placement_policy policy);
 
     /// Figures of engines, by service.
-    void set_services(const std::vector<service_info_entry>& services);
+    void set_services(const std::vector<routed_service>& services);
     /// Replaces the whole list. Backend servers that it lacks are taken out as by remove().
     void replace_all(const std::vector<backend_info>& backends, duration grace, time_point now);
-    void put(const backend_info& backend, time_point now);
+    void put(const backend_info& backend);
     /// Takes a backend server out, at the latest after `grace`; put() before that keeps it.
     void remove(const std::string& id, duration grace, time_point now);
     /// Proof that another backend server has the address now, or that this one is leaving.
     void set_gone(const std::string& id);
+    /// It could not be reached by another backend server, or refused to take part.
+    void on_fault(const std::string& id, time_point now);
 
     /// Chooses for a request of a service; `tried` are left out unless nothing else is there.
     /// Errors: no_capacity with retry_after.
@@ -112,6 +114,7 @@
     };
     struct open_job {
         std::vector<std::string> backends;
+        bool has_begun = false;
     };
 
     [[nodiscard]] record* find(const std::string& id);
@@ -136,6 +139,11 @@
     std::map<std::uint64_t, open_job> open_;
     std::uint64_t next_number_ = 1;
     work_news news_;
+    /// Placements since the last digest: the next one tells them again, as the first news of them
+    /// may be lost.
+    std::vector<placed_work> told_once_;
+    /// Hash of the list; computed when it is asked for after a change.
+    mutable std::optional<std::uint64_t> list_hash_;
     /// Work of other gateways by origin: number, and the backend servers it is on.
     std::map<std::uint64_t, std::map<std::uint64_t, std::vector<std::string>>> others_;
 };
--- a/src/forward_answer.cpp
+++ b/src/forward_answer.cpp
@@ -1,6 +1,8 @@
 /// The answer to a caller's request: what comes from backend servers, and how it ends.
 #include "forward_call.h"
 
+#include <algorithm>
+
 namespace magnolia {
 namespace {
 
@@ -67,6 +69,7 @@
         return;
     }
     has_begun_ = true;
+    began_with_events_ = form_ == answer_form::events;
     first_byte_at_ = steady_now();
     responder_.start(status_, headers_);
 }
@@ -134,17 +137,30 @@
     }
 }
 
+/// Nothing has run. The one at fault may be a member that reads a part, not the one that answers.
+void forward_call::on_refusal() {
+    const auto at_fault = std::ranges::find_if(
+        members_, [this](const auto& member) { return answer_.culprit == member.address; });
+    const bool is_other = at_fault != members_.end() && at_fault->id != backend_;
+    const auto blamed = is_other ? at_fault->id : backend_;
+    const bool names_stranger = answer_.culprit && at_fault == members_.end();
+    if (answer_.is_other_backend && !names_stranger) {
+        shared_.fleet.set_gone(blamed);
+    } else if (is_other) {
+        shared_.fleet.on_fault(blamed, steady_now());
+    }
+    if (is_other) {
+        std::erase(avoided_, backend_);
+        avoided_.push_back(blamed);
+    }
+    fail_attempt(run_evidence::refused, attempt_result::refused,
+                 {error_code::backend_refused,
+                  "status " + std::to_string(status_) + " for " + blamed, answer_.retry_after});
+}
+
 void forward_call::on_whole_answer() {
-    if (answer_.is_other_backend) {
-        shared_.fleet.set_gone(backend_);
-        return fail_attempt(
-            run_evidence::refused, attempt_result::cancelled,
-            {error_code::backend_refused, "another backend server has the address"});
-    }
-    if (answer_.is_not_run) {
-        return fail_attempt(run_evidence::refused, attempt_result::refused,
-                            {error_code::backend_refused, "status " + std::to_string(status_),
-                             answer_.retry_after});
+    if (answer_.is_not_run || answer_.is_other_backend) {
+        return on_refusal();
     }
     if (is_success(status_) && !answer_.is_signed) {
         return fail_attempt(run_evidence::in_doubt, attempt_result::lost,
@@ -208,7 +224,7 @@
                     .status = status,
                     .cause = std::move(cause),
                     .prompt_tokens = head_.prompt_tokens,
-                    .members = members_,
+                    .members = members_.size(),
                     .elapsed = now - request_.received,
                     .first_byte = first_byte_at_ == time_point{}
                                       ? duration{0}
--- a/src/forward_call.cpp
+++ b/src/forward_call.cpp
@@ -134,7 +134,7 @@
     if (now >= deadline_) {
         return on_deadline();
     }
-    auto chosen = shared_.fleet.choose(service_, {demand_, deadline_ - now}, tried_, now);
+    auto chosen = shared_.fleet.choose(service_, {demand_, deadline_ - now}, avoided_, now);
     if (!chosen) {
         return wait_for_room(chosen.error(), room_interval);
     }
@@ -173,12 +173,10 @@
     }
     ++attempt_number_;
     const auto number = attempt_number_;
-    reservation_ =
-        std::to_string(shared_.origin) + "-" + head_.attempt + "-" + std::to_string(number);
     // Others see the memory as taken from now on.
-    job_ = shared_.fleet.start(chosen, demand_, steady_now());
-    has_job_ = true;
-    shared_.on_work_changed();
+    start_job(chosen);
+    // The name stands in a list of the wire: nothing that the caller chose may be in it.
+    reservation_ = std::to_string(job_.origin) + "-" + std::to_string(job_.number);
     shared_.reservations.reserve(
         reservation_, std::move(parts),
         [self = shared_from_this(), number, chosen = std::move(chosen)](bool has_all) mutable {
@@ -195,6 +193,12 @@
         });
 }
 
+void forward_call::start_job(const chosen_backends& chosen) {
+    job_ = shared_.fleet.start(chosen, demand_, steady_now());
+    has_job_ = true;
+    shared_.on_work_changed();
+}
+
 attempt_terms forward_call::terms_of(const chosen_backends& chosen) const {
     attempt_terms terms;
     terms.time_left = whole_ms(deadline_ - steady_now());
@@ -214,18 +218,16 @@
 void forward_call::send(chosen_backends chosen) {
     const auto now = steady_now();
     if (!has_job_) {
-        job_ = shared_.fleet.start(chosen, demand_, now);
-        has_job_ = true;
-        shared_.on_work_changed();
+        start_job(chosen);
     }
     const auto& first = chosen.members.front();
     backend_ = first.id;
     address_ = first.address;
     tried_.push_back(first.id);
-    sent_at_ = now;
+    avoided_.push_back(first.id);
     last_progress_ = now;
     predicted_ = chosen.first_event - now;
-    members_ = chosen.members.size();
+    members_ = chosen.members;
     form_ = answer_form::none;
     events_ = {};
     body_.clear();
@@ -276,7 +278,9 @@
         --sends_;
         ++unsent_;
     }
-    const failed_attempt facts{.repeat = route_->repeat,
+    // Only events can be continued where they stopped.
+    const bool is_cut_body = has_begun_ && !began_with_events_;
+    const failed_attempt facts{.repeat = is_cut_body ? repeat_rule::never : route_->repeat,
                                .evidence = evidence,
                                .is_earlier_in_doubt = is_in_doubt_,
                                .has_begun_answer = has_begun_,
--- a/src/forward_call.h
+++ b/src/forward_call.h
@@ -84,6 +84,7 @@
     void wait_for_room(const error& failure, milliseconds pause);
     void reserve_and_send(chosen_backends chosen);
     void send(chosen_backends chosen);
+    void start_job(const chosen_backends& chosen);
     [[nodiscard]] attempt_terms terms_of(const chosen_backends& chosen) const;
 
     void on_header(unsigned status, const http_headers& headers);
@@ -91,6 +92,7 @@
     void on_end(const http_failure* failure);
     void on_events(std::string_view text);
     void on_whole_answer();
+    void on_refusal();
     void take_event(const stream_event& event);
     void begin_answer();
     void fail_attempt(run_evidence evidence, attempt_result result, const error& failure);
@@ -139,15 +141,18 @@
     bool is_in_doubt_ = false;
     /// The retry budget was charged for the next send already.
     bool is_move_paid_ = false;
-    time_point sent_at_{};
     time_point last_progress_{};
     duration predicted_{0};
-    std::size_t members_ = 0;
+    std::vector<chosen_member> members_;
+    /// Backend servers that were asked, in order.
     std::vector<std::string> tried_;
+    /// Backend servers that are left out of the next choice.
+    std::vector<std::string> avoided_;
 
     // The answer.
     answer_form form_ = answer_form::none;
     bool has_begun_ = false;
+    bool began_with_events_ = false;
     unsigned status_ = 0;
     http_headers headers_;
     answer_head answer_;
--- a/src/forward_types.h
+++ b/src/forward_types.h
@@ -78,7 +78,7 @@
 };
 
 /// A service of the configuration.
-struct service_info_entry {
+struct routed_service {
     std::string name;
     /// Set for model engines.
     std::optional<engine_figures> engine;
@@ -101,7 +101,7 @@
 struct routing_config {
     std::uint64_t version = 0;
     std::vector<route_info> routes;
-    std::vector<service_info_entry> services;
+    std::vector<routed_service> services;
     caller_bounds bounds;
     std::vector<workspace_info> workspaces;
 };
@@ -163,6 +163,8 @@
     /// The body is the backend server's own.
     bool is_signed = false;
     bool is_event_stream = false;
+    /// Backend server at fault, if the answer names one; it may be another one than answers.
+    std::optional<endpoint> culprit;
     milliseconds retry_after{0};
 };
 
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "forward_call.h"
 #include "gateway_metrics.h"
+#include "lag_detector.h"
 #include "news_exchange.h"
 #include "object_follower.h"
 
@@ -11,6 +12,7 @@
 #include <nlohmann/json.hpp>
 
 #include <csignal>
+#include <ranges>
 
 namespace magnolia {
 namespace {
@@ -32,15 +34,14 @@
 constexpr int longest_watch_contacts = 2;
 /// Each wait is drawn from the upper part of its range, so that hosts do not ask together.
 constexpr double least_watch_share = 0.6;
-/// Time for which another host has to know more before this one lists again, and the least time
-/// between two such lists: changes reach hosts some ms apart.
-constexpr milliseconds behind_for{250};
-constexpr milliseconds catch_up_interval{1000};
 
 /// Pauses between tries while the platform is away: short, as hosts that are back have to be
 /// current within the contact time.
 constexpr milliseconds first_store_pause{60};
 constexpr milliseconds longest_store_pause{500};
+/// Age of a configuration that is not known yet: older than any bound.
+constexpr duration unknown_age = std::chrono::hours{24};
+
 /// This host's share of the platform's rates.
 constexpr double store_reads_per_s = 30;
 constexpr double store_writes_per_s = 5;
@@ -123,12 +124,16 @@
     [[nodiscard]] http_response answer_readiness(const http_request& request) const;
     [[nodiscard]] bool is_ready() const;
     void send_news();
+    /// Time since the store confirmed the configuration to this host.
+    [[nodiscard]] duration config_age(time_point now) const;
     void send_digest(time_point now);
     void on_news(const work_news& news);
     /// Lists again what another host has known to be newer for a while.
-    void catch_up(object_follower& follower, time_point& behind_since, bool is_behind);
+    void catch_up(object_follower& follower, lag_detector& detector, bool is_behind);
     [[nodiscard]] milliseconds watch_wait();
     void tick();
+    /// Further sends that this host may make without any request, in a window.
+    [[nodiscard]] double budget_reserve() const;
     [[nodiscard]] retry_budget make_budget() const;
     void on_call_end(const call_end& end);
     void wait_for_hangup();
@@ -157,9 +162,8 @@
     boost::asio::steady_timer stop_timer_;
     boost::asio::signal_set hangup_;
     bool is_news_due_ = false;
-    time_point config_behind_{};
-    time_point backends_behind_{};
-    time_point next_catch_up_{};
+    lag_detector config_lag_;
+    lag_detector backends_lag_;
     /// Last moment at which another host had this configuration confirmed.
     time_point confirmed_by_others_{};
     bool is_registered_ = false;
@@ -211,7 +215,6 @@
               [this] { return watch_wait(); },
               {[this](const auto& objects) {
                    std::ranges::for_each(objects, [this](const auto& item) { take_config(item); });
-                   shared_.routes_confirmed = steady_now();
                },
                [this](const auto& object) { take_config(object); }}},
       backends_{store_,
@@ -264,7 +267,7 @@
     if (backend->is_leaving) {
         log_.info("backend server " + backend->id + " is leaving");
     }
-    fleet_.put(*backend, now);
+    fleet_.put(*backend);
 }
 
 void gateway::state::take_backends(const std::vector<stored_object>& objects) {
@@ -325,13 +328,17 @@
     });
 }
 
+duration gateway::state::config_age(time_point now) const {
+    return config_.has_list() ? now - config_.confirmed_at() : unknown_age;
+}
+
 void gateway::state::send_digest(time_point now) {
     auto news = fleet_.take_news(settings_.process.name, true);
     if (!news) {
         return;
     }
     news->config_version = shared_.routes ? shared_.routes->version() : 0;
-    news->config_age = std::chrono::duration_cast<milliseconds>(now - config_.confirmed_at());
+    news->config_age = std::chrono::duration_cast<milliseconds>(config_age(now));
     news->backends_change = backends_.last_change();
     news->backends_hash = fleet_.list_hash();
     exchange_.send(*news);
@@ -347,28 +354,19 @@
     if (news.config_version == version) {
         confirmed_by_others_ = std::max(confirmed_by_others_, now - news.config_age);
     }
-    catch_up(config_, config_behind_, news.config_version > version);
-    if (news.backends_change > backends_.last_change()) {
-        catch_up(backends_, backends_behind_, news.backends_hash != fleet_.list_hash());
+    catch_up(config_, config_lag_, news.config_version > version);
+    // A revision alone says little: it rises with every change of any kind.
+    const bool is_newer = news.backends_change > backends_.last_change();
+    if (is_newer) {
+        catch_up(backends_, backends_lag_, news.backends_hash != fleet_.list_hash());
     }
 }
 
-void gateway::state::catch_up(object_follower& follower, time_point& behind_since, bool is_behind) {
-    const auto now = steady_now();
-    if (!is_behind) {
-        behind_since = {};
-        return;
-    }
-    if (behind_since == time_point{}) {
-        behind_since = now;
+void gateway::state::catch_up(object_follower& follower, lag_detector& detector, bool is_behind) {
+    if (detector.on_digest(is_behind, follower.is_cut_off(), steady_now())) {
+        log_.info("another host knows more than this one; lists again");
+        follower.start();
     }
-    if (now - behind_since < behind_for || now < next_catch_up_) {
-        return;
-    }
-    log_.info("another host knows more than this one; lists again");
-    next_catch_up_ = now + catch_up_interval;
-    behind_since = {};
-    follower.start();
 }
 
 milliseconds gateway::state::watch_wait() {
@@ -390,8 +388,12 @@
         read_members();
     }
     exchange_.check_silence(now);
+    // Hosts that became known since take their share of what all may send.
+    for (auto& budget : shared_.budgets | std::views::values) {
+        budget.set_reserve(budget_reserve(), now);
+    }
     metrics_.set_beliefs({.config_version = shared_.routes ? shared_.routes->version() : 0,
-                          .config_age = now - config_.confirmed_at(),
+                          .config_age = config_age(now),
                           .live_backends = fleet_.live_count(),
                           .live_gateways = exchange_.live_peers() + 1,
                           .is_store_reachable = !config_.is_cut_off() && !backends_.is_cut_off(),
@@ -426,10 +428,13 @@
     return {is_known && is_ready() ? status_ok : status_unavailable, {}, {}};
 }
 
-retry_budget gateway::state::make_budget() const {
+double gateway::state::budget_reserve() const {
     const auto gateways = std::max(assumed_gateways, exchange_.known_peers() + 1);
-    return retry_budget{settings_.retry.ratio * ratio_share,
-                        settings_.retry.slack * slack_share / static_cast<double>(gateways),
+    return settings_.retry.slack * slack_share / static_cast<double>(gateways);
+}
+
+retry_budget gateway::state::make_budget() const {
+    return retry_budget{settings_.retry.ratio * ratio_share, budget_reserve(),
                         seconds_to_ms(settings_.retry.window_s), 1};
 }
 
@@ -439,7 +444,6 @@
     for (const auto& backend : end.backends) {
         backends += (backends.empty() ? "" : ",") + backend;
     }
-    const auto age = config_.has_list() ? steady_now() - config_.confirmed_at() : duration{-1000};
     log_.info(end.attempt.empty() ? "-" : end.attempt,
               "end status=" + std::to_string(end.status) + " route=" + end.route +
                   " tokens=" + std::to_string(end.prompt_tokens) + " backends=" +
@@ -449,7 +453,7 @@
                   " predicted_ms=" + std::to_string(whole_ms(end.predicted)) +
                   " pause_ms=" + std::to_string(whole_ms(end.longest_pause)) +
                   " config=" + std::to_string(end.config_version) +
-                  " config_age_ms=" + std::to_string(whole_ms(age)) +
+                  " config_age_ms=" + std::to_string(whole_ms(config_age(steady_now()))) +
                   (end.cause.empty() ? "" : " cause=\"" + end.cause + "\""));
 }
 
--- /dev/null
+++ b/src/lag_detector.cpp
@@ -0,0 +1,29 @@
+#include "lag_detector.h"
+
+namespace magnolia {
+namespace {
+
+/// Time for which another host has to know more: changes reach hosts some ms apart.
+constexpr duration behind_for = std::chrono::milliseconds{250};
+/// Least time between two readings: a list takes a few round trips, more if the store is slow.
+constexpr duration quiet_for = std::chrono::milliseconds{1000};
+
+} // namespace
+
+bool lag_detector::on_digest(bool is_behind, bool is_cut_off, time_point now) {
+    if (!is_behind || is_cut_off) {
+        behind_since_ = {};
+        return false;
+    }
+    if (behind_since_ == time_point{}) {
+        behind_since_ = now;
+    }
+    if (now - behind_since_ < behind_for || now < quiet_until_) {
+        return false;
+    }
+    behind_since_ = {};
+    quiet_until_ = now + quiet_for;
+    return true;
+}
+
+} // namespace magnolia
--- a/src/news_exchange.cpp
+++ b/src/news_exchange.cpp
@@ -70,7 +70,6 @@
         if (failure) {
             log_of().debug("news to " + address.address().to_string() + ": " + failure.message());
         }
-        ++sent_;
     }
 }
 
--- a/src/news_exchange.h
+++ b/src/news_exchange.h
@@ -1,6 +1,7 @@
 /// Datagrams between gateways: each tells all others what it placed on engines. Lost ones are made
-/// good by the next digest. Gateways find each other through objects in the platform's store, and
-/// through the datagrams that reach them.
+/// good by the next digest, which tells recent placements again and which work is still under way.
+/// Gateways find each other through objects in the platform's store, and through the datagrams that
+/// reach them.
 #pragma once
 
 #include <magnolia/error.h>
@@ -34,7 +35,6 @@
     /// Peers that were ever known, this gateway not counted.
     [[nodiscard]] std::size_t known_peers() const { return peers_.size(); }
     [[nodiscard]] std::size_t live_peers() const;
-    [[nodiscard]] std::uint64_t sent() const { return sent_; }
 
 private:
     struct peer {
@@ -51,7 +51,6 @@
     boost::asio::ip::udp::endpoint self_;
     boost::asio::ip::udp::endpoint from_;
     std::array<std::uint8_t, 65536> buffer_{};
-    std::uint64_t sent_ = 0;
 };
 
 } // namespace magnolia
--- a/src/retry_budget.cpp
+++ b/src/retry_budget.cpp
@@ -29,6 +29,12 @@
     return std::min(reserve_, tokens_ + gained);
 }
 
+void retry_budget::set_reserve(double reserve, time_point now) {
+    refill(now);
+    reserve_ = reserve;
+    tokens_ = std::min(tokens_, cap_ * reserve_);
+}
+
 void retry_budget::on_first_attempt(std::uint32_t tokens, time_point now) {
     refill(now);
     tokens_ = std::min(tokens_ + fraction_ * tokens, cap_ * reserve_);
--- a/src/retry_budget.h
+++ b/src/retry_budget.h
@@ -16,6 +16,9 @@
     explicit retry_budget(double fraction = 0.1, double reserve = 400'000,
                           duration period = std::chrono::minutes{1}, double cap = 4);
 
+    /// Changes the reserve; what is above the new cap is lost.
+    void set_reserve(double reserve, time_point now);
+
     void on_first_attempt(std::uint32_t tokens, time_point now);
 
     /// Takes the tokens of a further attempt if the budget has them.
--- a/src/route_table.cpp
+++ b/src/route_table.cpp
@@ -47,7 +47,7 @@
     return found == workspaces_.end() ? nullptr : found->second;
 }
 
-const service_info_entry* route_table::find_service(std::string_view name) const {
+const routed_service* route_table::find_service(std::string_view name) const {
     const auto found = services_.find(std::string{name});
     return found == services_.end() ? nullptr : found->second;
 }
--- a/src/route_table.h
+++ b/src/route_table.h
@@ -22,7 +22,7 @@
     [[nodiscard]] const route_info* find_route(std::string_view host, std::string_view path) const;
     /// Workspace that holds the key; null if none does.
     [[nodiscard]] const workspace_info* find_workspace(std::string_view key) const;
-    [[nodiscard]] const service_info_entry* find_service(std::string_view name) const;
+    [[nodiscard]] const routed_service* find_service(std::string_view name) const;
     /// Services of the route in the order in which they are tried: the first one drawn by weight.
     [[nodiscard]] static std::vector<std::string> draw_services(const route_info& route,
                                                                 std::mt19937_64& random);
@@ -32,7 +32,7 @@
     /// Routes by host in lower case, the longest prefix first.
     std::unordered_map<std::string, std::vector<const route_info*>> routes_;
     std::unordered_map<std::string, const workspace_info*> workspaces_;
-    std::unordered_map<std::string, const service_info_entry*> services_;
+    std::unordered_map<std::string, const routed_service*> services_;
 };
 
 } // namespace magnolia
--- a/tests/backend_fleet_test.cpp
+++ b/tests/backend_fleet_test.cpp
@@ -28,7 +28,7 @@
     return query;
 }
 
-std::vector<service_info_entry> services() {
+std::vector<routed_service> services() {
     engine_figures figures;
     figures.memory_tokens = 232'000;
     figures.steps_per_pass = 43;
@@ -41,7 +41,7 @@
         for (auto* fleet : {&fleet_, &other_}) {
             fleet->set_services(services());
             for (const auto* id : {"a", "b"}) {
-                fleet->put(backend_of(id), start);
+                fleet->put(backend_of(id));
             }
         }
     }
@@ -58,7 +58,7 @@
 TEST_F(fleet_test, a_leaving_backend_server_gets_nothing) {
     auto leaving = backend_of("a");
     leaving.is_leaving = true;
-    fleet_.put(leaving, start);
+    fleet_.put(leaving);
     for (int round = 0; round < 20; ++round) {
         EXPECT_EQ(chosen(), "b");
     }
@@ -72,7 +72,7 @@
     fleet_.remove("b", duration{0}, start);
     EXPECT_EQ(chosen(), "a");
     EXPECT_EQ(chosen({}, start + milliseconds{1000}), "none");
-    fleet_.put(backend_of("a"), start + milliseconds{1500});
+    fleet_.put(backend_of("a"));
     EXPECT_EQ(chosen({}, start + milliseconds{9000}), "a");
 }
 
@@ -88,7 +88,7 @@
     EXPECT_EQ(chosen(), "none");
     auto again = backend_of("a");
     again.started_ms = 7;
-    fleet_.put(again, start);
+    fleet_.put(again);
     EXPECT_EQ(chosen(), "a");
 }
 
@@ -143,14 +143,37 @@
     EXPECT_EQ(fleet_.list_hash(), other_.list_hash());
     auto leaving = backend_of("a");
     leaving.is_leaving = true;
-    fleet_.put(leaving, start);
+    fleet_.put(leaving);
     EXPECT_NE(fleet_.list_hash(), other_.list_hash());
-    other_.put(leaving, start);
+    other_.put(leaving);
     EXPECT_EQ(fleet_.list_hash(), other_.list_hash());
     fleet_.remove("b", milliseconds{500}, start);
     other_.remove("b", duration{0}, start);
     EXPECT_EQ(fleet_.list_hash(), other_.list_hash());
 }
 
+TEST_F(fleet_test, a_lost_placement_comes_again_with_the_next_digest_and_only_once) {
+    auto query = short_query();
+    query.demand.prompt_tokens = 60'000;
+    query.demand.answer_tokens = 100'000;
+    const auto choice = fleet_.choose("llm", short_query(), {"b"}, start);
+    static_cast<void>(fleet_.start(*choice, query.demand, start));
+    static_cast<void>(fleet_.take_news("one", false)); // Lost on its way.
+    const auto digest = fleet_.take_news("one", true);
+    other_.on_news(*digest, start);
+    other_.on_news(*digest, start);
+    // 160,000 of the 232,000 tokens of "a" are taken: once, not twice.
+    auto large = short_query();
+    large.demand.prompt_tokens = 100'000;
+    EXPECT_FALSE(other_.choose("llm", large, {"b"}, start)
+                     .map([](const auto& chosen) { return chosen.members.front().id == "a"; })
+                     .value_or(false));
+    auto fits = short_query();
+    fits.demand.prompt_tokens = 30'000;
+    other_.set_gone("b");
+    EXPECT_TRUE(other_.choose("llm", fits, {}, start));
+    EXPECT_FALSE(fleet_.take_news("one", true)->placed.size() > 0);
+}
+
 } // namespace
 } // namespace magnolia
--- a/tests/forward_call_test.cpp
+++ b/tests/forward_call_test.cpp
@@ -235,5 +235,70 @@
     static_cast<void>(call({"POST", "/unsafe/", {}, "order", {}}));
 }
 
+TEST_F(gateway_fixture, the_name_of_a_reservation_holds_nothing_that_the_caller_chose) {
+    for (const auto* id : {"b1", "b2", "b3"}) {
+        add_backend(id, "llm").will(
+            [](const http_request& request, const http_responder& responder) {
+                const bool is_order = request.target == "/reserve" || request.target == "/release";
+                (is_order ? answers(200) : streams({1}, true))(request, responder);
+            });
+    }
+    auto config = default_config();
+    config.services.front().engine->memory_tokens = 120'000;
+    fleet_.set_services(config.services);
+    http_request request{"POST", "/stream/", {{"prompt", "150000"}}, "p", {}};
+    request.headers.push_back({"attempt", "x,10.0.0.9:1/y"});
+    static_cast<void>(call(std::move(request)));
+    std::size_t seen = 0;
+    for (const auto& backend : backends_) {
+        for (const auto& sent : backend->requests()) {
+            if (sent.target == "/reserve") {
+                ++seen;
+                const std::string name{find_header(sent.headers, "attempt")};
+                EXPECT_EQ(name.find_first_of(",/"), std::string::npos) << name;
+            }
+        }
+    }
+    EXPECT_GE(seen, 2U);
+}
+
+TEST_F(gateway_fixture, a_member_that_is_at_fault_is_left_out_and_the_first_one_is_not_blamed) {
+    for (const auto* id : {"b1", "b2"}) {
+        add_backend(id, "llm").will([this](const http_request&, const http_responder& responder) {
+            // The other one of the two is at fault, whichever was asked.
+            const auto port =
+                backends_[0]->requests().empty() ? backends_[0]->port() : backends_[1]->port();
+            responder.send({421, {{"fault", "127.0.0.1:" + std::to_string(port)}}, {}});
+        });
+        backends_.back()->will(streams({1}, true));
+    }
+    auto config = default_config();
+    auto& figures = *config.services.front().engine;
+    figures.memory_tokens = 120'000;
+    figures.read_tokens_per_ms = 20;
+    fleet_.set_services(config.services);
+    const auto answer = call({"POST", "/stream/", {{"prompt", "60000"}}, "p", {}});
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->body, event_text(1));
+    const auto& first = backends_[0]->requests().empty() ? *backends_[1] : *backends_[0];
+    ASSERT_FALSE(first.requests().empty());
+    ASSERT_NE(find_header(first.requests().front().headers, "helpers"), "");
+    // The member at fault is gone; the first one still takes work.
+    EXPECT_EQ(fleet_.live_count(), 1U);
+    EXPECT_EQ(first.requests().size(), 2U);
+}
+
+TEST_F(gateway_fixture, a_plain_answer_that_broke_is_not_continued_with_events) {
+    add_backend("b1", "llm").will([](const http_request&, const http_responder& responder) {
+        responder.start(200, {{"signature", "s"}});
+        responder.write(std::string(100'000, 'x'), [responder] { responder.abort(); });
+    });
+    backends_.front()->will(streams({1, 2}, true));
+    const auto text = ask("POST", "/stream/");
+    EXPECT_EQ(count_of(text, "id: "), 0U);
+    EXPECT_EQ(count_of(text, "0\r\n\r\n"), 0U);
+    EXPECT_EQ(backends_.front()->requests().size(), 1U);
+}
+
 } // namespace
 } // namespace magnolia
--- a/tests/gateway_fixture.cpp
+++ b/tests/gateway_fixture.cpp
@@ -1,5 +1,7 @@
 #include "gateway_fixture.h"
 
+#include "schema_reader.h"
+
 #include <boost/algorithm/string/predicate.hpp>
 #include <boost/asio/write.hpp>
 #include <nlohmann/json.hpp>
@@ -62,6 +64,10 @@
     answer.is_other_backend = status == 421;
     answer.is_signed = !find_header(headers, "signature").empty();
     answer.is_event_stream = find_header(headers, "Content-Type") == "text/event-stream";
+    endpoint fault;
+    if (read_text(std::string{find_header(headers, "fault")}, fault)) {
+        answer.culprit = fault;
+    }
     return answer;
 }
 
@@ -229,7 +235,7 @@
     info.address.port = backends_.back()->port();
     info.zone = "z1";
     info.slots = 4;
-    fleet_.put(info, steady_now());
+    fleet_.put(info);
     return *backends_.back();
 }
 
@@ -265,7 +271,9 @@
 
 tl::expected<http_response, http_failure> gateway_fixture::call(http_request request) {
     request.headers.push_back({"Host", "shop.example"});
-    request.headers.push_back({"attempt", "a1"});
+    if (find_header(request.headers, "attempt").empty()) {
+        request.headers.push_back({"attempt", "a1"});
+    }
     if (find_header(request.headers, "key").empty()) {
         request.headers.push_back({"key", "k1"});
     }
--- /dev/null
+++ b/tests/retry_budget_test.cpp
@@ -0,0 +1,41 @@
+#include "retry_budget.h"
+
+#include <gtest/gtest.h>
+
+namespace magnolia {
+namespace {
+
+constexpr time_point start{std::chrono::seconds{100}};
+constexpr duration window = std::chrono::seconds{10};
+
+/// Sends that the budget allows in one window.
+int sends_in_window(retry_budget& budget, time_point from) {
+    int sends = 0;
+    for (int ms = 0; ms < 10'000; ms += 10) {
+        sends += budget.try_spend(1, from + std::chrono::milliseconds{ms}) ? 1 : 0;
+    }
+    return sends;
+}
+
+TEST(retry_budget, a_share_shrinks_when_more_hosts_become_known) {
+    constexpr double slack = 104;
+    retry_budget budget{0.1, slack / 8, window, 1};
+    budget.set_reserve(slack / 76, start);
+    // What is left over and what comes in: twice the reserve at most.
+    EXPECT_LE(sends_in_window(budget, start), 2 * slack / 76 + 1);
+}
+
+TEST(retry_budget, the_sum_over_hosts_keeps_to_the_slack_of_a_window) {
+    constexpr double slack = 104;
+    constexpr double given_out = 0.4;
+    constexpr int hosts = 8;
+    int sends = 0;
+    for (int host = 0; host < hosts; ++host) {
+        retry_budget budget{0.1, slack * given_out / hosts, window, 1};
+        sends += sends_in_window(budget, start);
+    }
+    EXPECT_LE(sends, slack);
+}
+
+} // namespace
+} // namespace magnolia
