--- a/tests/gateway_fixture.cpp
+++ b/tests/gateway_fixture.cpp
@@ -88,15 +88,24 @@
     if (!document.is_object() || !document.contains("version")) {
         return fail(error_code::bad_request, "version");
     }
-    routing_config config;
+    auto config = default_config();
     config.version = document["version"].get<std::uint64_t>();
+    std::erase_if(config.routes, [&](const auto& route) {
+        return route.path_prefix == document.value("without", std::string{});
+    });
     return config;
 }
 
 result<backend_info> test_codec::read_backend(const std::string& id, std::string_view value) const {
     backend_info backend;
     backend.id = id;
-    backend.service = value;
+    // SERVICE ADDRESS:PORT
+    const auto space = value.find(' ');
+    backend.service = value.substr(0, space);
+    if (space != std::string_view::npos &&
+        !read_text(std::string{value.substr(space + 1)}, backend.address)) {
+        return fail(error_code::bad_request, id);
+    }
     return backend;
 }
 
@@ -194,7 +203,7 @@
     configure();
 }
 
-routing_config gateway_fixture::default_config() {
+routing_config default_config() {
     routing_config config;
     config.version = 1;
     const auto route = [&](const std::string& prefix, repeat_rule repeat, bool is_stream,
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -36,6 +36,10 @@
     [[nodiscard]] std::string_view readiness_path() const override { return "/ready"; }
 };
 
+/// Routes /stream/ and /once-stream/ to llm, /safe/ and /unsafe/ to desk; the workspace acme has
+/// the keys k1 and k2.
+[[nodiscard]] routing_config default_config();
+
 /// One event as backend servers send it.
 [[nodiscard]] std::string event_text(std::uint64_t id, std::string_view data = "x");
 
@@ -73,7 +77,6 @@
     /// Sets the configuration; routes: /stream/ and /once-stream/ to llm, /safe/ and /unsafe/ to
     /// desk.
     void configure();
-    [[nodiscard]] static routing_config default_config();
 
     /// Sends a request to the gateway; returns all bytes until the connection ends or the answer is
     /// whole.
--- /dev/null
+++ b/tests/gateway_test.cpp
@@ -0,0 +1,192 @@
+#include "gateway.h"
+#include "gateway_fixture.h"
+#include "platform_client.h"
+#include "platform_server.h"
+#include "platform_wire.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <thread>
+
+namespace magnolia {
+namespace {
+
+/// Object API of the product's own stand-in.
+class product_store_codec final : public store_codec {
+public:
+    [[nodiscard]] http_request encode(const platform_call& call) const override {
+        return encode_call(call);
+    }
+    [[nodiscard]] result<platform_reply> decode(const platform_call& call,
+                                                const http_response& response) const override {
+        return decode_reply(call, response);
+    }
+};
+
+std::uint16_t free_port(boost::asio::io_context& context) {
+    const boost::asio::ip::tcp::acceptor probe{context,
+                                               {boost::asio::ip::make_address("127.0.0.1"), 0}};
+    return probe.local_endpoint().port();
+}
+
+/// A whole gateway on a thread of its own, between callers, a store and backend servers of the
+/// test.
+class whole_gateway : public testing::Test {
+protected:
+    void SetUp() override {
+        ASSERT_TRUE(store_.listen(endpoint{}));
+        settings_.process.name = "g1";
+        settings_.process.zone = "z1";
+        settings_.process.platform = {"127.0.0.1", store_.port()};
+        settings_.listen.port = free_port(context_);
+        settings_.readiness.port = free_port(context_);
+        settings_.peer_listen.port = free_port(context_);
+        settings_.stop_timeout_s = 2;
+        backend_ = std::make_unique<test_backend>(context_);
+        platform_budget rates;
+        operator_ = std::make_unique<platform_client>(
+            context_, endpoint{"127.0.0.1", store_.port()}, rates, 1);
+        put("routes", "main", R"({"version":2})");
+        put("backends", "b1", "desk 127.0.0.1:" + std::to_string(backend_->port()));
+        owner_ = std::make_unique<process>(settings_.process);
+        thread_ = std::thread{[this] {
+            gateway host{*owner_, settings_, codec_, store_codec_};
+            is_served_ = host.run().has_value();
+            has_ended_ = true;
+        }};
+        wait_for_readiness(true);
+    }
+
+    void TearDown() override {
+        owner_->request_stop();
+        poll([this] { return has_ended_.load(); });
+        thread_.join();
+        EXPECT_TRUE(is_served_);
+    }
+
+    template <class Condition>
+    void run_until(Condition condition) {
+        while (!condition() && context_.run_one() > 0) {
+        }
+    }
+
+    /// Runs the test's side until a condition of the other thread holds.
+    template <class Condition>
+    void poll(Condition condition) {
+        // Ends a test that would wait for ever: ten seconds of looks.
+        constexpr int most_looks = 1000;
+        for (int look = 0; !condition(); ++look) {
+            ASSERT_LT(look, most_looks);
+            bool is_over = false;
+            boost::asio::steady_timer pause{context_, milliseconds{10}};
+            pause.async_wait([&](const auto&) { is_over = true; });
+            run_until([&] { return is_over; });
+        }
+    }
+
+    void put(const std::string& kind, const std::string& name, const std::string& value) {
+        auto& version = versions_[name];
+        std::optional<result<platform_reply>> reply;
+        operator_->execute(object_put{{kind, name}, version, value}, call_priority::claim,
+                           [&](const auto& answer) { reply = answer; });
+        run_until([&] { return reply.has_value(); });
+        ASSERT_TRUE(*reply);
+        version = std::get<stored_object>(**reply).version;
+    }
+
+    tl::expected<http_response, http_failure> ask(std::uint16_t port, const std::string& target) {
+        http_request request{
+            "GET", target, {{"Host", "shop.example"}, {"attempt", "a1"}, {"key", "k1"}}, {}, {}};
+        std::optional<tl::expected<http_response, http_failure>> answer;
+        caller_.call({"127.0.0.1", port}, std::move(request), {},
+                     [&](auto received) { answer = std::move(received); });
+        run_until([&] { return answer.has_value(); });
+        return *answer;
+    }
+
+    void wait_for_readiness(bool is_wanted) {
+        poll([&] {
+            const auto answer = ask(settings_.readiness.port, "/ready");
+            return (answer && answer->status == 200) == is_wanted;
+        });
+    }
+
+    void wait_for_status(const std::string& target, unsigned status) {
+        poll([&] {
+            const auto answer = ask(settings_.listen.port, target);
+            return answer && answer->status == status;
+        });
+    }
+
+    boost::asio::io_context context_{1};
+    platform_server store_{context_, 1};
+    http_client caller_{context_, 0};
+    test_codec codec_;
+    product_store_codec store_codec_;
+    gateway_settings settings_;
+    std::map<std::string, std::uint64_t> versions_;
+    std::unique_ptr<platform_client> operator_;
+    std::unique_ptr<test_backend> backend_;
+    std::unique_ptr<process> owner_;
+    std::thread thread_;
+    std::atomic<bool> is_served_{false};
+    std::atomic<bool> has_ended_{false};
+};
+
+TEST_F(whole_gateway, a_planned_stop_cuts_no_request_and_takes_those_that_still_come) {
+    std::optional<http_responder> open;
+    backend_->will([&](const http_request& /*request*/, const http_responder& responder) {
+        open = responder;
+    });
+    backend_->will(answers(200, "second"));
+    std::optional<tl::expected<http_response, http_failure>> first;
+    caller_.call(
+        {"127.0.0.1", settings_.listen.port},
+        {"GET",
+         "/unsafe/",
+         {{"Host", "shop.example"}, {"attempt", "a0"}, {"key", "k1"}, {"time-left", "9000"}},
+         {},
+         {}},
+        {}, [&](auto received) { first = std::move(received); });
+    run_until([&] { return open.has_value(); });
+    owner_->request_stop();
+    wait_for_readiness(false);
+    const auto second = ask(settings_.listen.port, "/safe/");
+    ASSERT_TRUE(second);
+    EXPECT_EQ(second->body, "second");
+    EXPECT_EQ(find_header(second->headers, "Connection"), "close");
+    open->send({200, {{"signature", "s"}}, "first"});
+    run_until([&] { return first.has_value(); });
+    ASSERT_TRUE(*first);
+    EXPECT_EQ((*first)->body, "first");
+}
+
+TEST_F(whole_gateway, a_configuration_is_in_force_without_a_restart_and_never_reverts) {
+    backend_->will(answers(200));
+    wait_for_status("/safe/", 200);
+    put("routes", "main", R"({"version":5,"without":"/safe/"})");
+    wait_for_status("/safe/", 404);
+    put("routes", "main", R"({"version":4})");
+    put("routes", "main", R"({"other":1})");
+    // What was written later has come: so has the older version.
+    put("backends", "b1", "other-service 127.0.0.1:1");
+    wait_for_status("/unsafe/", 503);
+    EXPECT_EQ(ask(settings_.listen.port, "/safe/")->status, 404U);
+    put("backends", "b1", "desk 127.0.0.1:" + std::to_string(backend_->port()));
+    put("routes", "main", R"({"version":6,"without":"/unsafe/"})");
+    wait_for_status("/unsafe/", 404);
+    wait_for_status("/safe/", 200);
+}
+
+TEST_F(whole_gateway, the_list_of_backend_servers_is_followed) {
+    backend_->will(answers(200));
+    wait_for_status("/safe/", 200);
+    put("backends", "b1", "other-service 127.0.0.1:1");
+    wait_for_status("/safe/", 503);
+    put("backends", "b2", "unreadable 127.0.0.1:no-port");
+    put("backends", "b1", "desk 127.0.0.1:" + std::to_string(backend_->port()));
+    wait_for_status("/safe/", 200);
+}
+
+} // namespace
+} // namespace magnolia
