--- /dev/null
+++ b/src/http_session_p.h
@@ -0,0 +1,126 @@
+/// One connection of the HTTP server, and what the connections of a server share; included by the
+/// server's source files only.
+#pragma once
+
+#include "http_server.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/intrusive/list.hpp>
+
+#include <atomic>
+#include <optional>
+
+namespace magnolia {
+
+/// Link of a connection in its server's list.
+using session_hook = boost::intrusive::list_base_hook<boost::intrusive::tag<struct session_tag>>;
+
+/// Shared by the listener and its connections.
+class http_server::state : public std::enable_shared_from_this<http_server::state> {
+public:
+    state(boost::asio::io_context& io, http_server_limits bounds, http_handler on_request,
+          http_refuser on_refusal)
+        : context{io}, limits{bounds}, handler{std::move(on_request)},
+          refuser{std::move(on_refusal)}, acceptor{io} {}
+
+    boost::asio::awaitable<void> accept();
+    void open_session(boost::asio::ip::tcp::socket socket);
+    void shut_down();
+
+    boost::asio::io_context& context;
+    http_server_limits limits;
+    http_handler handler;
+    http_refuser refuser;
+    boost::asio::ip::tcp::acceptor acceptor;
+    std::size_t body_bytes = 0;
+    std::size_t active = 0;
+    bool is_stopping = false;
+    boost::intrusive::list<http_session, boost::intrusive::base_hook<session_hook>,
+                           boost::intrusive::constant_time_size<false>>
+        sessions;
+    std::size_t session_count = 0;
+};
+
+/// One connection; lives while its coroutine or a responder refers to it.
+class http_session : public session_hook {
+public:
+    using server_state = http_server::state;
+
+    http_session(boost::asio::ip::tcp::socket socket, server_state& server)
+        : stream_{std::move(socket)}, wake_{stream_.get_executor()},
+          deadline_{stream_.get_executor()}, server_{&server} {}
+
+    boost::asio::awaitable<void> run();
+    void close();
+    /// Closes without telling the handler; the server is gone.
+    void detach();
+    void close_if_idle();
+    /// As close_if_idle(), but a connection that has not yet served a request stays open.
+    void close_if_kept();
+
+    // Called by responders.
+    void start(unsigned status, http_headers headers, std::optional<std::size_t> length);
+    void append(std::string_view text);
+    void append_chunk(std::string_view text, std::function<void()> written);
+    void finish(bool is_chunked);
+    void on_gone(std::function<void()> gone) { gone_ = std::move(gone); }
+    [[nodiscard]] bool is_current(std::uint64_t exchange) const {
+        return exchange == exchange_ && is_open_exchange_;
+    }
+    [[nodiscard]] bool accepts(std::uint64_t exchange) const {
+        return is_current(exchange) && !is_finished_;
+    }
+    [[nodiscard]] std::size_t pending_bytes() const { return wire_.size() + writing_.size(); }
+
+    mutable std::atomic<std::uint32_t> references{0};
+
+private:
+    using body_parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+    boost::asio::awaitable<bool> read_request(http_request& request);
+    boost::asio::awaitable<boost::system::error_code> read_header(body_parser& parser);
+    boost::asio::awaitable<boost::system::error_code> read_body(body_parser& parser);
+    boost::asio::awaitable<void> refuse(const error& failure);
+    error reason(const boost::system::error_code& failure) const;
+    void arm(std::chrono::milliseconds timeout);
+    void disarm();
+    boost::asio::awaitable<void> wait_for_end();
+    [[nodiscard]] std::size_t body_bound(const body_parser& parser) const;
+    bool take_body_memory(std::size_t bytes);
+    void release_body_memory();
+    void open_exchange();
+    void close_exchange();
+    void watch_peer();
+    void pump();
+    void on_written(const boost::system::error_code& failure);
+    void peer_gone();
+
+    boost::beast::tcp_stream stream_;
+    boost::asio::steady_timer wake_;
+    boost::asio::steady_timer deadline_;
+    bool is_late_ = false;
+    server_state* server_;
+    boost::beast::flat_buffer buffer_;
+    std::uint64_t exchange_ = 0;
+    bool is_open_exchange_ = false;
+    bool is_finished_ = false;
+    bool is_idle_ = true;
+    bool has_served_ = false;
+    time_point received_{};
+    bool keep_alive_ = true;
+    bool is_head_ = false;
+    bool is_writing_ = false;
+    std::size_t body_bytes_ = 0;
+    std::string wire_;
+    std::string writing_;
+    std::vector<std::function<void()>> written_;
+    std::vector<std::function<void()>> writing_callbacks_;
+    std::function<void()> gone_;
+};
+
+} // namespace magnolia
--- a/tests/backend_fleet_test.cpp
+++ b/tests/backend_fleet_test.cpp
@@ -172,7 +172,7 @@
     fits.demand.prompt_tokens = 30'000;
     other_.set_gone("b");
     EXPECT_TRUE(other_.choose("llm", fits, {}, start));
-    EXPECT_FALSE(fleet_.take_news("one", true)->placed.size() > 0);
+    EXPECT_TRUE(fleet_.take_news("one", true)->placed.empty());
 }
 
 } // namespace
