A restarted gateway learns the work of the others; late requests give way

Requests that were held back were priced as if they had just arrived, so that in a burst late ones took the slots that new ones needed, and nearly all were late. A request without a stated length was predicted at 6 s.

Change: a gateway answers a start that it hears for the first time with what is left of its own work; the target latency that is left and whether it has passed go into the choice and to the others; the last free slots have a price; a request waits no longer than its caller does; a part on an engine that short prompts need costs what they lose.

--- a/src/attempt_policy.cpp
+++ b/src/attempt_policy.cpp
@@ -41,14 +41,16 @@
                                                            : next_step::tell_failed;
 }
 
+duration caller_patience(const route_info& route) {
+    return std::max({least_patience, duration{route.target_latency} * patience_latencies,
+                     duration{route.target_pause} * patience_pauses});
+}
+
 duration silence_limit(const route_info& route) {
     if (!route.is_stream) {
         return std::max(least_silence, duration{route.target_latency} * silent_latencies);
     }
-    const duration patience =
-        std::max({least_patience, duration{route.target_latency} * patience_latencies,
-                  duration{route.target_pause} * patience_pauses});
-    return std::chrono::duration_cast<duration>(patience * moved_share);
+    return std::chrono::duration_cast<duration>(caller_patience(route) * moved_share);
 }
 
 bool is_backend_lost(const silent_attempt& attempt) {
--- a/src/attempt_policy.h
+++ b/src/attempt_policy.h
@@ -45,9 +45,11 @@
 
 [[nodiscard]] next_step decide_after_failure(const failed_attempt& attempt);
 
+/// Longest wait for the first event or the next one after which callers give a stream up.
+[[nodiscard]] duration caller_patience(const route_info& route);
+
 /// Silence of an answer after which its backend server may be taken for lost. For a stream well
-/// before callers give it up, which they do after the longest of 2 s, four target latencies and
-/// eight target pauses.
+/// before callers give it up.
 [[nodiscard]] duration silence_limit(const route_info& route);
 
 /// What is known of a backend server beside the silence of one request.
--- a/src/backend_fleet.cpp
+++ b/src/backend_fleet.cpp
@@ -16,6 +16,8 @@
 constexpr duration evidence_span = std::chrono::milliseconds{400};
 /// Time for which the outcome of a probe counts.
 constexpr duration probe_span = std::chrono::milliseconds{1000};
+/// Placements in one datagram of a recap, about 100 bytes each: well under its limit of 64 KB.
+constexpr std::size_t recap_placements = 200;
 /// Most work of one other gateway that is kept.
 constexpr std::size_t max_remote_jobs = 4096;
 
@@ -35,6 +37,35 @@
     return job;
 }
 
+milliseconds left_of(duration target, duration passed) {
+    return std::chrono::duration_cast<milliseconds>(std::max(target - passed, duration{0}));
+}
+
+std::uint32_t left_of(std::uint32_t tokens, double done) {
+    return done < tokens ? static_cast<std::uint32_t>(tokens - done) : 0;
+}
+
+/// What is left of a job, as work that is placed now.
+placed_work remaining_work(const engine_job& job, const std::string& backend, time_point now) {
+    const auto passed = now - job.placed;
+    return {.backend = backend,
+            .number = job.id.number,
+            .read_tokens = left_of(job.read.tokens, job.tokens_read),
+            .first_pairs = job.read.first_pairs + job.read.more_pairs * job.tokens_read,
+            .more_pairs = job.read.more_pairs,
+            .memory_tokens = job.memory_tokens,
+            .context_tokens = job.context_tokens,
+            .answer_tokens = left_of(job.answer_tokens, job.tokens_written),
+            .is_part = job.is_part,
+            .has_helpers = job.has_helpers,
+            .target_latency = job.is_late ? milliseconds{0} : left_of(job.target_latency, passed),
+            .target_pause = job.is_late
+                                ? milliseconds{0}
+                                : std::chrono::duration_cast<milliseconds>(job.target_pause),
+            .time_limit = left_of(job.time_limit, passed),
+            .value = job.value};
+}
+
 } // namespace
 
 backend_fleet::backend_fleet(std::string zone, std::uint64_t origin, placement_policy policy)
@@ -207,8 +238,10 @@
                            .is_kept = kept.contains(item.info.id),
                            .forecast = item.forecast ? &*item.forecast : nullptr});
     }
+    auto loaded = query;
+    loaded.short_load = partitions_[std::string{service}].short_load(now);
     const auto choice =
-        std::visit([&](auto& placement) { return placement.choose(query, options, now, random_); },
+        std::visit([&](auto& placement) { return placement.choose(loaded, options, now, random_); },
                    placement_);
     if (!choice) {
         return tl::unexpected{choice.error()};
@@ -258,8 +291,12 @@
             .answer_tokens = demand.answer_tokens,
             .is_part = !writes,
             .has_helpers = chosen.members.size() > 1,
-            .target_latency = std::chrono::duration_cast<milliseconds>(demand.target_latency),
-            .target_pause = std::chrono::duration_cast<milliseconds>(demand.target_pause),
+            .target_latency = demand.is_late
+                                  ? milliseconds{0}
+                                  : std::chrono::duration_cast<milliseconds>(demand.target_latency),
+            .target_pause = demand.is_late
+                                ? milliseconds{0}
+                                : std::chrono::duration_cast<milliseconds>(demand.target_pause),
             .time_limit = std::chrono::duration_cast<milliseconds>(demand.time_limit),
             .value = demand.value};
         place(*item, job_of(work, origin_), now);
@@ -432,6 +469,29 @@
     return news;
 }
 
+std::vector<work_news> backend_fleet::recap(const std::string& sender, time_point now) {
+    std::vector<work_news> parts;
+    for (const auto& [number, open] : open_) {
+        if (parts.empty() || parts.back().placed.size() >= recap_placements) {
+            parts.push_back({.sender = sender, .origin = origin_});
+        }
+        for (const auto& backend : open.backends) {
+            auto* item = find(backend);
+            if (item == nullptr || !item->forecast) {
+                continue;
+            }
+            item->forecast->advance(now);
+            if (const auto* job = item->forecast->find({origin_, number})) {
+                parts.back().placed.push_back(remaining_work(*job, backend, now));
+            }
+        }
+        if (open.has_begun) {
+            parts.back().begun.push_back(number);
+        }
+    }
+    return parts;
+}
+
 void backend_fleet::take_job(const placed_work& work, std::uint64_t origin, time_point now) {
     auto* item = find(work.backend);
     auto& known = others_[origin][work.number];
--- a/src/backend_fleet.h
+++ b/src/backend_fleet.h
@@ -95,6 +95,9 @@
     /// News since the last call; `is_digest` adds the numbers of all work under way.
     [[nodiscard]] std::optional<work_news> take_news(const std::string& sender, bool is_digest);
     void on_news(const work_news& news, time_point now);
+    /// All own work under way, with what is left of it, for a gateway that has just started: it
+    /// would take busy engines for idle ones. Each item fits a datagram.
+    [[nodiscard]] std::vector<work_news> recap(const std::string& sender, time_point now);
     /// A gateway is gone, with its work.
     void forget_origin(std::uint64_t origin);
 
--- a/src/engine_forecast.cpp
+++ b/src/engine_forecast.cpp
@@ -71,10 +71,12 @@
 
 reading reading::of(std::uint32_t prompt_tokens, std::size_t parts) {
     const auto count = static_cast<std::uint32_t>(std::max<std::size_t>(parts, 1));
+    // A request that states no length still takes a pass.
+    const auto tokens = std::max(prompt_tokens / count, 1U);
     if (count == 1) {
-        return {prompt_tokens, 0, 1};
+        return {tokens, 0, 1};
     }
-    return {prompt_tokens / count, prompt_tokens / 2.0, 0};
+    return {tokens, prompt_tokens / 2.0, 0};
 }
 
 std::uint32_t reading::whole_prompt() const {
@@ -248,7 +250,21 @@
     advance(now);
 }
 
-engine_job* engine_forecast::find(job_id id) {
+bool engine_forecast::is_reading_long() const {
+    const double left =
+        std::accumulate(jobs_.begin(), jobs_.end(), 0.0, [this](double sum, const engine_job& job) {
+            return sum + read_cost_ms(figures_, job.read, job.tokens_read,
+                                      std::max(job.read.tokens - job.tokens_read, 0.0));
+        });
+    return left > longest_short_reading_ms;
+}
+
+const engine_job* engine_forecast::find(job_id id) const {
+    const auto found = std::ranges::find(jobs_, id, &engine_job::id);
+    return found == jobs_.end() ? nullptr : &*found;
+}
+
+engine_job* engine_forecast::find_mutable(job_id id) {
     const auto found = std::ranges::find(jobs_, id, &engine_job::id);
     return found == jobs_.end() ? nullptr : &*found;
 }
@@ -260,7 +276,7 @@
 
 void engine_forecast::on_event(job_id id, time_point now) {
     advance(now);
-    auto* job = find(id);
+    auto* job = find_mutable(id);
     if (job == nullptr) {
         return;
     }
@@ -290,7 +306,7 @@
 }
 
 void engine_forecast::set_late(job_id id) {
-    if (auto* job = find(id)) {
+    if (auto* job = find_mutable(id)) {
         job->is_late = true;
     }
 }
--- a/src/engine_forecast.h
+++ b/src/engine_forecast.h
@@ -34,6 +34,8 @@
     double value = 1;
     /// Time until which an answer is of any use; zero if there is no bound.
     duration time_limit{0};
+    /// The target latency has passed: what is left of the value is that of a late answer.
+    bool is_late = false;
 };
 
 /// Tokens of a prompt that one engine reads.
@@ -88,6 +90,9 @@
 /// Part of a request's value that is lost if it is late; the rest goes if it is not served at all.
 inline constexpr double late_loss = 0.75;
 
+/// Reading beyond this is long, ms: with a plain pass it exceeds the pauses of short answers.
+inline constexpr double longest_short_reading_ms = 180;
+
 /// What placing a reading on an engine would do.
 struct reading_effect {
     /// Moment at which the reading ends.
@@ -129,13 +134,19 @@
     /// Requests whose answers are written here.
     [[nodiscard]] std::uint32_t running() const;
     [[nodiscard]] const std::vector<engine_job>& jobs() const { return jobs_; }
+    /// Whether it has more to read than streams beside it bear.
+    [[nodiscard]] bool is_reading_long() const;
+    /// Null for unknown ids.
+    [[nodiscard]] const engine_job* find(job_id id) const;
     /// Time at which the first of the answers written here is expected to end.
     [[nodiscard]] time_point first_end(time_point now) const;
     /// Time at which a slot is expected to be free; `now` if one is.
     [[nodiscard]] time_point slot_free_at(time_point now) const;
 
-private:
+    /// Plays up to this moment.
     void advance(time_point now);
+
+private:
     void begin_pass(time_point at);
     void end_pass();
     void cut_pass();
@@ -143,7 +154,7 @@
     /// Plays until the reading of the last job has ended, `horizon` at most; false if it has not.
     bool play_last_reading(time_point horizon);
     [[nodiscard]] double expected_loss(const engine_job& job) const;
-    [[nodiscard]] engine_job* find(job_id id);
+    [[nodiscard]] engine_job* find_mutable(job_id id);
     /// Expected ends of the answers written here, in no order.
     [[nodiscard]] std::vector<time_point> expected_ends(time_point now) const;
 
--- a/src/engine_partition.cpp
+++ b/src/engine_partition.cpp
@@ -10,8 +10,6 @@
 
 /// Time over which work counts: about the length of a short answer.
 constexpr seconds memory{2.0};
-/// Reading beyond this is long, ms: with a plain pass it exceeds the pauses of short answers.
-constexpr double longest_short_reading_ms = 180;
 /// Reading of one prompt that counts, ms: a single giant one is no reason to crowd all short ones.
 constexpr double most_counted_ms = 4000;
 /// Share of an engine's time that long reading may fill before it queues.
@@ -35,6 +33,7 @@
     long_reading_ *= factor;
     short_reading_ *= factor;
     short_writing_ *= factor;
+    short_value_ *= factor;
     as_of_ = std::max(as_of_, now);
 }
 
@@ -50,15 +49,26 @@
     const double passes =
         static_cast<double>(job.answer_tokens) / std::max(1U, figures.steps_per_pass);
     short_reading_ += reading_ms;
+    short_value_ += job.value;
     short_writing_ += passes * figures.steps_per_pass * figures.step_ms;
 }
 
+double engine_partition::short_need() const {
+    const double memory_ms = memory.count() * 1000;
+    return std::max(short_reading_ / memory_ms / short_utilization,
+                    short_writing_ / memory_ms / short_writers);
+}
+
+short_prompt_load engine_partition::short_load(time_point now) {
+    decay(now);
+    const double engines = short_need();
+    return {engines, engines > 0 ? short_value_ / memory.count() / engines : 0};
+}
+
 std::size_t engine_partition::kept(std::size_t count, time_point now) {
     decay(now);
-    const double memory_ms = memory.count() * 1000;
-    const double long_need = long_reading_ / memory_ms / long_utilization;
-    const double short_need = std::max(short_reading_ / memory_ms / short_utilization,
-                                       short_writing_ / memory_ms / short_writers);
+    const double long_need = long_reading_ / (memory.count() * 1000) / long_utilization;
+    const double short_need = this->short_need();
     const double sum = long_need + short_need;
     const double wanted = sum > 0 ? static_cast<double>(count) * long_need / sum : 0;
     if (std::abs(wanted - last_) > hysteresis) {
--- a/src/engine_partition.h
+++ b/src/engine_partition.h
@@ -7,6 +7,14 @@
 
 namespace magnolia {
 
+/// What short prompts need of a service's engines, by the work of the last seconds.
+struct short_prompt_load {
+    /// Engines that they fill.
+    double engines = 0;
+    /// Value that they bring on each of these engines in a second.
+    double value_per_engine_second = 0;
+};
+
 class engine_partition {
 public:
     /// Work was placed on an engine.
@@ -14,16 +22,22 @@
     /// Engines to keep for long prompts, out of `count`.
     [[nodiscard]] std::size_t kept(std::size_t count, time_point now);
 
+    [[nodiscard]] short_prompt_load short_load(time_point now);
+
     /// Whether a reading holds streams up for longer than short prompts bear.
     [[nodiscard]] static bool is_long(const engine_figures& figures, const reading& part);
 
 private:
     void decay(time_point now);
+    /// Engines that short prompts need.
+    [[nodiscard]] double short_need() const;
 
     /// Decayed sums of work, ms of an engine.
     double long_reading_ = 0;
     double short_reading_ = 0;
     double short_writing_ = 0;
+    /// Decayed sum of the value of short prompts.
+    double short_value_ = 0;
     time_point as_of_{};
     /// Last answer of kept(), as a fraction of an engine count.
     double last_ = 0;
--- a/src/forward_call.cpp
+++ b/src/forward_call.cpp
@@ -13,6 +13,9 @@
 /// A request that would cost others more than it gains is held back for this share of its time at
 /// most, and looked at again at this interval.
 constexpr double hold_share = 0.25;
+/// Share of the time until the caller gives a stream up without its first event, up to which it is
+/// held back.
+constexpr double patience_share = 0.7;
 constexpr milliseconds hold_interval{40};
 /// Time between two looks for room, and the share of the time left that may be spent on it.
 constexpr milliseconds room_interval{20};
@@ -101,7 +104,12 @@
     deadline_ = request_.received + patience;
     const auto now = steady_now();
     wait_until_ = now + (deadline_ - now) / room_wait_divisor;
-    hold_until_ = now + std::chrono::duration_cast<duration>((deadline_ - now) * hold_share);
+    first_event_by_ = route_->is_stream
+                          ? std::min(deadline_, request_.received + caller_patience(*route_))
+                          : deadline_;
+    hold_until_ = std::min(
+        now + std::chrono::duration_cast<duration>((deadline_ - now) * hold_share),
+        now + std::chrono::duration_cast<duration>((first_event_by_ - now) * patience_share));
     last_event_ = head_.resume_after;
     service_ = services_.front();
     for (const auto& service : services_) {
@@ -118,14 +126,19 @@
                                                         : info->engine->usual_answer_tokens;
         demand_.answer_tokens = std::min(guess, most);
     }
-    demand_.target_latency = route_->target_latency;
     demand_.target_pause = route_->target_pause;
-    demand_.time_limit = deadline_ - now;
     demand_.value = 1 + head_.prompt_tokens / tokens_per_value;
     auto& budget = shared_.budgets.try_emplace(service_, shared_.make_budget()).first->second;
     budget.on_first_attempt(1, now);
 }
 
+/// What is still at stake: time has passed since the request came.
+void forward_call::update_demand(time_point now) {
+    demand_.target_latency = request_.received + route_->target_latency - now;
+    demand_.is_late = is_late_ || demand_.target_latency.count() <= 0;
+    demand_.time_limit = (has_begun_ ? deadline_ : first_event_by_) - now;
+}
+
 void forward_call::next_attempt() {
     if (is_closed_) {
         return;
@@ -134,7 +147,8 @@
     if (now >= deadline_) {
         return on_deadline();
     }
-    auto chosen = shared_.fleet.choose(service_, {demand_, deadline_ - now}, avoided_, now);
+    update_demand(now);
+    auto chosen = shared_.fleet.choose(service_, {demand_, demand_.time_limit}, avoided_, now);
     if (!chosen) {
         return wait_for_room(chosen.error(), room_interval);
     }
--- a/src/forward_call.h
+++ b/src/forward_call.h
@@ -79,6 +79,7 @@
 
     [[nodiscard]] result<void> find_route();
     void set_deadline();
+    void update_demand(time_point now);
     void next_attempt();
     /// Waits for a backend server to have room, or refuses.
     void wait_for_room(const error& failure, milliseconds pause);
@@ -125,6 +126,8 @@
     time_point deadline_{};
     time_point wait_until_{};
     time_point hold_until_{};
+    /// Time until which a first event is of use.
+    time_point first_event_by_{};
     boost::asio::steady_timer timer_;
     bool is_closed_ = false;
 
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -185,7 +185,12 @@
       prober_{client_, fleet_, codec},
       exchange_{io_,
                 {[this](const work_news& news) { on_news(news); },
-                 [this](std::uint64_t origin) { fleet_.forget_origin(origin); }}},
+                 [this](std::uint64_t origin) { fleet_.forget_origin(origin); },
+                 [this](const auto& peer) {
+                     for (const auto& part : fleet_.recap(settings_.process.name, steady_now())) {
+                         exchange_.send_to(part, peer);
+                     }
+                 }}},
       shared_{.io = io_,
               .codec = codec,
               .client = client_,
@@ -304,6 +309,7 @@
                        if (!reply) {
                            return log_.info("gateways not listed: " + to_string(reply.error()));
                        }
+                       const bool is_first = exchange_.known_peers() == 0;
                        for (const auto& object : std::get<object_page>(*reply).items) {
                            endpoint where;
                            schema_reader reader{unknown_keys::accept};
@@ -312,6 +318,10 @@
                                exchange_.add_peer(where);
                            }
                        }
+                       if (is_first) {
+                           // Others answer the first digest with the work they have under way.
+                           send_digest(steady_now());
+                       }
                    });
 }
 
--- a/src/news_exchange.cpp
+++ b/src/news_exchange.cpp
@@ -65,11 +65,23 @@
         return log_of().error("news not sent: " + to_string(framed.error()));
     }
     for (const auto& address : peers_ | std::views::keys) {
-        boost::system::error_code failure;
-        socket_.send_to(boost::asio::buffer(frame), address, 0, failure);
-        if (failure) {
-            log_of().debug("news to " + address.address().to_string() + ": " + failure.message());
-        }
+        transmit(frame, address);
+    }
+}
+
+void news_exchange::send_to(const work_news& news, const udp::endpoint& peer) {
+    std::string frame;
+    if (const auto framed = append_frame(news, frame); !framed) {
+        return log_of().error("news not sent: " + to_string(framed.error()));
+    }
+    transmit(frame, peer);
+}
+
+void news_exchange::transmit(const std::string& frame, const udp::endpoint& peer) {
+    boost::system::error_code failure;
+    socket_.send_to(boost::asio::buffer(frame), peer, 0, failure);
+    if (failure) {
+        log_of().debug("news to " + peer.address().to_string() + ": " + failure.message());
     }
 }
 
@@ -110,6 +122,7 @@
         if (is_restart) {
             on_.on_gone(former);
         }
+        on_.on_new(from_);
     }
     known.heard = steady_now();
     on_.on_news(*news);
--- a/src/news_exchange.h
+++ b/src/news_exchange.h
@@ -21,6 +21,8 @@
         std::function<void(const work_news&)> on_news;
         /// A start of a gateway has not been heard for the silence limit.
         std::function<void(std::uint64_t origin)> on_gone;
+        /// A gateway, or a new start of one, was heard for the first time.
+        std::function<void(const boost::asio::ip::udp::endpoint& peer)> on_new;
     };
 
     news_exchange(boost::asio::io_context& context, handlers on);
@@ -30,6 +32,7 @@
     void add_peer(const endpoint& where);
     /// Sends to every peer; failures are counted and otherwise ignored.
     void send(const work_news& news);
+    void send_to(const work_news& news, const boost::asio::ip::udp::endpoint& peer);
     /// Forgets the work of peers that have fallen silent.
     void check_silence(time_point now);
     /// Peers that were ever known, this gateway not counted.
@@ -42,6 +45,7 @@
         std::uint64_t origin = 0;
     };
 
+    void transmit(const std::string& frame, const boost::asio::ip::udp::endpoint& peer);
     void receive();
     void on_datagram(std::size_t size);
 
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -1,7 +1,5 @@
 #include "placement.h"
 
-#include "engine_partition.h"
-
 #include <algorithm>
 #include <array>
 #include <cmath>
@@ -22,6 +20,12 @@
 constexpr double member_cost = 0.01;
 /// Value lost on an engine whose slots are all taken.
 constexpr double load_cost = 0.15;
+/// Value lost by taking one of the last slots: a request that comes next waits until one is free,
+/// and is late. It counts in full once fewer than this share of the slots are free.
+constexpr double last_slots_cost = 0.5;
+constexpr double scarce_slots_share = 0.1;
+/// Value lost by taking the last slot of an engine: another gateway may take it at the same time.
+constexpr double shared_slot_cost = 0.1;
 /// Value lost for each target latency of waiting, met or not; prefers the earlier of two engines.
 constexpr double waiting_cost = 0.05;
 /// Predicted times are off by about this share either way.
@@ -37,6 +41,8 @@
 /// Differences below this are drawn at random, so that hosts do not choose alike.
 constexpr double jitter_cost = 0.01;
 
+constexpr double ms_per_second = 1000;
+
 double to_seconds(duration span) {
     return std::chrono::duration<double>{span}.count();
 }
@@ -79,8 +85,14 @@
 
 private:
     [[nodiscard]] std::vector<part_cost> price_parts(const reading& part, std::size_t count) const;
+    /// Value that can still be gained.
+    [[nodiscard]] double stake() const;
     [[nodiscard]] double own_cost(time_point first_event) const;
     [[nodiscard]] double writer_cost(const placement_option& option) const;
+    /// Value that others lose by one slot less.
+    [[nodiscard]] double slot_price() const;
+    /// Value that short prompts lose while `engines` of those for them read parts.
+    [[nodiscard]] double displaced_cost(std::size_t engines, const reading& part) const;
     [[nodiscard]] std::uint32_t memory_needed() const;
     void consider(std::size_t count);
     [[nodiscard]] result<placement_choice> run_reserved();
@@ -90,6 +102,7 @@
     std::span<const placement_option> options_;
     time_point now_;
     std::mt19937_64& random_;
+    double slot_price_ = slot_price();
     double best_cost_ = std::numeric_limits<double>::infinity();
     placement_choice best_;
 };
@@ -98,11 +111,18 @@
     return query_.demand.prompt_tokens + query_.demand.answer_tokens;
 }
 
+double pause_search::stake() const {
+    return query_.demand.value * (query_.demand.is_late ? 1 - late_loss : 1);
+}
+
 double pause_search::own_cost(time_point first_event) const {
     const auto& demand = query_.demand;
     const auto wait = first_event - now_;
     if (wait > query_.time_left) {
-        return demand.value;
+        return stake();
+    }
+    if (demand.is_late) {
+        return 0;
     }
     const double target = std::max(to_seconds(demand.target_latency), 0.001);
     const double ratio = to_seconds(wait) / target;
@@ -110,14 +130,45 @@
            (late_loss * miss_probability(ratio) + waiting_cost * std::min(ratio, 2.0));
 }
 
+double pause_search::slot_price() const {
+    double slots = 0;
+    double free = 0;
+    for (const auto& option : options_) {
+        if (!option.is_kept) {
+            slots += option.slots;
+            free += option.slots - std::min(option.slots, option.forecast->running());
+        }
+    }
+    return slots > 0
+               ? last_slots_cost * std::clamp(1 - free / (slots * scarce_slots_share), 0.0, 1.0)
+               : 0;
+}
+
+double pause_search::displaced_cost(std::size_t engines, const reading& part) const {
+    const auto is_open = [](const placement_option& option) {
+        return !option.is_kept && !option.forecast->is_reading_long();
+    };
+    const auto open = static_cast<double>(std::ranges::count_if(options_, is_open));
+    const auto taken = static_cast<double>(engines);
+    const double missing = std::clamp(query_.short_load.engines - (open - taken), 0.0, taken);
+    const double span =
+        engine_forecast::reading_ms(options_.front().forecast->figures(), part) / ms_per_second;
+    return missing * span * query_.short_load.value_per_engine_second * late_loss;
+}
+
 double pause_search::writer_cost(const placement_option& option) const {
     const auto& forecast = *option.forecast;
     const double load = static_cast<double>(forecast.running()) / std::max(1U, option.slots);
     const double pause =
-        std::chrono::duration<double, std::milli>{query_.demand.target_pause}.count();
+        query_.demand.is_late
+            ? 0
+            : std::chrono::duration<double, std::milli>{query_.demand.target_pause}.count();
     const double pass = forecast.plain_pass_ms(query_.demand.prompt_tokens);
     const double ratio = pause > 0 ? pass / pause : 0;
-    return load_cost * load * load + query_.demand.value * late_loss * miss_probability(ratio);
+    const bool is_last_slot = forecast.running() + 1 >= option.slots;
+    return load_cost * load * load + (option.is_kept ? 0 : slot_price_) +
+           (is_last_slot ? shared_slot_cost : 0) +
+           query_.demand.value * late_loss * miss_probability(ratio);
 }
 
 std::vector<part_cost> pause_search::price_parts(const reading& part, std::size_t count) const {
@@ -129,6 +180,7 @@
     job.target_pause = query_.demand.target_pause;
     job.time_limit = query_.demand.time_limit;
     job.value = query_.demand.value;
+    job.is_late = query_.demand.is_late;
     std::vector<part_cost> parts;
     parts.reserve(options_.size());
     const bool is_long = engine_partition::is_long(options_.front().forecast->figures(),
@@ -167,14 +219,19 @@
     std::rotate(parts.begin(), writer, writer + 1);
     parts.resize(std::min(count, parts.size()));
     const auto first_event = std::ranges::max(parts, {}, &part_cost::read_end).read_end;
+    const auto unkept = static_cast<std::size_t>(
+        std::ranges::count_if(parts, [](const auto& item) { return !item.option->is_kept; }));
+    const bool is_long = engine_partition::is_long(options_.front().forecast->figures(),
+                                                   reading::of(query_.demand.prompt_tokens, 1));
+    const double displaced = is_long ? displaced_cost(unkept, part) : 0;
     const double cost = std::accumulate(
-        parts.begin(), parts.end(), parts.front().writer_cost + own_cost(first_event),
+        parts.begin(), parts.end(), parts.front().writer_cost + own_cost(first_event) + displaced,
         [](double sum, const part_cost& item) { return sum + item.cost; });
     if (cost >= best_cost_) {
         return;
     }
     best_cost_ = cost;
-    best_.net_value = query_.demand.value - cost;
+    best_.net_value = stake() - cost;
     best_.first_event = first_event;
     best_.part = part;
     best_.members.clear();
@@ -227,7 +284,7 @@
         left -= share;
         choice.members.push_back({item.option->index, static_cast<std::uint32_t>(share)});
     }
-    choice.net_value = query_.demand.value - own_cost(choice.first_event) - damage;
+    choice.net_value = stake() - own_cost(choice.first_event) - damage;
     return choice;
 }
 
--- a/src/placement.h
+++ b/src/placement.h
@@ -2,7 +2,7 @@
 /// at is passed in.
 #pragma once
 
-#include "engine_forecast.h"
+#include "engine_partition.h"
 
 #include <random>
 #include <span>
@@ -31,6 +31,7 @@
     job_demand demand;
     /// Time until which an answer is of use.
     duration time_left{0};
+    short_prompt_load short_load{};
 };
 
 /// An engine that takes part.
--- a/tests/backend_fleet_test.cpp
+++ b/tests/backend_fleet_test.cpp
@@ -128,6 +128,33 @@
     EXPECT_EQ(busy->first_event, idle->first_event);
 }
 
+TEST_F(fleet_test, a_gateway_that_has_just_started_learns_what_is_left_of_older_work) {
+    chosen_backends long_read;
+    long_read.members = {{"a", {"127.0.0.1", 1}, 0}};
+    long_read.part = reading::of(200'000, 1);
+    job_demand demand;
+    demand.prompt_tokens = 200'000;
+    demand.answer_tokens = 500;
+    demand.target_latency = milliseconds{2500};
+    const auto id = other_.start(long_read, demand, start);
+    static_cast<void>(other_.take_news("other", false)); // Sent before the other one started.
+    const auto later = start + milliseconds{500};
+    const auto parts = other_.recap("other", later);
+    ASSERT_EQ(parts.size(), 1U);
+    ASSERT_EQ(parts.front().placed.size(), 1U);
+    const auto& left = parts.front().placed.front();
+    EXPECT_EQ(left.number, id.number);
+    EXPECT_LT(left.read_tokens, 200'000U);
+    EXPECT_GT(left.first_pairs, 0);
+    EXPECT_EQ(left.target_latency, milliseconds{2000});
+    fleet_.on_news(parts.front(), later);
+    for (int round = 0; round < 20; ++round) {
+        EXPECT_EQ(chosen({}, later), "b");
+    }
+    other_.on_ended(id, attempt_result::done, later);
+    EXPECT_TRUE(other_.recap("other", later).empty());
+}
+
 TEST_F(fleet_test, silence_is_told_apart_by_what_else_was_heard) {
     EXPECT_EQ(fleet_.evidence_of("a", start), life_evidence::none);
     fleet_.on_heard("a", start);
--- a/tests/engine_forecast_test.cpp
+++ b/tests/engine_forecast_test.cpp
@@ -156,5 +156,12 @@
     EXPECT_TRUE(engine_partition::is_long(sample_figures(), reading::of(45'000, 1)));
 }
 
+TEST(engine_forecast, a_prompt_of_unknown_length_is_read_in_one_pass) {
+    engine_forecast forecast{engine_figures{}};
+    engine_job job;
+    job.read = reading::of(0, 1);
+    EXPECT_LT(forecast.try_job(job, time_point{}).read_end - time_point{}, milliseconds{10});
+}
+
 } // namespace
 } // namespace magnolia
--- a/tests/news_exchange_test.cpp
+++ b/tests/news_exchange_test.cpp
@@ -34,12 +34,14 @@
     std::vector<work_news> heard_by_one_;
     std::vector<work_news> heard_by_two_;
     std::vector<std::uint64_t> gone_;
-    news_exchange one_{
-        context_,
-        {[this](const work_news& news) { heard_by_one_.push_back(news); }, [](std::uint64_t) {}}};
+    news_exchange one_{context_,
+                       {[this](const work_news& news) { heard_by_one_.push_back(news); },
+                        [](std::uint64_t) {}, [](const auto&) {}}};
     news_exchange two_{context_,
                        {[this](const work_news& news) { heard_by_two_.push_back(news); },
-                        [this](std::uint64_t origin) { gone_.push_back(origin); }}};
+                        [this](std::uint64_t origin) { gone_.push_back(origin); },
+                        [this](const auto& peer) { two_.send_to(news_of(50 + ++met_), peer); }}};
+    std::uint64_t met_ = 0;
 };
 
 TEST_F(exchange_pair, who_is_heard_is_answered_without_being_listed) {
@@ -48,11 +50,21 @@
     run_until([&] { return !heard_by_two_.empty(); });
     EXPECT_EQ(heard_by_two_.front(), news_of(7));
     two_.send(news_of(8));
-    run_until([&] { return !heard_by_one_.empty(); });
-    EXPECT_EQ(heard_by_one_.front().origin, 8U);
+    run_until([&] { return heard_by_one_.size() == 2; });
+    EXPECT_EQ(heard_by_one_.back().origin, 8U);
     EXPECT_EQ(two_.live_peers(), 1U);
 }
 
+TEST_F(exchange_pair, each_start_is_met_once) {
+    one_.add_peer({"127.0.0.1", first_port + 1});
+    one_.send(news_of(7));
+    one_.send(news_of(7));
+    one_.send(news_of(9));
+    run_until([&] { return heard_by_two_.size() == 3 && heard_by_one_.size() == 2; });
+    EXPECT_EQ(met_, 2U);
+    EXPECT_EQ(heard_by_one_.front().origin, 51U);
+}
+
 TEST_F(exchange_pair, a_new_start_or_silence_ends_the_former_start) {
     one_.add_peer({"127.0.0.1", first_port + 1});
     one_.send(news_of(7));
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -157,5 +157,25 @@
     EXPECT_FALSE(least.choose({}, {}, start, random));
 }
 
+TEST(placement, a_request_that_is_late_leaves_the_last_slots_to_those_that_are_not) {
+    fleet_of_engines fleet{2};
+    for (std::uint64_t number = 0; number < 14; ++number) {
+        fleet[0].place(stream_of(10 + number), start);
+        fleet[1].place(stream_of(30 + number), start);
+    }
+    auto query = short_query();
+    const auto on_time = fleet.choose(query);
+    ASSERT_TRUE(on_time);
+    EXPECT_GT(on_time->net_value, 0);
+    fleet[0].place(stream_of(50), start);
+    fleet[0].place(stream_of(51), start);
+    fleet[1].place(stream_of(52), start);
+    query.demand.is_late = true;
+    query.demand.target_latency = milliseconds{-100};
+    const auto late = fleet.choose(query);
+    ASSERT_TRUE(late);
+    EXPECT_LT(late->net_value, 0);
+}
+
 } // namespace
 } // namespace magnolia
