Waiting has a price; prompts over one engine's memory are placed by cost

Cause: (1) engines read the newest part first, and a wait within the target cost nothing, so each later prompt pushed an earlier one back a little until it was late (90,000 tokens: predicted 553 ms, first event after 3,565 ms). (2) Prompts over one engine's memory went to the engines with most free memory, as a rule those of the short prompts, at a fixed width and without looking at what streams lost: about a third of the short prompts' long pauses.

--- /dev/null
+++ b/bench/placement_experiment.cpp
@@ -0,0 +1,539 @@
+/// Compares placement policies on stand-in engines: requests of the users' lengths in the waves of
+/// their days, several gateways that hear of each other's work with a delay, the product's own
+/// backend_fleet as the one that decides. Virtual clock; the same seeds for every policy.
+#include "attempt_policy.h"
+#include "backend_fleet.h"
+#include "pass_engine.h"
+
+#include <cxxopts.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdio>
+#include <map>
+#include <memory>
+#include <numeric>
+#include <queue>
+#include <random>
+#include <thread>
+
+namespace magnolia::bench {
+namespace {
+
+using seconds = std::chrono::duration<double>;
+
+/// A kind of request, as the users' sheets have it.
+struct request_kind {
+    const char* name = "";
+    double mean_tokens = 0;
+    double spread = 0;
+    double most_tokens = 0;
+    double mean_events = 0;
+    double event_spread = 0;
+    double per_second = 0;
+    milliseconds target_latency{0};
+    milliseconds target_pause{0};
+    milliseconds time_limit{0};
+    double worth = 0;
+};
+
+/// Share of the worth that a late answer keeps.
+constexpr double late_share = 0.25;
+/// Tokens of an event.
+constexpr double event_tokens = 43;
+
+constexpr std::array<request_kind, 3> kinds{{
+    {"short", 4960, 0.9, 23'800, 31.6, 0.7, 34, milliseconds{300}, milliseconds{250},
+     milliseconds{10'000}, 1.3},
+    {"middle", 45'000, 0.5, 110'000, 19, 0.6, 1.86, milliseconds{1500}, milliseconds{600},
+     milliseconds{10'000}, 3.9},
+    {"long", 133'000, 0.55, 600'000, 15.8, 0.5, 1.56, milliseconds{3000}, milliseconds{1000},
+     milliseconds{15'000}, 15},
+}};
+
+/// Factors on the usual rates until a moment, s.
+struct wave {
+    double until = 0;
+    std::array<double, 3> factors{};
+};
+
+constexpr std::array<wave, 5> waves{{{2.3, {1, 1, 1}},
+                                     {11.8, {0.3, 1.3, 2.6}},
+                                     {21.5, {2.5, 0.5, 0.05}},
+                                     {32.5, {0.33, 1.3, 2.8}},
+                                     {36, {1, 1, 1}}}};
+
+struct options {
+    std::size_t engines = 16;
+    std::size_t gateways = 6;
+    double load = 1;
+    std::uint64_t seed = 1;
+    /// One-way delay of news between gateways, and of requests to engines.
+    milliseconds delay{5};
+    placement_policy policy = placement_policy::pause_aware;
+    bool verbose = false;
+};
+
+engine_figures users_engine() {
+    engine_figures figures;
+    figures.slots = 16;
+    figures.memory_tokens = 232'000;
+    figures.steps_per_pass = 43;
+    figures.step_ms = 1.02;
+    figures.step_ms_per_request = 0.00226;
+    figures.step_ms_per_thousand_context = 0.00431;
+    figures.read_tokens_per_ms = 206;
+    figures.read_ms_per_million_pairs = 0.138;
+    figures.usual_answer_tokens = 1100;
+    return figures;
+}
+
+struct request {
+    std::size_t kind = 0;
+    std::uint32_t tokens = 0;
+    std::uint32_t answer_tokens = 0;
+    std::uint32_t guess_tokens = 0;
+    time_point arrived{};
+    std::size_t gateway = 0;
+    // State.
+    enum class stage : std::uint8_t { waiting, sent, done, gone } at = stage::waiting;
+    job_id job{};
+    chosen_backends chosen;
+    std::size_t parts_left = 0;
+    std::size_t sent_members = 0;
+    bool has_begun = false;
+    time_point first{};
+    time_point last{};
+    duration longest_pause{0};
+    bool is_late = false;
+    double earned = 0;
+    double owed = 0;
+};
+
+struct kind_result {
+    double owed = 0;
+    double earned = 0;
+    std::size_t count = 0;
+    std::size_t first_late = 0;
+    std::size_t pause_late = 0;
+    std::size_t lost = 0;
+};
+
+struct day_result {
+    std::array<kind_result, 3> kinds{};
+    double busy = 0;
+    std::map<int, std::pair<double, double>> windows;
+};
+
+class experiment {
+public:
+    explicit experiment(const options& options);
+    day_result run();
+
+private:
+    using action = std::function<void()>;
+    struct event {
+        time_point at;
+        std::uint64_t number;
+        action what;
+        bool operator>(const event& other) const {
+            return std::tie(at, number) > std::tie(other.at, other.number);
+        }
+    };
+
+    void at(time_point when, action what) { queue_.push({when, next_number_++, std::move(what)}); }
+    void make_requests();
+    void attempt(std::size_t index);
+    void send(std::size_t index);
+    void give_up(std::size_t index);
+    void end(std::size_t index, attempt_result result);
+    void tell(std::size_t gateway);
+    void arm(std::size_t engine);
+    void on_pass(std::size_t engine, const std::vector<pass_event>& events);
+    void on_event(std::size_t index, bool is_last);
+    [[nodiscard]] job_demand demand_of(const request& item) const;
+    [[nodiscard]] std::size_t engine_of(const std::string& id) const {
+        return static_cast<std::size_t>(std::stoul(id.substr(1)));
+    }
+
+    options options_;
+    std::mt19937_64 random_;
+    time_point now_{};
+    std::uint64_t next_number_ = 0;
+    std::priority_queue<event, std::vector<event>, std::greater<>> queue_;
+    std::vector<pass_engine> engines_;
+    std::vector<time_point> armed_;
+    std::vector<std::unique_ptr<backend_fleet>> fleets_;
+    std::vector<request> requests_;
+};
+
+constexpr time_point day_start{std::chrono::seconds{1000}};
+
+experiment::experiment(const options& options) : options_{options}, random_{options.seed} {
+    engines_.assign(options.engines, pass_engine{users_engine()});
+    armed_.resize(options.engines);
+    for (std::size_t index = 0; index < options.gateways; ++index) {
+        fleets_.push_back(std::make_unique<backend_fleet>("z" + std::to_string(index % 3),
+                                                          index + 1, options.policy));
+        fleets_.back()->set_services({{"llm", users_engine()}});
+        for (std::size_t engine = 0; engine < options.engines; ++engine) {
+            backend_info info;
+            info.id = "e" + std::to_string(engine);
+            info.service = "llm";
+            info.address = {"127.0.0.1", static_cast<std::uint16_t>(1000 + engine)};
+            info.zone = "z" + std::to_string(engine % 3);
+            info.slots = users_engine().slots;
+            fleets_.back()->put(info);
+        }
+    }
+    make_requests();
+}
+
+void experiment::make_requests() {
+    const auto draw = [&](double mean, double spread, double most) {
+        std::lognormal_distribution<double> draw_one{std::log(mean) - spread * spread / 2, spread};
+        double value = draw_one(random_);
+        while (value > most) {
+            value = draw_one(random_);
+        }
+        return value;
+    };
+    double from = 0;
+    for (const auto& item : waves) {
+        for (std::size_t kind = 0; kind < kinds.size(); ++kind) {
+            const auto& what = kinds[kind];
+            std::exponential_distribution<double> gap{what.per_second * item.factors[kind] *
+                                                      options_.load};
+            for (double when = from + gap(random_); when < item.until; when += gap(random_)) {
+                request made;
+                made.kind = kind;
+                made.tokens = static_cast<std::uint32_t>(
+                    draw(what.mean_tokens, what.spread, what.most_tokens));
+                made.answer_tokens = static_cast<std::uint32_t>(
+                    event_tokens * std::max(1.0, draw(what.mean_events, what.event_spread,
+                                                      2.5 * what.mean_events)));
+                made.guess_tokens = static_cast<std::uint32_t>(
+                    made.answer_tokens * std::lognormal_distribution<double>{0, 0.5}(random_));
+                made.arrived = day_start + std::chrono::duration_cast<duration>(seconds{when});
+                made.gateway = random_() % options_.gateways;
+                made.owed = what.worth * std::min(4.0, 0.3 + 0.7 * made.tokens / what.mean_tokens);
+                requests_.push_back(made);
+            }
+        }
+        from = item.until;
+    }
+}
+
+job_demand experiment::demand_of(const request& item) const {
+    const auto& kind = kinds[item.kind];
+    job_demand demand;
+    demand.prompt_tokens = item.tokens;
+    demand.answer_tokens = item.guess_tokens;
+    demand.target_latency = item.arrived + kind.target_latency - now_;
+    demand.target_pause = kind.target_pause;
+    demand.is_late = demand.target_latency.count() <= 0;
+    demand.value = 1 + item.tokens / 10'000.0;
+    route_info route;
+    route.is_stream = true;
+    route.target_latency = kind.target_latency;
+    route.target_pause = kind.target_pause;
+    const auto by = std::min(item.arrived + caller_patience(route), item.arrived + kind.time_limit);
+    demand.time_limit = by - now_;
+    return demand;
+}
+
+void experiment::attempt(std::size_t index) {
+    auto& item = requests_[index];
+    if (item.at != request::stage::waiting) {
+        return;
+    }
+    auto& fleet = *fleets_[item.gateway];
+    const auto demand = demand_of(item);
+    auto chosen = fleet.choose("llm", {demand, demand.time_limit}, {}, now_);
+    const auto& kind = kinds[item.kind];
+    const auto hold_until =
+        item.arrived + std::min<duration>(kind.time_limit / 4,
+                                          (demand.time_limit + (now_ - item.arrived)) * 7 / 10);
+    if (!chosen || (chosen->net_value < 0 && now_ < hold_until)) {
+        return at(now_ + milliseconds{chosen ? 40 : 20}, [this, index] { attempt(index); });
+    }
+    item.chosen = std::move(*chosen);
+    if (item.chosen.part.tokens == 0) {
+        item.chosen.part = reading::of(item.tokens, 1); // A policy that does not look at lengths.
+    }
+    item.job = fleet.start(item.chosen, demand, now_);
+    item.at = request::stage::sent;
+    tell(item.gateway);
+    at(now_ + options_.delay, [this, index] { send(index); });
+}
+
+void experiment::send(std::size_t index) {
+    auto& item = requests_[index];
+    if (item.at != request::stage::sent) {
+        return;
+    }
+    const auto& members = item.chosen.members;
+    item.sent_members = members.size();
+    item.parts_left = members.size();
+    const bool is_reserved =
+        std::ranges::any_of(members, [](const auto& member) { return member.reserved_tokens > 0; });
+    for (std::size_t place = 0; place < members.size(); ++place) {
+        const bool is_first = place == 0;
+        const auto whole = static_cast<double>(item.tokens) + item.answer_tokens;
+        const double memory = is_reserved ? members[place].reserved_tokens : (is_first ? whole : 0);
+        const auto engine = engine_of(members[place].id);
+        engines_[engine].add(
+            {.id = index,
+             .tokens = static_cast<double>(item.chosen.part.tokens),
+             .first_pairs = item.chosen.part.first_pairs,
+             .more_pairs = item.chosen.part.more_pairs,
+             .is_part = !is_first,
+             .awaits_parts = members.size() > 1,
+             .memory_tokens = static_cast<std::uint32_t>(memory),
+             .context_tokens = is_first ? std::min<double>(item.tokens, memory) : 0,
+             .answer_tokens = static_cast<double>(item.answer_tokens)},
+            now_);
+        arm(engine);
+    }
+}
+
+void experiment::arm(std::size_t engine) {
+    const auto end = engines_[engine].next_end();
+    if (!end || armed_[engine] == *end) {
+        return;
+    }
+    armed_[engine] = *end;
+    at(*end, [this, engine, end = *end] {
+        if (engines_[engine].next_end() == end) {
+            const auto events = engines_[engine].end_pass();
+            on_pass(engine, events);
+            arm(engine);
+        }
+    });
+}
+
+void experiment::on_pass(std::size_t /*engine*/, const std::vector<pass_event>& events) {
+    for (const auto& what : events) {
+        const auto index = static_cast<std::size_t>(what.id);
+        auto& item = requests_[index];
+        if (what.what == pass_event::kind::read) {
+            if (--item.parts_left == 0) {
+                const auto writer = engine_of(item.chosen.members.front().id);
+                engines_[writer].release(index, now_);
+                arm(writer);
+                at(now_ + options_.delay, [this, index] { on_event(index, false); });
+            }
+            continue;
+        }
+        const bool is_last = what.what == pass_event::kind::last_event;
+        at(now_ + options_.delay, [this, index, is_last] { on_event(index, is_last); });
+    }
+}
+
+void experiment::on_event(std::size_t index, bool is_last) {
+    auto& item = requests_[index];
+    if (item.at != request::stage::sent) {
+        return;
+    }
+    const auto& kind = kinds[item.kind];
+    auto& fleet = *fleets_[item.gateway];
+    if (!item.has_begun) {
+        item.has_begun = true;
+        item.first = now_;
+        item.is_late = now_ - item.arrived > kind.target_latency;
+        fleet.on_event(item.job, true, now_);
+        tell(item.gateway);
+    } else {
+        item.longest_pause = std::max(item.longest_pause, now_ - item.last);
+        item.is_late = item.is_late || now_ - item.last > kind.target_pause;
+        fleet.on_event(item.job, false, now_);
+    }
+    if (item.is_late) {
+        fleet.on_late(item.job);
+    }
+    item.last = now_;
+    if (is_last) {
+        item.earned = item.owed * (item.is_late ? late_share : 1);
+        end(index, attempt_result::done);
+        item.at = request::stage::done;
+    }
+}
+
+void experiment::give_up(std::size_t index) {
+    auto& item = requests_[index];
+    if (item.at == request::stage::sent) {
+        end(index, attempt_result::cancelled);
+    }
+    if (item.at != request::stage::done) {
+        item.at = request::stage::gone;
+    }
+}
+
+void experiment::end(std::size_t index, attempt_result result) {
+    auto& item = requests_[index];
+    fleets_[item.gateway]->on_ended(item.job, result, now_);
+    for (const auto& member : item.chosen.members) {
+        const auto engine = engine_of(member.id);
+        engines_[engine].remove(index, now_);
+        arm(engine);
+    }
+    tell(item.gateway);
+}
+
+void experiment::tell(std::size_t gateway) {
+    auto news = fleets_[gateway]->take_news("gateway", false);
+    if (!news) {
+        return;
+    }
+    at(now_ + options_.delay, [this, gateway, news = std::move(*news)] {
+        for (std::size_t other = 0; other < fleets_.size(); ++other) {
+            if (other != gateway) {
+                fleets_[other]->on_news(news, now_);
+            }
+        }
+    });
+}
+
+day_result experiment::run() {
+    for (std::size_t index = 0; index < requests_.size(); ++index) {
+        const auto& item = requests_[index];
+        const auto& kind = kinds[item.kind];
+        at(item.arrived, [this, index] { attempt(index); });
+        at(item.arrived + kind.time_limit, [this, index] { give_up(index); });
+        route_info route;
+        route.is_stream = true;
+        route.target_latency = kind.target_latency;
+        route.target_pause = kind.target_pause;
+        at(item.arrived + caller_patience(route), [this, index] {
+            if (!requests_[index].has_begun) {
+                give_up(index);
+            }
+        });
+    }
+    while (!queue_.empty()) {
+        auto next = queue_.top();
+        queue_.pop();
+        now_ = next.at;
+        next.what();
+    }
+    day_result result;
+    for (const auto& item : requests_) {
+        auto& sum = result.kinds[item.kind];
+        const auto& kind = kinds[item.kind];
+        ++sum.count;
+        sum.owed += item.owed;
+        sum.earned += item.earned;
+        sum.lost += item.at != request::stage::done ? 1 : 0;
+        sum.first_late += item.has_begun && item.first - item.arrived > kind.target_latency ? 1 : 0;
+        sum.pause_late += item.longest_pause > kind.target_pause ? 1 : 0;
+        auto& window =
+            result.windows[static_cast<int>(seconds{item.arrived - day_start}.count() / 2) * 2];
+        window.first += item.owed;
+        window.second += item.earned;
+    }
+    for (const auto& engine : engines_) {
+        result.busy += seconds{engine.busy()}.count();
+    }
+    return result;
+}
+
+/// Adds up days of several seeds, on several threads.
+day_result play(const options& base, std::size_t days, std::size_t threads) {
+    std::vector<day_result> results(days);
+    std::vector<std::jthread> pool;
+    for (std::size_t worker = 0; worker < threads; ++worker) {
+        pool.emplace_back([&, worker] {
+            for (std::size_t day = worker; day < days; day += threads) {
+                auto one = base;
+                one.seed = base.seed + day;
+                results[day] = experiment{one}.run();
+            }
+        });
+    }
+    pool.clear();
+    day_result sum;
+    for (const auto& day : results) {
+        for (std::size_t kind = 0; kind < kinds.size(); ++kind) {
+            sum.kinds[kind].owed += day.kinds[kind].owed;
+            sum.kinds[kind].earned += day.kinds[kind].earned;
+            sum.kinds[kind].count += day.kinds[kind].count;
+            sum.kinds[kind].first_late += day.kinds[kind].first_late;
+            sum.kinds[kind].pause_late += day.kinds[kind].pause_late;
+            sum.kinds[kind].lost += day.kinds[kind].lost;
+        }
+        for (const auto& [from, window] : day.windows) {
+            sum.windows[from].first += window.first;
+            sum.windows[from].second += window.second;
+        }
+        sum.busy += day.busy;
+    }
+    return sum;
+}
+
+void print(const char* name, const day_result& result, bool has_windows) {
+    double owed = 0;
+    double earned = 0;
+    std::string text;
+    for (std::size_t kind = 0; kind < kinds.size(); ++kind) {
+        const auto& sum = result.kinds[kind];
+        owed += sum.owed;
+        earned += sum.earned;
+        const auto count = static_cast<double>(std::max<std::size_t>(sum.count, 1));
+        std::array<char, 160> line{};
+        std::snprintf(
+            line.data(), line.size(), "  %s %.3f (first late %.3f, pause %.3f, lost %.3f)",
+            kinds[kind].name, sum.earned / sum.owed, static_cast<double>(sum.first_late) / count,
+            static_cast<double>(sum.pause_late) / count, static_cast<double>(sum.lost) / count);
+        text += line.data();
+    }
+    std::printf("%-18s worth %.4f%s\n", name, earned / owed, text.c_str());
+    if (has_windows) {
+        for (const auto& [from, window] : result.windows) {
+            std::printf("  from %2d s: %.3f of %.0f\n", from, window.second / window.first,
+                        window.first);
+        }
+    }
+}
+
+} // namespace
+} // namespace magnolia::bench
+
+int main(int argc, char** argv) {
+    using namespace magnolia;
+    using namespace magnolia::bench;
+    cxxopts::Options flags{"placement_experiment",
+                           "Compares placement policies on stand-in engines."};
+    flags.add_options()("days", "seeds to play", cxxopts::value<std::size_t>()->default_value("8"))(
+        "seed", "first seed", cxxopts::value<std::uint64_t>()->default_value("1"))(
+        "threads", "at a time", cxxopts::value<std::size_t>()->default_value("4"))(
+        "gateways", "gateways", cxxopts::value<std::size_t>()->default_value("6"))(
+        "engines", "engines", cxxopts::value<std::size_t>()->default_value("16"))(
+        "load", "factor on all rates", cxxopts::value<double>()->default_value("1"))(
+        "policy", "only this one", cxxopts::value<std::string>()->default_value(""))(
+        "windows", "worth of each two seconds")("help", "this text");
+    const auto given = flags.parse(argc, argv);
+    if (given.count("help") > 0) {
+        std::puts(flags.help().c_str());
+        return 0;
+    }
+    options base;
+    base.engines = given["engines"].as<std::size_t>();
+    base.gateways = given["gateways"].as<std::size_t>();
+    base.load = given["load"].as<double>();
+    base.seed = given["seed"].as<std::uint64_t>();
+    const std::array<std::pair<const char*, placement_policy>, 3> policies{
+        {{"round robin", placement_policy::round_robin},
+         {"least outstanding", placement_policy::least_outstanding},
+         {"pause aware", placement_policy::pause_aware}}};
+    const auto wanted = given["policy"].as<std::string>();
+    for (const auto& [name, policy] : policies) {
+        if (!wanted.empty() && wanted != name) {
+            continue;
+        }
+        base.policy = policy;
+        print(name, play(base, given["days"].as<std::size_t>(), given["threads"].as<std::size_t>()),
+              given.count("windows") > 0);
+    }
+    return 0;
+}
--- /dev/null
+++ b/fakes/pass_engine.h
@@ -0,0 +1,72 @@
+/// Stand-in for one engine of the users' platform: it works in passes, reads parts for other
+/// engines before its own prompts, and knows nothing of the forecasts that gateways make of it.
+#pragma once
+
+#include "forward_types.h"
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace magnolia {
+
+/// Work of one request on one engine.
+struct pass_work {
+    std::uint64_t id = 0;
+    /// Tokens to read here, and the pairs of the first and of each next one.
+    double tokens = 0;
+    double first_pairs = 0;
+    double more_pairs = 1;
+    /// Read for another engine.
+    bool is_part = false;
+    /// Other engines read parts; the answer begins with release().
+    bool awaits_parts = false;
+    std::uint32_t memory_tokens = 0;
+    /// Context that each step pays for, tokens.
+    double context_tokens = 0;
+    double answer_tokens = 0;
+};
+
+/// What a pass has brought.
+struct pass_event {
+    enum class kind : std::uint8_t { read, event, last_event };
+    std::uint64_t id = 0;
+    kind what = kind::event;
+};
+
+class pass_engine {
+public:
+    explicit pass_engine(const engine_figures& figures) : figures_{figures} {}
+
+    void add(const pass_work& work, time_point now);
+    void remove(std::uint64_t id, time_point now);
+    /// All parts of a prompt are read: its answer begins with the next pass.
+    void release(std::uint64_t id, time_point now);
+    /// End of the pass under way.
+    [[nodiscard]] std::optional<time_point> next_end() const { return pass_end_; }
+    /// Ends the pass under way and begins the next one.
+    std::vector<pass_event> end_pass();
+    /// Share of the time up to now in which it had work.
+    [[nodiscard]] duration busy() const { return busy_; }
+
+private:
+    struct item {
+        pass_work work;
+        bool is_admitted = false;
+        bool is_writing = false;
+        double read = 0;
+        double in_pass = 0;
+        double written = 0;
+    };
+
+    void admit();
+    void begin_pass(time_point at);
+    [[nodiscard]] item* find(std::uint64_t id);
+
+    engine_figures figures_;
+    std::vector<item> items_;
+    std::optional<time_point> pass_end_;
+    duration busy_{0};
+};
+
+} // namespace magnolia
--- a/src/engine_forecast.cpp
+++ b/src/engine_forecast.cpp
@@ -84,6 +84,11 @@
     return more_pairs > 0 ? tokens : static_cast<std::uint32_t>(2 * first_pairs);
 }
 
+double delay_loss(duration wait, duration target) {
+    constexpr double most_targets = 2;
+    return std::min(to_ms(wait) / std::max(to_ms(target), 1.0), most_targets);
+}
+
 double engine_forecast::reading_ms(const engine_figures& figures, const reading& part) {
     const double steps =
         std::ceil(static_cast<double>(part.tokens) / std::max(1U, figures.tokens_per_step));
@@ -211,8 +216,10 @@
     const auto late = job.is_late ? 0
                                   : std::max(miss_probability(wait, job.target_latency),
                                              miss_probability(job.longest_pause, job.target_pause));
+    const bool may_be_met = !job.is_late && !has_begun && job.target_latency.count() > 0;
+    const double delay = may_be_met ? delay_loss(wait, job.target_latency) : 0;
     return job.value *
-           (late_loss * late + (1 - late_loss) * miss_probability(wait, job.time_limit));
+           (late_loss * late + delay + (1 - late_loss) * miss_probability(wait, job.time_limit));
 }
 
 reading_effect engine_forecast::try_job(const engine_job& job, time_point now) {
--- a/src/engine_forecast.h
+++ b/src/engine_forecast.h
@@ -90,6 +90,11 @@
 /// Part of a request's value that is lost if it is late; the rest goes if it is not served at all.
 inline constexpr double late_loss = 0.75;
 
+/// Share of a request's value that a wait for its first event is taken to cost, met or not: a
+/// prompt that is delayed a little by each of those that come after it is late in the end, as
+/// engines read the newest part first.
+[[nodiscard]] double delay_loss(duration wait, duration target);
+
 /// Reading beyond this is long, ms: with a plain pass it exceeds the pauses of short answers.
 inline constexpr double longest_short_reading_ms = 180;
 
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -6,6 +6,7 @@
 #include <limits>
 #include <numeric>
 #include <optional>
+#include <ranges>
 
 namespace magnolia {
 namespace {
@@ -13,7 +14,7 @@
 /// Engines that may share a reading; a backend server takes at most 15 helpers beside itself.
 constexpr std::array<std::size_t, 8> sharing_counts{1, 2, 3, 4, 6, 8, 12, 16};
 /// Prompts that are read in less time are not divided, ms: a part costs a pass at each helper.
-constexpr double least_divided_ms = 60;
+constexpr double least_divided_ms = 100;
 /// Value lost by another zone's longer way and its price.
 constexpr double other_zone_cost = 0.03;
 /// Value lost by each engine that takes part in a reading: the work of asking it.
@@ -26,8 +27,6 @@
 constexpr double scarce_slots_share = 0.1;
 /// Value lost by taking the last slot of an engine: another gateway may take it at the same time.
 constexpr double shared_slot_cost = 0.1;
-/// Value lost for each target latency of waiting, met or not; prefers the earlier of two engines.
-constexpr double waiting_cost = 0.05;
 /// Predicted times are off by about this share either way.
 constexpr double prediction_spread = 0.2;
 /// Share of an engine's memory that is filled; the rest is left to answers longer than expected.
@@ -96,6 +95,9 @@
     [[nodiscard]] std::uint32_t memory_needed() const;
     void consider(std::size_t count);
     [[nodiscard]] result<placement_choice> run_reserved();
+    void consider_reserved(std::size_t count);
+    /// Takes these readers, the first of which writes, if they are the cheapest so far.
+    bool offer(std::span<const part_cost> parts, const reading& part);
     [[nodiscard]] time_point first_room() const;
 
     const placement_query& query_;
@@ -127,7 +129,7 @@
     const double target = std::max(to_seconds(demand.target_latency), 0.001);
     const double ratio = to_seconds(wait) / target;
     return demand.value *
-           (late_loss * miss_probability(ratio) + waiting_cost * std::min(ratio, 2.0));
+           (late_loss * miss_probability(ratio) + delay_loss(wait, demand.target_latency));
 }
 
 double pause_search::slot_price() const {
@@ -218,6 +220,10 @@
     }
     std::rotate(parts.begin(), writer, writer + 1);
     parts.resize(std::min(count, parts.size()));
+    offer(parts, part);
+}
+
+bool pause_search::offer(std::span<const part_cost> parts, const reading& part) {
     const auto first_event = std::ranges::max(parts, {}, &part_cost::read_end).read_end;
     const auto unkept = static_cast<std::size_t>(
         std::ranges::count_if(parts, [](const auto& item) { return !item.option->is_kept; }));
@@ -228,7 +234,7 @@
         parts.begin(), parts.end(), parts.front().writer_cost + own_cost(first_event) + displaced,
         [](double sum, const part_cost& item) { return sum + item.cost; });
     if (cost >= best_cost_) {
-        return;
+        return false;
     }
     best_cost_ = cost;
     best_.net_value = stake() - cost;
@@ -238,54 +244,55 @@
     for (const auto& item : parts) {
         best_.members.push_back({item.option->index, 0});
     }
+    return true;
 }
 
-/// Divides a prompt that fits no single engine: memory is reserved at as few engines as hold it,
-/// and as many read it as the search finds best.
+/// Divides a prompt that fits no single engine: the cheapest readers that hold it together.
 result<placement_choice> pause_search::run_reserved() {
-    struct holder {
-        const placement_option* option = nullptr;
-        std::int64_t room = 0;
+    for (const auto count : sharing_counts) {
+        if (count > 1 && count <= options_.size()) {
+            consider_reserved(count);
+        }
+    }
+    if (best_.members.empty()) {
+        return tl::unexpected{no_capacity(first_room(), now_)};
+    }
+    return best_;
+}
+
+void pause_search::consider_reserved(std::size_t count) {
+    const auto part = reading::of(query_.demand.prompt_tokens, count);
+    auto parts = price_parts(part, count);
+    const auto room_of = [](const part_cost& item) {
+        return std::max<std::int64_t>(item.option->forecast->free_memory() - memory_left_free, 0);
     };
-    std::vector<holder> holders;
-    for (const auto& option : options_) {
-        const auto room = option.forecast->free_memory() - memory_left_free;
-        if (room > 0 && option.forecast->slot_free_at(now_) <= now_) {
-            holders.push_back({&option, room});
+    // The first `count` take part; those with the least room give way to the next ones.
+    std::int64_t room = 0;
+    for (const auto& item : parts | std::views::take(count)) {
+        room += room_of(item);
+    }
+    const auto last = parts.begin() + static_cast<std::ptrdiff_t>(count);
+    for (auto next = last; next != parts.end() && room < memory_needed(); ++next) {
+        const auto least = std::ranges::min_element(parts.begin(), last, {}, room_of);
+        if (room_of(*next) > room_of(*least)) {
+            room += room_of(*next) - room_of(*least);
+            std::iter_swap(least, next);
         }
     }
-    std::ranges::sort(holders, std::ranges::greater{}, &holder::room);
-    constexpr std::size_t most_members = 16;
-    std::int64_t missing = memory_needed();
-    std::size_t count = 0;
-    while (missing > 0 && count < std::min(holders.size(), most_members)) {
-        missing -= holders[count].room;
-        ++count;
+    if (room < memory_needed()) {
+        return;
     }
-    if (missing > 0) {
-        return tl::unexpected{no_capacity(first_room(), now_)};
+    parts.resize(count);
+    std::ranges::sort(parts, std::ranges::greater{}, room_of);
+    if (!offer(parts, part)) {
+        return;
     }
-    // Further members read without holding memory; they shorten the pass at every member.
-    const auto members = std::min({holders.size(), most_members, 2 * count});
-    placement_choice choice;
-    choice.part = reading::of(query_.demand.prompt_tokens, members);
-    engine_job job;
-    job.read = choice.part;
-    job.is_part = true;
     std::int64_t left = memory_needed();
-    double damage = 0;
-    // The first member holds what the reservations leave over.
-    for (std::size_t index = 0; index < members; ++index) {
-        const auto& item = holders[index];
-        const auto effect = item.option->forecast->try_job(job, now_);
-        choice.first_event = std::max(choice.first_event, effect.read_end);
-        damage += effect.damage;
-        const auto share = std::clamp<std::int64_t>(left, 0, item.room);
+    for (std::size_t index = 0; index < count; ++index) {
+        const auto share = std::clamp<std::int64_t>(left, 0, room_of(parts[index]));
         left -= share;
-        choice.members.push_back({item.option->index, static_cast<std::uint32_t>(share)});
+        best_.members[index].reserved_tokens = static_cast<std::uint32_t>(share);
     }
-    choice.net_value = stake() - own_cost(choice.first_event) - damage;
-    return choice;
 }
 
 time_point pause_search::first_room() const {
--- a/tests/engine_forecast_test.cpp
+++ b/tests/engine_forecast_test.cpp
@@ -163,5 +163,21 @@
     EXPECT_LT(forecast.try_job(job, time_point{}).read_end - time_point{}, milliseconds{10});
 }
 
+TEST(engine_forecast, delay_within_the_target_has_a_cost_so_that_later_parts_do_not_add_up) {
+    engine_forecast forecast{engine_figures{}};
+    engine_job earlier;
+    earlier.id = {1, 1};
+    earlier.read = reading::of(100'000, 2);
+    earlier.is_part = true;
+    earlier.target_latency = milliseconds{60'000};
+    earlier.value = 10;
+    forecast.place(earlier, time_point{});
+    auto later = earlier;
+    later.id = {1, 2};
+    EXPECT_GT(forecast.try_job(later, time_point{}).damage, 0.01);
+    forecast.set_late(earlier.id);
+    EXPECT_EQ(forecast.try_job(later, time_point{}).damage, 0);
+}
+
 } // namespace
 } // namespace magnolia
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -177,5 +177,27 @@
     EXPECT_LT(late->net_value, 0);
 }
 
+TEST(placement, a_prompt_over_one_engines_memory_leaves_engines_with_streams_alone) {
+    fleet_of_engines fleet{8};
+    for (std::size_t engine = 0; engine < 4; ++engine) {
+        for (std::uint64_t number = 0; number < 6; ++number) {
+            fleet[engine].place(stream_of(100 * engine + number), start - milliseconds{200});
+        }
+    }
+    for (std::size_t engine = 4; engine < 8; ++engine) {
+        auto older = stream_of(1000 + engine);
+        older.memory_tokens = 60'000; // More is free where the streams are.
+        fleet[engine].place(older, start - milliseconds{200});
+    }
+    const auto choice = fleet.choose(query_of(300'000, milliseconds{9000}, milliseconds{1000}), 4);
+    ASSERT_TRUE(choice);
+    std::uint64_t reserved = 0;
+    for (const auto& member : choice->members) {
+        EXPECT_GE(member.index, 4U);
+        reserved += member.reserved_tokens;
+    }
+    EXPECT_EQ(reserved, 301'000U);
+}
+
 } // namespace
 } // namespace magnolia
