--- a/src/engine_partition.cpp
+++ b/src/engine_partition.cpp
@@ -15,7 +15,7 @@
 /// Share of an engine's time that long reading may fill before it queues.
 constexpr double long_utilization = 0.7;
 /// Share of an engine's time that short prompts may be read in without holding up streams.
-constexpr double short_utilization = 0.35;
+constexpr double short_utilization = 0.25;
 /// Answers that are written on one engine at a time with room in their pauses.
 constexpr double short_writers = 10;
 /// Change of the wanted number that moves the kept one, engines.
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -24,7 +24,7 @@
 /// Value lost by taking one of the last slots: a request that comes next waits until one is free,
 /// and is late. It counts in full once fewer than this share of the slots are free.
 constexpr double last_slots_cost = 0.5;
-constexpr double scarce_slots_share = 0.1;
+constexpr double scarce_slots_share = 0.2;
 /// Value lost by taking the last slot of an engine: another gateway may take it at the same time.
 constexpr double shared_slot_cost = 0.1;
 /// Predicted times are off by about this share either way.
