Prompts that no single engine has room for now are held by several

A gateway that had just started took returned callers for new ones, as it had heard no longer time limit yet.

Change: the search over reserved memory follows when no engine has room; the route's timeout is the assumed time limit of new callers until two have come, and is forgotten if nobody states it.

--- a/src/dispatch_policy.cpp
+++ b/src/dispatch_policy.cpp
@@ -10,6 +10,11 @@
 constexpr double same_limit_share = 0.97;
 /// Share of the requests that have to state the longest time limit for it to be the usual one.
 constexpr double usual_share = 0.5;
+/// Below this share the longest time limit is looked for anew, after this many requests.
+constexpr double forgotten_share = 0.1;
+constexpr double least_requests = 10;
+/// Requests that the assumed time limit counts for.
+constexpr double assumed_weight = 2;
 /// Weight of the last request: the last hundred or so count.
 constexpr double newest_weight = 0.01;
 
@@ -32,11 +37,18 @@
     return std::chrono::duration_cast<duration>(time_left * return_share);
 }
 
-duration caller_times::passed_before(duration time_limit) {
+duration caller_times::passed_before(duration time_limit, duration assumed) {
+    if (all_ == 0) {
+        longest_ = assumed;
+        all_ = at_longest_ = assumed_weight;
+    }
     all_ = all_ * (1 - newest_weight) + 1;
     at_longest_ *= 1 - newest_weight;
-    if (time_limit > longest_) {
+    // What was assumed, or usual once, may be more than any caller states.
+    const bool is_forgotten = all_ > least_requests && at_longest_ < all_ * forgotten_share;
+    if (time_limit > longest_ || is_forgotten) {
         longest_ = time_limit;
+        all_ = 1;
         at_longest_ = 0;
     }
     const bool is_longest = time_limit >= longest_ * same_limit_share;
--- a/src/dispatch_policy.h
+++ b/src/dispatch_policy.h
@@ -40,9 +40,10 @@
 class caller_times {
 public:
     /// A request came that states this time limit.
+    /// @param assumed  time limit of new callers until enough of them have come.
     /// @returns the time that has passed since the caller first asked; 0 for new ones, and as long
     /// as time limits of the route differ too much to tell.
-    [[nodiscard]] duration passed_before(duration time_limit);
+    [[nodiscard]] duration passed_before(duration time_limit, duration assumed);
 
 private:
     duration longest_{0};
--- a/src/forward_call.cpp
+++ b/src/forward_call.cpp
@@ -102,7 +102,8 @@
     deadline_ = request_.received + patience;
     asked_ = request_.received;
     if (head_.time_left) {
-        asked_ -= shared_.caller_times[route_->name].passed_before(*head_.time_left);
+        asked_ -=
+            shared_.caller_times[route_->name].passed_before(*head_.time_left, route_->timeout);
     }
     const auto now = steady_now();
     first_event_by_ = route_->is_stream
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -94,7 +94,6 @@
     [[nodiscard]] double displaced_cost(std::size_t engines, const reading& part) const;
     [[nodiscard]] std::uint32_t memory_needed() const;
     void consider(std::size_t count);
-    [[nodiscard]] result<placement_choice> run_reserved();
     void consider_reserved(std::size_t count);
     /// Takes these readers, the first of which writes, if they are the cheapest so far.
     bool offer(std::span<const part_cost> parts, const reading& part);
@@ -247,19 +246,7 @@
     return true;
 }
 
-/// Divides a prompt that fits no single engine: the cheapest readers that hold it together.
-result<placement_choice> pause_search::run_reserved() {
-    for (const auto count : sharing_counts) {
-        if (count > 1 && count <= options_.size()) {
-            consider_reserved(count);
-        }
-    }
-    if (best_.members.empty()) {
-        return tl::unexpected{no_capacity(first_room(), now_)};
-    }
-    return best_;
-}
-
+/// Divides a prompt among the cheapest readers that hold it together.
 void pause_search::consider_reserved(std::size_t count) {
     const auto part = reading::of(query_.demand.prompt_tokens, count);
     auto parts = price_parts(part, count);
@@ -307,17 +294,22 @@
     const auto largest = std::ranges::max(options_, {}, [](const auto& option) {
                              return option.forecast->figures().memory_tokens;
                          }).forecast->figures();
-    if (memory_needed() > memory_fill * largest.memory_tokens) {
-        return run_reserved();
-    }
     const double whole =
         engine_forecast::reading_ms(largest, reading::of(query_.demand.prompt_tokens, 1));
+    const bool fits_one = memory_needed() <= memory_fill * largest.memory_tokens;
     for (const auto count : sharing_counts) {
         const bool is_useful = count == 1 || whole >= least_divided_ms;
-        if (is_useful && count <= options_.size()) {
+        if (fits_one && is_useful && count <= options_.size()) {
             consider(count);
         }
     }
+    // Too large for any engine, or for what is free on each.
+    const bool needs_several = best_.members.empty() && whole > longest_short_reading_ms;
+    for (const auto count : sharing_counts) {
+        if (needs_several && count > 1 && count <= options_.size()) {
+            consider_reserved(count);
+        }
+    }
     if (best_.members.empty()) {
         return tl::unexpected{no_capacity(first_room(), now_)};
     }
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -199,5 +199,21 @@
     EXPECT_EQ(reserved, 301'000U);
 }
 
+TEST(placement, a_prompt_that_no_engine_has_room_for_now_is_held_by_several) {
+    fleet_of_engines fleet{6};
+    for (std::size_t engine = 0; engine < 6; ++engine) {
+        auto older = stream_of(engine + 1);
+        older.memory_tokens = 60'000;
+        fleet[engine].place(older, start - milliseconds{200});
+    }
+    const auto choice = fleet.choose(long_query(200'000));
+    ASSERT_TRUE(choice);
+    std::uint64_t reserved = 0;
+    for (const auto& member : choice->members) {
+        reserved += member.reserved_tokens;
+    }
+    EXPECT_EQ(reserved, 201'000U);
+}
+
 } // namespace
 } // namespace magnolia
