--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -12,6 +12,8 @@
 #include <nlohmann/json.hpp>
 
 #include <csignal>
+#include <fstream>
+#include <iterator>
 #include <ranges>
 
 namespace magnolia {
@@ -21,6 +23,9 @@
 constexpr milliseconds digest_interval{500};
 /// Time between two readings of the list of gateways.
 constexpr milliseconds member_interval{10000};
+/// Time between two looks at the settings file: a change is in force within the time for one of
+/// the configuration, which is 2 s at least.
+constexpr milliseconds settings_interval{1000};
 /// Kind of the objects by which gateways find each other.
 constexpr auto member_kind = "gateways";
 
@@ -137,6 +142,8 @@
     [[nodiscard]] retry_budget make_budget() const;
     void on_call_end(const call_end& end);
     void wait_for_hangup();
+    [[nodiscard]] milliseconds reservation_hold() const;
+    void check_settings_file(time_point now);
     void reload();
     void begin_stop();
     void poll_stop();
@@ -168,6 +175,9 @@
     time_point confirmed_by_others_{};
     bool is_registered_ = false;
     time_point next_members_{};
+    time_point next_settings_check_{};
+    /// Settings file as it was read last.
+    std::string settings_text_;
     bool is_stopping_ = false;
     bool was_ready_ = false;
     time_point stop_began_{};
@@ -178,10 +188,7 @@
     : owner_{owner}, settings_{settings}, codec_{codec},
       store_{io_, settings.process.platform, budget_of(settings), owner.boot(), &store},
       client_{io_, 0}, fleet_{settings.process.zone, owner.boot(), settings.policy},
-      metrics_{owner.metrics()},
-      reservations_{io_, client_, codec,
-                    std::min(share_of(settings.late_reservation_ms, hold_share),
-                             settings.max_reservation_ms)},
+      metrics_{owner.metrics()}, reservations_{io_, client_, codec, reservation_hold()},
       prober_{client_, fleet_, codec},
       exchange_{io_,
                 {[this](const work_news& news) { on_news(news); },
@@ -399,6 +406,7 @@
         read_members();
     }
     exchange_.check_silence(now);
+    check_settings_file(now);
     // Hosts that became known since take their share of what all may send.
     for (auto& budget : shared_.budgets | std::views::values) {
         budget.set_reserve(budget_reserve(), now);
@@ -479,6 +487,32 @@
     });
 }
 
+milliseconds gateway::state::reservation_hold() const {
+    return std::min(share_of(settings_.late_reservation_ms, hold_share),
+                    settings_.max_reservation_ms);
+}
+
+/// The file may change without a signal.
+void gateway::state::check_settings_file(time_point now) {
+    if (owner_.settings_file().empty() || now < next_settings_check_) {
+        return;
+    }
+    next_settings_check_ = now + settings_interval;
+    std::ifstream file{owner_.settings_file()};
+    std::string text{std::istreambuf_iterator<char>{file}, {}};
+    if (!file || text.empty()) {
+        return log_.warn("settings file cannot be read; the settings stay");
+    }
+    if (settings_text_.empty()) {
+        settings_text_ = std::move(text);
+    } else if (text != settings_text_) {
+        settings_text_ = std::move(text);
+        reload();
+    }
+}
+
+/// Takes over what may change while the process runs; names, zone, listeners and policy need a
+/// restart.
 void gateway::state::reload() {
     const auto settings = load_settings<gateway_settings>(owner_.settings_file());
     if (!settings) {
@@ -487,6 +521,16 @@
     settings_.retry = settings->retry;
     settings_.stop_timeout_s = settings->stop_timeout_s;
     settings_.body_memory = settings->body_memory;
+    settings_.contact_ms = settings->contact_ms;
+    settings_.late_reservation_ms = settings->late_reservation_ms;
+    settings_.max_reservation_ms = settings->max_reservation_ms;
+    shared_.confirmation_limit = settings_.contact_ms;
+    reservations_.set_hold(reservation_hold());
+    if (settings->process.platform != settings_.process.platform) {
+        settings_.process.platform = settings->process.platform;
+        log_.info("store is at another address now");
+        store_.set_address(settings_.process.platform);
+    }
     front_.set_limits(
         limits_of(settings_, shared_.routes ? shared_.routes->config().bounds : caller_bounds{}));
     log_.info("settings reloaded");
--- a/src/platform_client.cpp
+++ b/src/platform_client.cpp
@@ -47,6 +47,10 @@
 
 platform_client::~platform_client() = default;
 
+void platform_client::set_address(const endpoint& address) {
+    std::visit([&](auto& back_end) { back_end.set_address(address); }, back_end_);
+}
+
 void platform_client::execute(platform_call call, call_priority priority, platform_done done) {
     const auto number = next_number_++;
     const auto now = steady_now();
--- a/src/platform_client.h
+++ b/src/platform_client.h
@@ -25,6 +25,7 @@
     http_platform(boost::asio::io_context& context, endpoint address, const store_codec* codec);
 
     void execute(const platform_call& call, std::chrono::milliseconds timeout, platform_done done);
+    void set_address(const endpoint& address) { address_ = address; }
 
 private:
     http_client client_;
@@ -53,6 +54,9 @@
     /// and with platform_down if it was sent and not answered.
     void execute(platform_call call, call_priority priority, platform_done done);
 
+    /// Calls that are sent from now on go to another address.
+    void set_address(const endpoint& address);
+
     /// Whether the platform answered last.
     [[nodiscard]] bool is_up() const { return schedule_.is_up(); }
     /// Sets a function that is called when is_up() changes.
--- a/src/reservations.h
+++ b/src/reservations.h
@@ -27,6 +27,8 @@
     reservation_keeper(boost::asio::io_context& context, http_client& client,
                        const gateway_codec& codec, milliseconds hold);
 
+    /// Span of the reservations and renewals that are asked for from now on.
+    void set_hold(milliseconds hold) { hold_ = hold; }
     /// Reserves every part under the name; `done` is told whether all were granted. If not, those
     /// that were or may have been granted are released.
     void reserve(const std::string& name, std::vector<memory_part> parts,
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -5,7 +5,10 @@
 #include "platform_wire.h"
 
 #include <boost/asio/steady_timer.hpp>
+#include <unistd.h>
 
+#include <filesystem>
+#include <fstream>
 #include <thread>
 
 namespace magnolia {
@@ -42,13 +45,14 @@
         settings_.readiness.port = free_port(context_);
         settings_.peer_listen.port = free_port(context_);
         settings_.stop_timeout_s = 2;
+        write_settings(store_.port());
         backend_ = std::make_unique<test_backend>(context_);
         platform_budget rates;
         operator_ = std::make_unique<platform_client>(
             context_, endpoint{"127.0.0.1", store_.port()}, rates, 1);
         put("routes", "main", R"({"version":2})");
         put("backends", "b1", "desk 127.0.0.1:" + std::to_string(backend_->port()));
-        owner_ = std::make_unique<process>(settings_.process);
+        owner_ = std::make_unique<process>(settings_.process, settings_file_);
         thread_ = std::thread{[this] {
             gateway host{*owner_, settings_, codec_, store_codec_};
             is_served_ = host.run().has_value();
@@ -64,6 +68,16 @@
         EXPECT_TRUE(is_served_);
     }
 
+    void write_settings(std::uint16_t store_port) const {
+        const auto at = [](std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); };
+        const auto next = settings_file_.string() + ".next";
+        std::ofstream{next} << "process: {name: g1, zone: z1, platform: \"" << at(store_port)
+                            << "\"}\nlisten: \"" << at(settings_.listen.port) << "\"\nreadiness: \""
+                            << at(settings_.readiness.port) << "\"\npeer_listen: \""
+                            << at(settings_.peer_listen.port) << "\"\nstop_timeout_s: 2\n";
+        std::filesystem::rename(next, settings_file_);
+    }
+
     template <class Condition>
     void run_until(Condition condition) {
         while (!condition() && context_.run_one() > 0) {
@@ -124,6 +138,8 @@
     test_codec codec_;
     product_store_codec store_codec_;
     gateway_settings settings_;
+    std::filesystem::path settings_file_ = std::filesystem::path{testing::TempDir()} /
+                                           ("gateway_test_" + std::to_string(::getpid()) + ".yaml");
     std::map<std::string, std::uint64_t> versions_;
     std::unique_ptr<platform_client> operator_;
     std::unique_ptr<test_backend> backend_;
@@ -188,5 +204,17 @@
     wait_for_status("/safe/", 200);
 }
 
+TEST_F(whole_gateway, a_settings_file_that_changes_without_a_signal_is_taken_over) {
+    int calls = 0;
+    http_server other{context_, {}, [&](const http_request&, const http_responder& responder) {
+                          ++calls;
+                          responder.send({503, {}, {}});
+                      }};
+    ASSERT_TRUE(other.listen(endpoint{}));
+    write_settings(other.port());
+    poll([&] { return calls > 0; });
+    write_settings(store_.port());
+}
+
 } // namespace
 } // namespace magnolia
