--- a/bench/placement_experiment.cpp
+++ b/bench/placement_experiment.cpp
@@ -403,6 +403,11 @@
         fleet.on_late(item.job);
     }
     item.last = now_;
+    at(now_ + patience_of(kind), [this, index, last = now_] {
+        if (requests_[index].last == last) {
+            give_up(index);
+        }
+    });
     if (is_last) {
         item.earned = item.owed * (item.is_late ? late_share : 1);
         end(index, attempt_result::done);
