--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -503,10 +503,10 @@
     if (!file || text.empty()) {
         return log_.warn("settings file cannot be read; the settings stay");
     }
-    if (settings_text_.empty()) {
-        settings_text_ = std::move(text);
-    } else if (text != settings_text_) {
-        settings_text_ = std::move(text);
+    if (text == settings_text_) {
+        return;
+    }
+    if (const auto former = std::exchange(settings_text_, std::move(text)); !former.empty()) {
         reload();
     }
 }
