--- a/fakes/pass_engine.h
+++ b/fakes/pass_engine.h
@@ -49,7 +49,7 @@
     [[nodiscard]] std::optional<time_point> next_end() const { return pass_end_; }
     /// Ends the pass under way and begins the next one.
     std::vector<pass_event> end_pass();
-    /// Share of the time up to now in which it had work.
+    /// Time in which it had work.
     [[nodiscard]] duration busy() const { return busy_; }
 
 private:
