Report how the answer of each attempt was framed and how it ended

Ruled out: nothing yet; no change of behaviour.

Change: http_client passes the framing of the body with the header. Each failed attempt logs a line "answer" with result, framing, events, bytes after the last complete event and cause; the "end" line of a request carries the same fields. Metrics magnolia_backend_answers_total{framing,result} and magnolia_partial_events_total. The test fixture has a backend server that sends scripted bytes and closes or resets the connection.

--- a/src/backend_fleet.cpp
+++ b/src/backend_fleet.cpp
@@ -354,6 +354,22 @@
     }
 }
 
+std::string_view to_string(attempt_result result) {
+    switch (result) {
+    case attempt_result::done:
+        return "done";
+    case attempt_result::refused:
+        return "refused";
+    case attempt_result::failed:
+        return "failed";
+    case attempt_result::lost:
+        return "lost";
+    case attempt_result::cancelled:
+        return "cancelled";
+    }
+    return "invalid";
+}
+
 void backend_fleet::on_late(job_id id) {
     const auto found = open_jobs_.find(id.number);
     if (found == open_jobs_.end()) {
--- a/src/backend_fleet.h
+++ b/src/backend_fleet.h
@@ -31,6 +31,9 @@
     cancelled,
 };
 
+/// Name of the result in logs and metrics.
+[[nodiscard]] std::string_view to_string(attempt_result result);
+
 /// A backend server chosen for a request.
 struct chosen_member {
     std::string id;
--- a/src/engine_client.cpp
+++ b/src/engine_client.cpp
@@ -234,9 +234,7 @@
     call_limits.max_body_bytes = max_stream_bytes;
     const auto self = shared_from_this();
     http_stream_handlers handlers;
-    handlers.on_header = [stream](unsigned status, const http_headers&) {
-        stream->status = status;
-    };
+    handlers.on_header = [stream](const http_response_head& head) { stream->status = head.status; };
     handlers.on_body = [self, stream](std::string_view text) { self->on_body(stream, text); };
     handlers.on_end = [self, stream](const http_failure* failure) {
         self->on_end(stream, failure);
--- a/src/forward_answer.cpp
+++ b/src/forward_answer.cpp
@@ -29,15 +29,16 @@
 
 } // namespace
 
-void forward_call::on_header(unsigned status, const http_headers& headers) {
+void forward_call::on_header(const http_response_head& head) {
     shared_.fleet.on_answer_bytes(backend_, steady_now());
-    status_ = status;
-    answer_ = shared_.codec.read_answer(status, headers);
-    const bool is_events =
-        route_->is_stream && is_success(status) && answer_.is_signed && answer_.is_event_stream;
+    status_ = head.status;
+    answer_summary_.framing = head.framing;
+    answer_ = shared_.codec.read_answer(head.status, head.headers);
+    const bool is_events = route_->is_stream && is_success(head.status) && answer_.is_signed &&
+                           answer_.is_event_stream;
     form_ = is_events ? answer_form::events : answer_form::buffered;
     if (!has_response_started_) {
-        headers_ = end_to_end_headers(headers);
+        headers_ = end_to_end_headers(head.headers);
     }
 }
 
@@ -80,7 +81,10 @@
 }
 
 void forward_call::on_events(std::string_view text) {
-    for (const auto& event : splitter_.append(text)) {
+    const auto events = splitter_.append(text);
+    answer_summary_.events += events.size();
+    answer_summary_.partial_event_bytes = splitter_.pending().size();
+    for (const auto& event : events) {
         if (is_complete_ || form_ != answer_form::events) {
             return;
         }
@@ -181,10 +185,11 @@
     if (is_failure && route_->repeat != repeat_rule::never && sends_made_ < route_->max_attempts &&
         spend_retry_budget()) {
         is_in_doubt_ = true;
-        end_attempt(attempt_result::failed);
+        end_attempt(attempt_result::failed, "status " + std::to_string(status_));
         return next_attempt();
     }
-    end_attempt(is_failure ? attempt_result::failed : attempt_result::done);
+    end_attempt(is_failure ? attempt_result::failed : attempt_result::done,
+                is_failure ? "status " + std::to_string(status_) : "");
     answer_buffered(status_, {});
 }
 
@@ -237,6 +242,7 @@
                                       : first_byte_at_ - request_.received,
                     .predicted = predicted_,
                     .longest_pause = longest_pause_,
+                    .answer = answer_summary_,
                     .config_version = routes_ ? routes_->version() : 0});
 }
 
--- a/src/forward_call.cpp
+++ b/src/forward_call.cpp
@@ -51,6 +51,13 @@
 
 } // namespace
 
+std::string to_string(const answer_summary& answer) {
+    return "result=" + std::string{to_string(answer.result)} +
+           " framing=" + (answer.framing ? std::string{to_string(*answer.framing)} : "-") +
+           " events=" + std::to_string(answer.events) +
+           " partial_event_bytes=" + std::to_string(answer.partial_event_bytes);
+}
+
 forward_call::forward_call(shared_call_state& shared, http_request request,
                            http_responder responder)
     : shared_{shared}, request_{std::move(request)}, responder_{std::move(responder)},
@@ -283,6 +290,7 @@
     members_ = chosen.members;
     form_ = answer_form::none;
     splitter_ = {};
+    answer_summary_ = {};
     body_.clear();
     is_resuming_ = has_response_started_;
     const auto number = ++attempt_number_;
@@ -293,9 +301,9 @@
     limits.correlation_header = shared_.codec.echo_header(head_);
     limits.may_reuse_connection = false;
     http_stream_handlers handlers;
-    handlers.on_header = [self, number](unsigned status, const http_headers& headers) {
+    handlers.on_header = [self, number](const http_response_head& head) {
         if (self->attempt_number_ == number) {
-            self->on_header(status, headers);
+            self->on_header(head);
         }
     };
     handlers.on_body = [self, number](std::string_view text) {
@@ -327,7 +335,7 @@
 
 void forward_call::fail_attempt(run_evidence evidence, attempt_result result,
                                 const error& failure) {
-    end_attempt(result);
+    end_attempt(result, to_string(failure));
     if (evidence == run_evidence::not_sent) {
         --sends_made_;
         ++sends_not_written_;
@@ -365,8 +373,11 @@
     }
 }
 
-void forward_call::end_attempt(attempt_result result) {
+void forward_call::end_attempt(attempt_result result, std::string_view cause) {
     ++attempt_number_;
+    if (call_.value != 0) {
+        report_answer_end(result, cause);
+    }
     if (has_job_) {
         has_job_ = false;
         shared_.fleet.on_ended(job_, result, steady_now());
@@ -378,6 +389,16 @@
     call_ = {};
 }
 
+void forward_call::report_answer_end(attempt_result result, std::string_view cause) {
+    answer_summary_.result = result;
+    shared_.on_answer_end(answer_summary_);
+    if (result != attempt_result::done && result != attempt_result::cancelled) {
+        log_of().info(head_.attempt, "answer attempt=" + std::to_string(sends_made_) +
+                                         " backend=" + backend_ + " " + to_string(answer_summary_) +
+                                         " cause=\"" + std::string{cause} + "\"");
+    }
+}
+
 bool forward_call::is_attempt_lost(time_point now) const {
     const silent_attempt silent{.silence = now - last_progress_,
                                 .limit = silence_limit(*route_),
--- a/src/forward_call.h
+++ b/src/forward_call.h
@@ -22,6 +22,20 @@
 
 namespace magnolia {
 
+/// What was received of the answer of one attempt, for logs and metrics.
+struct answer_summary {
+    /// Absent if no header arrived.
+    std::optional<body_framing> framing;
+    /// Complete events of a stream.
+    std::size_t events = 0;
+    /// Bytes of a stream after its last complete event.
+    std::size_t partial_event_bytes = 0;
+    attempt_result result = attempt_result::cancelled;
+};
+
+/// Fields of a log line.
+[[nodiscard]] std::string to_string(const answer_summary& answer);
+
 /// How a request ended, for logs and metrics.
 struct call_summary {
     std::string attempt;
@@ -43,6 +57,8 @@
     duration predicted{0};
     /// Longest time between two events that were forwarded.
     duration longest_pause{0};
+    /// Answer of the last attempt.
+    answer_summary answer;
     std::uint64_t config_version = 0;
 };
 
@@ -71,6 +87,8 @@
     std::unordered_map<std::string, retry_budget> retry_budgets;
     /// By route.
     std::unordered_map<std::string, retry_detector> retry_detectors;
+    /// Called once for each attempt that was sent, when it has ended.
+    std::function<void(const answer_summary&)> on_answer_end;
     /// Called once for each request, when it has ended.
     std::function<void(const call_summary&)> on_end;
     /// Called when a job was placed on an engine or ended there.
@@ -122,7 +140,7 @@
     void start_job(const chosen_backends& chosen);
     [[nodiscard]] attempt_parameters parameters_for(const chosen_backends& chosen) const;
 
-    void on_header(unsigned status, const http_headers& headers);
+    void on_header(const http_response_head& head);
     void on_body(std::string_view text);
     void on_end(const http_failure* failure);
     void on_events(std::string_view text);
@@ -136,7 +154,10 @@
     /// Ends the attempt, then retries, aborts the answer or reports the failure.
     void fail_attempt(run_evidence evidence, attempt_result result, const error& failure);
     /// Removes the job from the fleet and releases its reservation.
-    void end_attempt(attempt_result result);
+    /// @param cause  failure of the attempt, for the log; empty if its answer is complete.
+    void end_attempt(attempt_result result, std::string_view cause = {});
+    /// Reports how the answer of the attempt ended; logs it unless it is complete or cancelled.
+    void report_answer_end(attempt_result result, std::string_view cause);
     /// Withdraws one send from the service's retry budget; false if too little is left.
     [[nodiscard]] bool spend_retry_budget();
 
@@ -217,6 +238,8 @@
     answer_head answer_;
     std::string body_;
     event_splitter splitter_;
+    /// Answer of the current or last attempt.
+    answer_summary answer_summary_;
     /// Id of the last event that the caller has.
     std::optional<std::uint64_t> last_event_;
     /// The attempt resumes a stream, and its first new event has not arrived.
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -240,6 +240,7 @@
               .make_retry_budget = [this] { return make_retry_budget(); },
               .retry_budgets = {},
               .retry_detectors = {},
+              .on_answer_end = [this](const answer_summary& answer) { metrics_.count(answer); },
               .on_end = [this](const call_summary& summary) { on_call_end(summary); },
               .on_jobs_changed = [this] { schedule_update(); }},
       caller_server_{io_, limits_of(settings, {}),
@@ -517,8 +518,9 @@
                   " ms=" + std::to_string(ms_count(summary.elapsed)) +
                   " first_ms=" + std::to_string(ms_count(summary.first_byte)) +
                   " predicted_ms=" + std::to_string(ms_count(summary.predicted)) +
-                  " pause_ms=" + std::to_string(ms_count(summary.longest_pause)) +
-                  " config=" + std::to_string(summary.config_version) +
+                  " pause_ms=" + std::to_string(ms_count(summary.longest_pause)) + " " +
+                  (summary.backends.empty() ? "" : to_string(summary.answer) + " ") +
+                  "config=" + std::to_string(summary.config_version) +
                   " config_age_ms=" + std::to_string(ms_count(config_age(steady_now()))) +
                   (summary.cause.empty() ? "" : " cause=\"" + summary.cause + "\""));
 }
--- a/src/gateway_metrics.cpp
+++ b/src/gateway_metrics.cpp
@@ -30,6 +30,8 @@
 
 gateway_metrics::gateway_metrics(metrics_registry& registry)
     : registry_{registry},
+      partial_events_{registry.make_counter("magnolia_partial_events_total",
+                                            "Answers that ended inside an event.")},
       longest_pause_{registry.make_histogram("magnolia_longest_pause_seconds",
                                              "Longest pause between two events of a stream.")},
       resends_{registry.make_counter("magnolia_further_sends_total",
@@ -53,6 +55,22 @@
     }
 }
 
+void gateway_metrics::count(const answer_summary& answer) {
+    const std::string framing{answer.framing ? to_string(*answer.framing) : "no_header"};
+    const std::string result{to_string(answer.result)};
+    const auto [found, is_new] = answers_.try_emplace(framing + "/" + result);
+    if (is_new) {
+        found->second =
+            registry_.make_counter("magnolia_backend_answers_total",
+                                   "Answers of backend servers by framing of the body and result.",
+                                   {{"framing", framing}, {"result", result}});
+    }
+    found->second.add();
+    if (answer.partial_event_bytes > 0 && answer.result != attempt_result::cancelled) {
+        partial_events_.add();
+    }
+}
+
 void gateway_metrics::count(const call_summary& summary) {
     const auto cause = cause_type(summary.cause);
     const auto status = std::to_string(summary.status);
--- a/src/gateway_metrics.h
+++ b/src/gateway_metrics.h
@@ -26,6 +26,8 @@
 public:
     explicit gateway_metrics(metrics_registry& registry);
 
+    /// Adds the answer of an attempt.
+    void count(const answer_summary& answer);
     /// Adds a finished request.
     void count(const call_summary& summary);
     void set_gauges(const gateway_gauges& gauges) const;
@@ -34,6 +36,9 @@
     metrics_registry& registry_;
     /// By status and cause; created on first use.
     std::map<std::string, counter> outcomes_;
+    /// By framing and result; created on first use.
+    std::map<std::string, counter> answers_;
+    counter partial_events_;
     /// Time to the first byte, by class of prompt length.
     std::array<histogram, 4> first_byte_;
     histogram longest_pause_;
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -52,6 +52,19 @@
     steady_clock::time_point idle_since;
 };
 
+/// Framing of the body of a response whose header was parsed.
+template <class Parser>
+body_framing framing_of(const Parser& parser) {
+    if (parser.chunked()) {
+        return body_framing::chunked;
+    }
+    if (parser.need_eof()) {
+        return body_framing::until_close;
+    }
+    return parser.content_length().value_or(0) > 0 ? body_framing::content_length
+                                                   : body_framing::none;
+}
+
 using peer_key = std::pair<std::string, std::uint16_t>;
 
 peer_key pool_key(const endpoint& peer) {
@@ -305,7 +318,8 @@
     if (!is_header_delivered_) {
         is_header_delivered_ = true;
         if (handlers_.on_header) {
-            handlers_.on_header(parser.get().result_int(), copy_headers(parser.get().base()));
+            handlers_.on_header(
+                {parser.get().result_int(), copy_headers(parser.get().base()), framing_of(parser)});
         }
     }
     auto& body = parser.get().body();
@@ -398,9 +412,9 @@
                                const http_call_limits& limits, http_response_handler done) {
     const auto response = std::make_shared<http_response>();
     http_stream_handlers handlers;
-    handlers.on_header = [response](unsigned status, const http_headers& headers) {
-        response->status = status;
-        response->headers = headers;
+    handlers.on_header = [response](const http_response_head& head) {
+        response->status = head.status;
+        response->headers = head.headers;
     };
     handlers.on_body = [response](std::string_view text) { response->body += text; };
     handlers.on_end = [response, done = std::move(done)](const http_failure* failure) {
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -61,7 +61,7 @@
 /// Callbacks for a streamed response.
 struct http_stream_handlers {
     /// Called at most once, before on_body; not called if the call fails before the header arrives.
-    std::function<void(unsigned status, const http_headers& headers)> on_header;
+    std::function<void(const http_response_head& head)> on_header;
     /// Called with the next bytes of the body.
     std::function<void(std::string_view text)> on_body;
     /// Called once, as the last callback; `failure` is null if the response is complete.
--- a/src/http_types.cpp
+++ b/src/http_types.cpp
@@ -35,6 +35,20 @@
     return filtered;
 }
 
+std::string_view to_string(body_framing framing) {
+    switch (framing) {
+    case body_framing::none:
+        return "none";
+    case body_framing::content_length:
+        return "content_length";
+    case body_framing::chunked:
+        return "chunked";
+    case body_framing::until_close:
+        return "until_close";
+    }
+    return "invalid";
+}
+
 http_response json_response(unsigned status, std::string body) {
     return {status, {{"Content-Type", "application/json"}}, std::move(body)};
 }
--- a/src/http_types.h
+++ b/src/http_types.h
@@ -47,6 +47,26 @@
     std::string body;
 };
 
+/// What marks the end of a response's body.
+enum class body_framing : std::uint8_t {
+    /// The response has no body.
+    none,
+    content_length,
+    chunked,
+    /// The close of the connection. A body that an orderly close cuts off looks complete.
+    until_close,
+};
+
+/// Name of the framing in logs and metrics.
+[[nodiscard]] std::string_view to_string(body_framing framing);
+
+/// Status line and header of a response.
+struct http_response_head {
+    unsigned status = 200;
+    http_headers headers;
+    body_framing framing = body_framing::none;
+};
+
 /// Makes a response with a JSON body and its content type.
 [[nodiscard]] http_response json_response(unsigned status, std::string body);
 
--- a/tests/gateway_fixture.cpp
+++ b/tests/gateway_fixture.cpp
@@ -3,6 +3,8 @@
 #include "schema_reader.h"
 
 #include <boost/algorithm/string/predicate.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <nlohmann/json.hpp>
 
@@ -178,6 +180,66 @@
     };
 }
 
+/// One connection of a raw_backend; keeps itself alive through its pending operations.
+struct raw_backend::connection : std::enable_shared_from_this<raw_backend::connection> {
+    connection(tcp::socket accepted, script response)
+        : socket{std::move(accepted)}, content{std::move(response)} {}
+
+    void read_header() {
+        boost::asio::async_read_until(socket, boost::asio::dynamic_buffer(request), "\r\n\r\n",
+                                      [self = shared_from_this()](const auto& failure, auto) {
+                                          if (!failure) {
+                                              self->write();
+                                          }
+                                      });
+    }
+
+    void write() {
+        boost::asio::async_write(socket, boost::asio::buffer(content.bytes),
+                                 [self = shared_from_this()](const auto&, auto) { self->end(); });
+    }
+
+    void end() {
+        boost::system::error_code ignored;
+        if (content.end == connection_end::reset) {
+            socket.set_option(boost::asio::socket_base::linger{true, 0}, ignored);
+            socket.close(ignored);
+            return;
+        }
+        // Closing with unread input would reset the connection.
+        socket.shutdown(tcp::socket::shutdown_send, ignored);
+        boost::asio::async_read(socket, boost::asio::dynamic_buffer(request),
+                                [self = shared_from_this()](const auto&, auto) {});
+    }
+
+    tcp::socket socket;
+    script content;
+    std::string request;
+};
+
+raw_backend::raw_backend(boost::asio::io_context& context)
+    : acceptor_{context, {boost::asio::ip::make_address("127.0.0.1"), 0}} {
+    accept();
+}
+
+void raw_backend::accept() {
+    acceptor_.async_accept([this](const auto& failure, tcp::socket socket) {
+        if (!failure) {
+            ++connection_count_;
+            std::make_shared<connection>(std::move(socket), take_script())->read_header();
+            accept();
+        }
+    });
+}
+
+raw_backend::script raw_backend::take_script() {
+    auto next = scripts_.front();
+    if (scripts_.size() > 1) {
+        scripts_.pop_front();
+    }
+    return next;
+}
+
 gateway_fixture::gateway_fixture()
     : shared_{.io = context_,
               .codec = codec_,
@@ -196,6 +258,7 @@
                   },
               .retry_budgets = {},
               .retry_detectors = {},
+              .on_answer_end = [this](const answer_summary& answer) { answers_.push_back(answer); },
               .on_end = [this](const call_summary& summary) { summaries_.push_back(summary); },
               .on_jobs_changed = [] {}},
       gateway_server_{
@@ -241,14 +304,25 @@
 
 test_backend& gateway_fixture::add_backend(const std::string& id, const std::string& service) {
     backends_.push_back(std::make_unique<test_backend>(context_));
+    list_backend(id, service, backends_.back()->port());
+    return *backends_.back();
+}
+
+raw_backend& gateway_fixture::add_raw_backend(const std::string& id, const std::string& service) {
+    raw_backends_.push_back(std::make_unique<raw_backend>(context_));
+    list_backend(id, service, raw_backends_.back()->port());
+    return *raw_backends_.back();
+}
+
+void gateway_fixture::list_backend(const std::string& id, const std::string& service,
+                                   std::uint16_t port) {
     backend_info info;
     info.id = id;
     info.service = service;
-    info.address.port = backends_.back()->port();
+    info.address.port = port;
     info.zone = "z1";
     info.slots = 4;
     fleet_.put(info);
-    return *backends_.back();
 }
 
 std::string gateway_fixture::send_raw(const std::string& method, const std::string& path,
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -69,6 +69,37 @@
 /// Sends the events with these ids, then ends the response or aborts the connection.
 [[nodiscard]] http_handler stream_events(std::vector<std::uint64_t> ids, bool ends_cleanly);
 
+/// How a raw_backend ends a connection.
+enum class connection_end : std::uint8_t { orderly, reset };
+
+/// A backend server that sends scripted bytes instead of responses of the HTTP server: each
+/// connection takes the next script; the last one is used for all further connections.
+class raw_backend {
+public:
+    explicit raw_backend(boost::asio::io_context& context);
+
+    /// Sends the bytes once the header of a request has arrived, then ends the connection.
+    void add_script(std::string bytes, connection_end end) {
+        scripts_.push_back({std::move(bytes), end});
+    }
+    [[nodiscard]] std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+    [[nodiscard]] std::size_t connection_count() const { return connection_count_; }
+
+private:
+    struct script {
+        std::string bytes;
+        connection_end end;
+    };
+    struct connection;
+
+    void accept();
+    script take_script();
+
+    boost::asio::ip::tcp::acceptor acceptor_;
+    std::deque<script> scripts_;
+    std::size_t connection_count_ = 0;
+};
+
 /// A gateway without store and gossip: forwards requests with the default configuration to the
 /// backend servers that the test adds.
 class gateway_fixture : public testing::Test {
@@ -77,6 +108,7 @@
 
     /// Adds a live backend server of the service "llm" or "desk".
     test_backend& add_backend(const std::string& id, const std::string& service);
+    raw_backend& add_raw_backend(const std::string& id, const std::string& service);
     /// Activates the default configuration.
     void configure();
 
@@ -100,9 +132,15 @@
     reservation_manager reservations_{context_, client_, codec_, milliseconds{3000}};
     liveness_prober prober_{client_, fleet_, codec_};
     shared_call_state shared_;
+    std::vector<answer_summary> answers_;
     std::vector<call_summary> summaries_;
     http_server gateway_server_;
     std::vector<std::unique_ptr<test_backend>> backends_;
+    std::vector<std::unique_ptr<raw_backend>> raw_backends_;
+
+private:
+    /// Lists a live backend server.
+    void list_backend(const std::string& id, const std::string& service, std::uint16_t port);
 };
 
 } // namespace magnolia
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -66,7 +66,7 @@
     bool is_complete = false;
     unsigned status = 0;
     client_.stream(peer_, {}, {},
-                   {[&](unsigned code, const auto&) { status = code; },
+                   {[&](const auto& head) { status = head.status; },
                     [&](std::string_view part) { text += part; },
                     [&](const http_failure* failure) { is_complete = failure == nullptr; }});
     run_until([&] { return status == 200; });
@@ -193,7 +193,7 @@
     bool is_done = false;
     bool is_started = false;
     const auto id = client_.stream(peer_, {}, {},
-                                   {[&](unsigned, const auto&) { is_started = true; },
+                                   {[&](const auto&) { is_started = true; },
                                     [&](std::string_view text) { received += text.size(); },
                                     [&](const http_failure*) { is_done = true; }});
     run_until([&] { return is_started; });
--- a/tools/magnolia-load.cpp
+++ b/tools/magnolia-load.cpp
@@ -206,7 +206,7 @@
         client_.stream(
             settings_.entries[plan.entry], make_request(plan, "/v1/completions", body.dump()),
             call_limits(plan),
-            {.on_header = [call](unsigned status, const http_headers&) { call->status = status; },
+            {.on_header = [call](const http_response_head& head) { call->status = head.status; },
              .on_body = [call](std::string_view text) { consume_text(*call, text); },
              .on_end = [this,
                         call](const http_failure* failure) { on_stream_end(*call, failure); }});
