--- a/tests/forward_call_test.cpp
+++ b/tests/forward_call_test.cpp
@@ -5,15 +5,6 @@
 namespace magnolia {
 namespace {
 
-/// Number of occurrences of the part in the text.
-std::size_t count_of(std::string_view text, std::string_view part) {
-    std::size_t count = 0;
-    for (auto at = text.find(part); at != std::string_view::npos; at = text.find(part, at + 1)) {
-        ++count;
-    }
-    return count;
-}
-
 TEST_F(gateway_fixture, a_request_is_forwarded_unchanged_except_for_gateway_headers) {
     auto& backend = add_backend("b1", "desk");
     backend.add_handler(respond_with(200, "order placed"));
--- a/tests/gateway_fixture.cpp
+++ b/tests/gateway_fixture.cpp
@@ -127,6 +127,14 @@
     return {"POST", "/release", {{"attempt", std::string{reservation_id}}}, {}, {}};
 }
 
+std::size_t count_of(std::string_view text, std::string_view part) {
+    std::size_t count = 0;
+    for (auto at = text.find(part); at != std::string_view::npos; at = text.find(part, at + 1)) {
+        ++count;
+    }
+    return count;
+}
+
 std::string event_text(std::uint64_t id, std::string_view data) {
     return "id: " + std::to_string(id) + "\ndata: " + std::string{data} + "\n\n";
 }
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -43,6 +43,9 @@
 /// One event in the format of backend servers.
 [[nodiscard]] std::string event_text(std::uint64_t id, std::string_view data = "x");
 
+/// Number of occurrences of the part in the text.
+[[nodiscard]] std::size_t count_of(std::string_view text, std::string_view part);
+
 /// A backend server with scripted handlers: each request takes the next one; the last one is used
 /// for all further requests.
 class test_backend {
