Deliver what was written before an aborted response

What callers saw: nothing of the events that a backend server sends in the same read as the break of its answer, although the gateway had received them.

Cause: http_responder::abort closed the socket at once and discarded the output that waited behind the write in progress.

Change: abort ends the response without its last chunk, writes the remaining output for at most lingering_close_timeout, and then closes the connection.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -58,8 +58,7 @@
 
 void http_responder::abort() const {
     if (!is_closed()) {
-        session_->on_disconnect(nullptr);
-        session_->close();
+        session_->abort();
     }
 }
 
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -59,7 +59,8 @@
     void write(std::string_view text, std::function<void()> on_written = {}) const;
     /// Ends the streamed response.
     void finish() const;
-    /// Closes the connection, so that the peer detects an incomplete response.
+    /// Closes the connection after what was written, without the end of the response, so that the
+    /// peer detects that it is incomplete.
     void abort() const;
     /// Sets the function that is called if the peer disconnects before the response has ended.
     void on_disconnect(std::function<void()> handler) const;
--- a/src/http_session.cpp
+++ b/src/http_session.cpp
@@ -23,7 +23,8 @@
 constexpr unsigned status_not_modified = 304;
 /// Read size while waiting for a request header, in bytes.
 constexpr std::size_t read_bytes = 4096;
-/// Maximum time that a refused connection is kept open for the peer to read the response.
+/// Maximum time that the connection of a refused request or an aborted response is kept open for
+/// the peer to read what was sent.
 constexpr auto lingering_close_timeout = std::chrono::milliseconds{1000};
 constexpr auto overload_retry_after = std::chrono::milliseconds{500};
 
@@ -358,6 +359,15 @@
     flush_output();
 }
 
+void http_session::abort() {
+    on_disconnect_ = nullptr;
+    keep_alive_ = false;
+    finish(false);
+    if (is_open_exchange_) {
+        start_timeout(lingering_close_timeout);
+    }
+}
+
 /// Writes all output that has accumulated since the last write.
 void http_session::flush_output() {
     if (is_writing_ || !is_open_exchange_) {
--- a/src/http_session_p.h
+++ b/src/http_session_p.h
@@ -83,6 +83,8 @@
     void append_chunk(std::string_view text, std::function<void()> on_written);
     /// Ends the response and writes the remaining output.
     void finish(bool is_chunked);
+    /// Writes the remaining output for a bounded time, then closes the connection.
+    void abort();
     void on_disconnect(std::function<void()> handler) { on_disconnect_ = std::move(handler); }
     /// Whether the exchange is in progress.
     [[nodiscard]] bool is_current(std::uint64_t exchange) const {
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -90,6 +90,30 @@
     EXPECT_TRUE(response.error().is_response_started);
 }
 
+// The events that a backend server sends right before it breaks off were lost.
+TEST_F(http_client_server, an_aborted_stream_delivers_what_was_written_before) {
+    serve([&](const auto&, const http_responder& responder) {
+        responder.start(200, {});
+        responder.write("first ");
+        responder.write("second");
+        responder.abort();
+        EXPECT_TRUE(responder.is_closed());
+    });
+    std::string text;
+    bool has_failed = false;
+    bool has_ended = false;
+    client_.stream(peer_, {}, {},
+                   {{},
+                    [&](std::string_view part) { text += part; },
+                    [&](const http_failure* failure) {
+                        has_failed = failure != nullptr;
+                        has_ended = true;
+                    }});
+    run_until([&] { return has_ended; });
+    EXPECT_TRUE(has_failed);
+    EXPECT_EQ(text, "first second");
+}
+
 TEST_F(http_client_server, a_refused_connection_reports_that_no_request_was_written) {
     serve(echo);
     server_->close();
