Count a stream that ends inside an event as broken off

Cause: forward_call::on_end took the end of the response for the end of the answer. A body with neither a length nor chunks ends when its connection closes, which is all that the HTTP client can see, so a broken-off one looks complete to it. The gateway then forwarded the incomplete event and its own last chunk, which states to the caller that nothing is missing. The same holds for a stream whose length or chunks are right and whose last event is not.

Ruled out: the store, partitions and restarts (none before the first case); a break that the gateway detects and loses on the way to the caller (affected requests log one send and no failed attempt). Not separated: whether the broken answers of the incident had no framing or a wrong one.

Change: is_stream_complete decides from framing, events and the last event. A stream that ends inside an event, or whose connection closes before its first event with nothing else that marks the end of the body, is a lost attempt: it is resumed elsewhere if the route allows that, else the response is aborted or answered with 502. The fragment is not forwarded. The backend server's failure rate and circuit breaker count it.

--- a/src/attempt_policy.cpp
+++ b/src/attempt_policy.cpp
@@ -45,6 +45,11 @@
                : failure_action::report_failed;
 }
 
+bool is_stream_complete(const ended_stream& stream) {
+    const bool is_empty = stream.framing == body_framing::until_close && stream.events == 0;
+    return !stream.is_inside_event && !is_empty;
+}
+
 duration caller_idle_timeout(const route_info& route) {
     return std::max({min_idle_timeout, duration{route.target_latency} * idle_timeout_latencies,
                      duration{route.target_pause} * idle_timeout_pauses});
--- a/src/attempt_policy.h
+++ b/src/attempt_policy.h
@@ -49,6 +49,19 @@
 /// if both sends and time remain.
 [[nodiscard]] failure_action decide_after_failure(const failed_attempt& attempt);
 
+/// Input of is_stream_complete(): a stream of events whose response ended without an error.
+struct ended_stream {
+    body_framing framing = body_framing::none;
+    /// Complete events of the response.
+    std::size_t events = 0;
+    bool is_inside_event = false;
+};
+
+/// Whether the backend server sent the complete stream. If not, it has broken it off: an event is
+/// incomplete, or the connection closed before the first event with nothing else that marks the end
+/// of the body.
+[[nodiscard]] bool is_stream_complete(const ended_stream& stream);
+
 /// Time without an event after which callers are assumed to abandon a stream.
 [[nodiscard]] duration caller_idle_timeout(const route_info& route);
 
--- a/src/event_stream.cpp
+++ b/src/event_stream.cpp
@@ -59,4 +59,17 @@
     return events;
 }
 
+bool event_splitter::is_inside_event() const {
+    std::string_view text{pending_};
+    while (!text.empty()) {
+        const auto line_end = text.find_first_of("\r\n");
+        const bool is_comment = text.front() == ':';
+        if (line_end == std::string_view::npos || (line_end > 0 && !is_comment)) {
+            return true;
+        }
+        text.remove_prefix(line_end + 1);
+    }
+    return false;
+}
+
 } // namespace magnolia
--- a/src/event_stream.h
+++ b/src/event_stream.h
@@ -24,6 +24,9 @@
     [[nodiscard]] std::vector<stream_event> append(std::string_view bytes);
     /// Bytes of the incomplete event at the end of the stream so far.
     [[nodiscard]] std::string_view pending() const { return pending_; }
+    /// Whether the stream so far ends inside an event: inside a line, or after a field that no
+    /// blank line follows.
+    [[nodiscard]] bool is_inside_event() const;
 
 private:
     std::string pending_;
--- a/src/forward_answer.cpp
+++ b/src/forward_answer.cpp
@@ -132,11 +132,7 @@
     }
     switch (form_) {
     case answer_form::events:
-        start_response();
-        if (!splitter_.pending().empty()) {
-            responder_.write(splitter_.pending());
-        }
-        [[fallthrough]];
+        return on_stream_end();
     case answer_form::streamed:
         end_attempt(attempt_result::done);
         responder_.finish();
@@ -147,6 +143,24 @@
     }
 }
 
+void forward_call::on_stream_end() {
+    const ended_stream stream{.framing = answer_summary_.framing.value_or(body_framing::none),
+                              .events = answer_summary_.events,
+                              .is_inside_event = splitter_.is_inside_event()};
+    if (!is_stream_complete(stream)) {
+        return fail_attempt(run_evidence::in_doubt, attempt_result::lost,
+                            {error_code::backend_lost,
+                             stream.is_inside_event ? "stream ended inside an event"
+                                                    : "stream ended before its first event"});
+    }
+    start_response();
+    // Comments and blank lines after the last event.
+    responder_.write(splitter_.pending());
+    end_attempt(attempt_result::done);
+    responder_.finish();
+    complete(status_, {});
+}
+
 /// The faulty backend server may be a helper that prefills a share of the prompt instead of the one
 /// that sent the response.
 void forward_call::on_refusal() {
--- a/src/forward_call.h
+++ b/src/forward_call.h
@@ -144,6 +144,8 @@
     void on_body(std::string_view text);
     void on_end(const http_failure* failure);
     void on_events(std::string_view text);
+    /// The response of a stream of events ended without an error.
+    void on_stream_end();
     void on_complete_answer();
     /// The backend server or a helper refused; nothing has run.
     void on_refusal();
--- a/tests/attempt_policy_test.cpp
+++ b/tests/attempt_policy_test.cpp
@@ -55,6 +55,18 @@
     EXPECT_EQ(decide_after_failure(attempt), failure_action::abort_answer);
 }
 
+TEST(attempt_policy, a_stream_is_complete_only_after_a_complete_event) {
+    using enum body_framing;
+    for (const auto framing : {content_length, chunked, until_close}) {
+        EXPECT_TRUE(is_stream_complete({framing, 1, false}));
+        EXPECT_FALSE(is_stream_complete({framing, 1, true}));
+        EXPECT_FALSE(is_stream_complete({framing, 0, true}));
+    }
+    EXPECT_TRUE(is_stream_complete({none, 0, false}));
+    EXPECT_TRUE(is_stream_complete({chunked, 0, false}));
+    EXPECT_FALSE(is_stream_complete({until_close, 0, false}));
+}
+
 TEST(attempt_policy, a_backend_server_that_fails_probes_is_lost_sooner) {
     using std::chrono::milliseconds;
     const auto lost_after = [](liveness_evidence evidence, milliseconds silence) {
--- a/tests/event_stream_test.cpp
+++ b/tests/event_stream_test.cpp
@@ -35,5 +35,22 @@
     EXPECT_EQ(splitter.pending(), "id: 2\nda");
 }
 
+TEST(event_stream, the_end_of_a_stream_is_inside_an_event_until_its_blank_line) {
+    const auto is_inside = [](std::string_view text) {
+        event_splitter splitter;
+        (void)splitter.append(text);
+        return splitter.is_inside_event();
+    };
+    EXPECT_FALSE(is_inside(""));
+    EXPECT_FALSE(is_inside("data: a\n\n"));
+    EXPECT_FALSE(is_inside("data: a\r\n\r\n\r\n"));
+    EXPECT_FALSE(is_inside("data: a\n\n: done\n"));
+    EXPECT_TRUE(is_inside("data: a\n\n: do"));
+    EXPECT_TRUE(is_inside("data: a\n"));
+    EXPECT_TRUE(is_inside("data: a\r\n"));
+    EXPECT_TRUE(is_inside("data: a\n\ni"));
+    EXPECT_TRUE(is_inside("data: a\n\nid: 2\ndata: b"));
+}
+
 } // namespace
 } // namespace magnolia
