Split event streams at blank lines whatever ends their lines

What callers would have seen: an event joined with the next one, and since the last change a complete stream aborted as broken off, if a backend server ends its lines differently within one stream (for example LF, then CRLF).

Cause: event_splitter looked for three terminators with equal line ends.

Change: it scans line by line (LF, CRLF or CR) and remembers where the line in progress starts, so bytes are scanned once. is_inside_event follows from the same state.

Evidence: event_stream.events_are_split_whatever_ends_their_lines, 2,000 streams with random line ends in random pieces, failed on the former code and passes. 341 tests pass.

--- a/src/event_stream.cpp
+++ b/src/event_stream.cpp
@@ -1,26 +1,11 @@
 #include "event_stream.h"
 
 #include <algorithm>
-#include <array>
 #include <charconv>
 
 namespace magnolia {
 namespace {
 
-/// Blank lines that terminate an event, one for each line ending.
-constexpr std::array<std::string_view, 3> event_terminators{"\n\n", "\r\n\r\n", "\r\r"};
-
-/// Length of the first event in the text, including its blank line; npos if it is incomplete.
-std::size_t event_length(std::string_view text) {
-    std::size_t first = std::string_view::npos;
-    for (const auto end : event_terminators) {
-        if (const auto found = text.find(end); found != std::string_view::npos) {
-            first = std::min(first, found + end.size());
-        }
-    }
-    return first;
-}
-
 /// Number in the last id field of the event that holds an unsigned integer.
 std::optional<std::uint64_t> parse_id(std::string_view event) {
     constexpr std::string_view name = "id:";
@@ -47,29 +32,39 @@
 
 std::vector<stream_event> event_splitter::append(std::string_view bytes) {
     pending_ += bytes;
+    const std::string_view text{pending_};
     std::vector<stream_event> events;
-    std::string_view text{pending_};
-    for (auto length = event_length(text); length != std::string_view::npos;
-         length = event_length(text)) {
-        const auto event = text.substr(0, length);
-        events.push_back({std::string{event}, parse_id(event)});
-        text.remove_prefix(length);
+    std::size_t event_start = 0;
+    for (auto line_end = text.find_first_of("\r\n", line_start_); line_end != std::string::npos;
+         line_end = text.find_first_of("\r\n", line_start_)) {
+        const auto line = text.substr(line_start_, line_end - line_start_);
+        const bool follows_cr = line_end > 0 ? text[line_end - 1] == '\r' : follows_cr_;
+        const bool is_second_of_crlf = line.empty() && follows_cr && text[line_end] == '\n';
+        line_start_ = line_end + 1;
+        if (!line.empty()) {
+            has_line_ = true;
+            has_field_ = has_field_ || line.front() != ':';
+        } else if (has_line_ && !is_second_of_crlf) {
+            if (text.substr(line_end).starts_with("\r\n")) {
+                ++line_start_;
+            }
+            const auto event = text.substr(event_start, line_start_ - event_start);
+            events.push_back({std::string{event}, parse_id(event)});
+            event_start = line_start_;
+            has_line_ = false;
+            has_field_ = false;
+        }
+    }
+    if (event_start > 0) {
+        follows_cr_ = text[event_start - 1] == '\r';
+        pending_.erase(0, event_start);
+        line_start_ -= event_start;
     }
-    pending_.erase(0, pending_.size() - text.size());
     return events;
 }
 
 bool event_splitter::is_inside_event() const {
-    std::string_view text{pending_};
-    while (!text.empty()) {
-        const auto line_end = text.find_first_of("\r\n");
-        const bool is_comment = text.front() == ':';
-        if (line_end == std::string_view::npos || (line_end > 0 && !is_comment)) {
-            return true;
-        }
-        text.remove_prefix(line_end + 1);
-    }
-    return false;
+    return has_field_ || line_start_ < pending_.size();
 }
 
 } // namespace magnolia
--- a/src/event_stream.h
+++ b/src/event_stream.h
@@ -30,6 +30,14 @@
 
 private:
     std::string pending_;
+    /// Position in pending_ of the line that is being received.
+    std::size_t line_start_ = 0;
+    /// The last byte before pending_ is a CR, so a LF at its start ends the same line.
+    bool follows_cr_ = false;
+    /// pending_ has a complete line that is not blank.
+    bool has_line_ = false;
+    /// pending_ has a complete line that is a field, not a comment.
+    bool has_field_ = false;
 };
 
 } // namespace magnolia
--- a/tests/event_stream_test.cpp
+++ b/tests/event_stream_test.cpp
@@ -2,6 +2,10 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <array>
+#include <random>
+
 namespace magnolia {
 namespace {
 
@@ -29,6 +33,45 @@
     }
 }
 
+// Lines may end with LF, CRLF or CR, also within one stream. Events whose lines end differently
+// were joined with the next one, and the last one looked incomplete.
+TEST(event_stream, events_are_split_whatever_ends_their_lines) {
+    constexpr std::array<std::string_view, 3> line_ends{"\n", "\r\n", "\r"};
+    std::mt19937 random{1};
+    std::uniform_int_distribution<std::size_t> pick{0, line_ends.size() - 1};
+    std::uniform_int_distribution<std::size_t> part{1, 9};
+    for (int round = 0; round < 2000; ++round) {
+        constexpr std::uint64_t event_count = 4;
+        std::string text;
+        for (std::uint64_t id = 1; id <= event_count; ++id) {
+            text += "id: " + std::to_string(id);
+            text += line_ends[pick(random)];
+            text += "data: x";
+            const auto data_end = line_ends[pick(random)];
+            const auto blank_end = line_ends[pick(random)];
+            // CR and LF in a row are one line end.
+            const bool is_one_end = data_end == "\r" && blank_end == "\n";
+            text += data_end;
+            text += is_one_end ? "\r" : blank_end;
+        }
+        event_splitter splitter;
+        std::string joined;
+        std::uint64_t last_id = 0;
+        for (std::string_view rest{text}; !rest.empty();) {
+            const auto size = std::min(part(random), rest.size());
+            for (const auto& event : splitter.append(rest.substr(0, size))) {
+                joined += event.text;
+                EXPECT_EQ(event.id, last_id + 1);
+                last_id = event.id.value_or(0);
+            }
+            rest.remove_prefix(size);
+        }
+        EXPECT_EQ(last_id, event_count);
+        EXPECT_FALSE(splitter.is_inside_event());
+        EXPECT_EQ(joined + std::string{splitter.pending()}, text);
+    }
+}
+
 TEST(event_stream, an_incomplete_event_stays_pending) {
     event_splitter splitter;
     EXPECT_EQ(splitter.append("id: 1\ndata: a\n\nid: 2\nda").size(), 1U);
