--- a/tests/object_watcher_test.cpp
+++ b/tests/object_watcher_test.cpp
@@ -1,5 +1,6 @@
 #include "object_watcher.h"
 #include "platform_server.h"
+#include "platform_wire.h"
 
 #include <gtest/gtest.h>
 
@@ -8,16 +9,41 @@
 
 using std::chrono::milliseconds;
 
+/// Codec of the object API whose first reply to a list is a page without objects that is not the
+/// last one.
+class empty_page_codec final : public store_codec {
+public:
+    [[nodiscard]] http_request encode(const platform_call& call) const override {
+        return encode_call(call);
+    }
+    [[nodiscard]] result<platform_reply> decode(const platform_call& call,
+                                                const http_response& response) const override {
+        if (std::holds_alternative<object_list>(call) && std::exchange(is_first_, false)) {
+            return object_page{{}, 1, true};
+        }
+        return decode_reply(call, response);
+    }
+
+private:
+    mutable bool is_first_ = true;
+};
+
 /// A watcher of the kind "route" on a store with short timeouts; records what its handlers receive.
 class object_watcher_test : public testing::Test {
 protected:
     void SetUp() override {
         ASSERT_TRUE(server_.listen(endpoint{}));
+        watch_store(nullptr);
+    }
+
+    /// Replaces the client and the watcher by new ones, which have not started.
+    void watch_store(const store_codec* codec) {
+        watcher_.reset();
         platform_budget budget;
         budget.timeout = milliseconds{100};
         budget.initial_backoff = milliseconds{5};
         budget.max_backoff = milliseconds{20};
-        client_.emplace(context_, endpoint{"127.0.0.1", server_.port()}, budget, 1);
+        client_.emplace(context_, endpoint{"127.0.0.1", server_.port()}, budget, 1, codec);
         watcher_.emplace(
             *client_, "route",
             [this] {
@@ -60,6 +86,16 @@
     EXPECT_EQ(listed_.size(), 1U);
 }
 
+// An incomplete list was taken for a complete one, and all that it lacked was removed.
+TEST_F(object_watcher_test, a_page_without_objects_ends_a_list_only_if_it_is_the_last) {
+    const empty_page_codec codec;
+    watch_store(&codec);
+    client_->execute(object_put{{"route", "a"}, 0, "1"}, call_priority::claim, [](const auto&) {});
+    watcher_->start();
+    run_until([&] { return !listed_.empty(); });
+    EXPECT_EQ(listed_, std::vector<std::size_t>{1});
+}
+
 TEST_F(object_watcher_test, an_outage_and_its_end_are_detected) {
     watcher_->start();
     run_until([&] { return !listed_.empty(); });
