Refuse replies of the store that lack their list or revision

What callers would have seen: no backend servers, or no configuration, on a host that received a reply of another form with status 200; a write whose reply has no revision counted as an object that does not exist.

Cause: the adapter's decoder read absent fields as an empty list, as "no more pages" and as revision 0, and a 410 to a list as the reply to a watch, which the watcher cannot read (std::bad_variant_access).

The content of objects, which others write, stays unchecked here.

--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -225,5 +225,34 @@
     EXPECT_EQ(std::get<stored_object>(*none).version, 0U);
 }
 
+// A reply without its list was taken for a complete list without entries, which removed every
+// backend server; one without a revision made the next watch start at 0.
+TEST(object_store_codec, a_reply_of_another_form_is_an_error) {
+    const object_store_codec codec;
+    const object_list list{"servers", {}, 0, false};
+    const object_watch watch{"servers", 530, milliseconds{1500}};
+    const auto error_of = [&](const platform_call& call, std::string body) {
+        const auto reply = codec.decode(call, {200, {}, std::move(body)});
+        return reply ? error_code::internal : reply.error().code;
+    };
+    for (const auto* body :
+         {"null", "[]", "{}", R"({"HasMore":false,"StoreRevision":5})",
+          R"({"Items":{},"HasMore":false,"StoreRevision":5})", R"({"Items":[],"HasMore":false})",
+          R"({"Items":[],"HasMore":"no","StoreRevision":5})",
+          R"({"Items":[],"StoreRevision":5})"}) {
+        EXPECT_EQ(error_of(list, body), error_code::platform_down) << body;
+    }
+    for (const auto* body : {"{}", R"({"events":[]})", R"({"StoreRevision":5})",
+                             R"({"events":null,"StoreRevision":5})"}) {
+        EXPECT_EQ(error_of(watch, body), error_code::platform_down) << body;
+    }
+    for (const auto* body : {"{}", "3", R"({"Metadata":{"Name":"n"},"Spec":1})"}) {
+        EXPECT_EQ(error_of(object_get{{"k", "n"}}, body), error_code::platform_down) << body;
+        EXPECT_EQ(error_of(object_put{{"k", "n"}, 1, "1"}, body), error_code::platform_down)
+            << body;
+    }
+    EXPECT_EQ(codec.decode(list, {410, {}, {}}).error().code, error_code::platform_down);
+}
+
 } // namespace
 } // namespace magnolia::platform
