Test every cut of an answer in every framing

The tests of broken-off answers all used the server of this project, which always sends chunks.

Change: a backend server sends a stream or a plain answer with a length, in chunks, or until its connection closes, cut off at every byte, by a close or a reset. A stream that may not run again must fail, one that may be resumed must arrive whole, a plain answer must be refused with 502. Allowed, as the protocol cannot tell it: an answer without length and chunks whose connection closes after a complete event, or inside a plain body.

--- a/tests/answer_framing_test.cpp
+++ b/tests/answer_framing_test.cpp
@@ -4,23 +4,27 @@
 namespace magnolia {
 namespace {
 
-/// Header of a signed event stream, without the field that frames the body.
-constexpr std::string_view stream_header =
-    "HTTP/1.1 200 OK\r\nsignature: s\r\nContent-Type: text/event-stream\r\n";
+/// Status line and header of a signed answer, without the field that frames the body.
+std::string header_of(std::string_view content_type) {
+    return "HTTP/1.1 200 OK\r\nsignature: s\r\nContent-Type: " + std::string{content_type} + "\r\n";
+}
+
+constexpr std::string_view event_type = "text/event-stream";
 
-std::string until_close(std::string_view body) {
-    return std::string{stream_header} + "\r\n" + std::string{body};
+std::string until_close(std::string_view body, std::string_view type = event_type) {
+    return header_of(type) + "\r\n" + std::string{body};
 }
 
-std::string with_length(std::string_view body, std::size_t length) {
-    return std::string{stream_header} + "Content-Length: " + std::to_string(length) + "\r\n\r\n" +
+std::string with_length(std::string_view body, std::size_t length,
+                        std::string_view type = event_type) {
+    return header_of(type) + "Content-Length: " + std::to_string(length) + "\r\n\r\n" +
            std::string{body};
 }
 
-std::string chunked(std::string_view body) {
+std::string chunked(std::string_view body, std::string_view type = event_type) {
     std::array<char, 20> size{};
     const auto length = std::snprintf(size.data(), size.size(), "%zx\r\n", body.size());
-    return std::string{stream_header} + "Transfer-Encoding: chunked\r\n\r\n" +
+    return header_of(type) + "Transfer-Encoding: chunked\r\n\r\n" +
            std::string{size.data(), static_cast<std::size_t>(length)} + std::string{body} +
            "\r\n0\r\n\r\n";
 }
@@ -84,5 +88,104 @@
     EXPECT_EQ(answer->status, 502U);
 }
 
+/// Sends each answer cut off at every byte, closed and reset, through the gateway.
+class cut_answers : public gateway_fixture {
+protected:
+    /// One answer that was cut off, and what the caller received.
+    struct outcome {
+        /// Bytes of the body that the backend server sent.
+        std::string sent_body;
+        bool has_whole_header = false;
+        connection_end end;
+        tl::expected<http_response, http_failure> answer;
+    };
+
+    /// Calls `check` for each cut of the answer `bytes`, which ends with `body`, except for the
+    /// bytes of its framing. A request that is sent again gets the complete answer.
+    template <class Check>
+    void for_each_cut(const std::string& service, const std::string& path, const std::string& bytes,
+                      const std::string& body, Check check) {
+        auto& backend = add_raw_backend("b0", service);
+        const auto body_start = bytes.find(body);
+        for (const auto end : {connection_end::orderly, connection_end::reset}) {
+            for (std::size_t cut = 0; cut < bytes.size(); ++cut) {
+                relist(service, backend.port());
+                backend.clear_scripts();
+                backend.add_script(bytes.substr(0, cut), end);
+                backend.add_script(bytes, connection_end::orderly);
+                const auto sent = cut > body_start ? cut - body_start : 0;
+                check(outcome{body.substr(0, sent), cut >= body_start, end,
+                              send_request({"POST", path, {}, {}, {}})});
+            }
+        }
+        fleet_.set_gone(listed_);
+    }
+
+private:
+    /// Lists the backend server as a new process, so that earlier failures do not count against it.
+    void relist(const std::string& service, std::uint16_t port) {
+        fleet_.set_gone(std::exchange(listed_, "b" + std::to_string(++list_count_)));
+        list_backend(listed_, service, port);
+        shared_.retry_budgets.clear();
+    }
+
+    std::string listed_ = "b0";
+    int list_count_ = 0;
+};
+
+const std::string three_events = event_text(1) + event_text(2) + event_text(3);
+
+/// Whether the text consists of complete events, at least one.
+bool has_complete_events_only(std::string_view text) {
+    return text.ends_with("\n\n");
+}
+
+// An answer of which a part is missing must not look complete. Only the protocol's own limit
+// remains: the close of a connection between two events, with nothing else that marks the end.
+TEST_F(cut_answers, a_stream_that_may_not_run_again_never_looks_complete) {
+    for (const auto& bytes :
+         {with_length(three_events, three_events.size()), chunked(three_events)}) {
+        for_each_cut("llm", "/once-stream/", bytes, three_events, [](const outcome& cut) {
+            EXPECT_FALSE(cut.answer && cut.answer->status == 200);
+        });
+    }
+    for_each_cut("llm", "/once-stream/", until_close(three_events), three_events,
+                 [](const outcome& cut) {
+                     const bool is_complete = cut.answer && cut.answer->status == 200;
+                     EXPECT_EQ(is_complete, cut.end == connection_end::orderly &&
+                                                has_complete_events_only(cut.sent_body))
+                         << cut.sent_body;
+                 });
+}
+
+TEST_F(cut_answers, a_stream_that_may_be_resumed_is_delivered_whole) {
+    for (const auto& bytes : {with_length(three_events, three_events.size()), chunked(three_events),
+                              until_close(three_events)}) {
+        const bool is_framed = bytes != until_close(three_events);
+        for_each_cut("llm", "/stream/", bytes, three_events, [&](const outcome& cut) {
+            ASSERT_TRUE(cut.answer) << cut.sent_body;
+            const bool may_be_short = !is_framed && cut.end == connection_end::orderly &&
+                                      has_complete_events_only(cut.sent_body);
+            EXPECT_EQ(cut.answer->body, may_be_short ? cut.sent_body : three_events);
+        });
+    }
+}
+
+TEST_F(cut_answers, a_plain_answer_never_looks_complete) {
+    const std::string body = "order 1 placed";
+    for (const auto& bytes :
+         {with_length(body, body.size(), "text/plain"), chunked(body, "text/plain")}) {
+        for_each_cut("desk", "/unsafe/", bytes, body, [](const outcome& cut) {
+            ASSERT_TRUE(cut.answer);
+            EXPECT_EQ(cut.answer->status, 502U) << cut.sent_body;
+        });
+    }
+    for_each_cut("desk", "/unsafe/", until_close(body, "text/plain"), body, [](const outcome& cut) {
+        ASSERT_TRUE(cut.answer);
+        const bool looks_complete = cut.has_whole_header && cut.end == connection_end::orderly;
+        EXPECT_EQ(cut.answer->status, looks_complete ? 200U : 502U) << cut.sent_body;
+    });
+}
+
 } // namespace
 } // namespace magnolia
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -85,6 +85,7 @@
     void add_script(std::string bytes, connection_end end) {
         scripts_.push_back({std::move(bytes), end});
     }
+    void clear_scripts() { scripts_.clear(); }
     [[nodiscard]] std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
     [[nodiscard]] std::size_t connection_count() const { return connection_count_; }
 
@@ -112,6 +113,8 @@
     /// Adds a live backend server of the service "llm" or "desk".
     test_backend& add_backend(const std::string& id, const std::string& service);
     raw_backend& add_raw_backend(const std::string& id, const std::string& service);
+    /// Lists a live backend server.
+    void list_backend(const std::string& id, const std::string& service, std::uint16_t port);
     /// Activates the default configuration.
     void configure();
 
@@ -140,10 +143,6 @@
     http_server gateway_server_;
     std::vector<std::unique_ptr<test_backend>> backends_;
     std::vector<std::unique_ptr<raw_backend>> raw_backends_;
-
-private:
-    /// Lists a live backend server.
-    void list_backend(const std::string& id, const std::string& service, std::uint16_t port);
 };
 
 } // namespace magnolia
