Read lists of the store to their last page

What operators and callers would have seen: GET /v1/status without the zones beyond the first page, no orders for engines whose desired state is beyond it, and gossip to the gateways of the first page only.

Cause: three callers sent one list call and ignored "more".

Change: platform_client::list_all reads page by page, and these three use it. The client refuses a page without objects that is not the last one, so the check stands once instead of in each watcher; contract_watcher took such a page for the end of the list. magnolia-control logs a list that it could not read.

--- a/src/admin_api.cpp
+++ b/src/admin_api.cpp
@@ -236,25 +236,24 @@
         });
 }
 
-/// Returns the status objects of the zones unchanged, as far as one page of the platform's list
-/// holds them.
+/// Returns the status objects of the zones unchanged.
 void admin_api::status(const admin_call& call) {
-    platform_.execute(object_list{"status", {}, 0}, call_priority::status,
-                      [responder = call.responder](const result<platform_reply>& reply) {
-                          if (!reply) {
-                              responder.send(error_response(reply.error()));
-                              return;
-                          }
-                          auto list = json::array();
-                          for (const auto& item : std::get<object_page>(*reply).items) {
-                              const auto value = json::parse(item.value, nullptr, false);
-                              list.push_back(
-                                  {{"name", item.id.name},
-                                   {"version", item.version},
-                                   {"status", value.is_discarded() ? json(item.value) : value}});
-                          }
-                          responder.send(json_response(200, dump({{"status", list}})));
-                      });
+    platform_.list_all(
+        {"status", {}, 0}, call_priority::status,
+        [responder = call.responder](const result<std::vector<stored_object>>& objects) {
+            if (!objects) {
+                responder.send(error_response(objects.error()));
+                return;
+            }
+            auto list = json::array();
+            for (const auto& item : *objects) {
+                const auto value = json::parse(item.value, nullptr, false);
+                list.push_back({{"name", item.id.name},
+                                {"version", item.version},
+                                {"status", value.is_discarded() ? json(item.value) : value}});
+            }
+            responder.send(json_response(200, dump({{"status", list}})));
+        });
 }
 
 } // namespace magnolia
--- a/src/contract_watcher.cpp
+++ b/src/contract_watcher.cpp
@@ -85,7 +85,7 @@
     // Changes made between two pages may be missing from the list, so the watch continues from the
     // lowest revision of the pages.
     list_revision_ = std::min(list_revision_.value_or(page.revision), page.revision);
-    if (page.more && !page.items.empty()) {
+    if (page.more) {
         list_after_ = page.items.back().id.name;
         return;
     }
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -140,6 +140,8 @@
     void register_self();
     /// Reads the gossip addresses of the other gateways.
     void fetch_gateway_list();
+    /// Adds the addresses of registered gateways to those that gossip is sent to.
+    void add_peers(const std::vector<stored_object>& gateways);
     void on_request(http_request request, const http_responder& responder);
     [[nodiscard]] http_response readiness_response(const http_request& request) const;
     [[nodiscard]] bool is_ready() const;
@@ -349,27 +351,31 @@
 }
 
 void gateway::state::fetch_gateway_list() {
-    store_.execute(object_list{.kind = gateway_kind, .after = {}, .limit = 0, .may_be_stale = true},
-                   call_priority::status, [this](const result<platform_reply>& reply) {
-                       if (!reply) {
-                           return log_.info("list of gateways not read, keeps the known peers: " +
-                                            to_string(reply.error()));
-                       }
-                       const bool is_first = gossip_.known_peers() == 0;
-                       for (const auto& object : std::get<object_page>(*reply).items) {
-                           endpoint address;
-                           schema_reader reader{unknown_keys::accept};
-                           read(nlohmann::json::parse(object.value, nullptr, false), reader,
-                                address);
-                           if (reader.errors().empty()) {
-                               gossip_.add_peer(address);
-                           }
-                       }
-                       if (is_first) {
-                           // Peers answer the first digest with a snapshot of their active jobs.
-                           send_digest(steady_now());
-                       }
-                   });
+    store_.list_all({.kind = gateway_kind, .after = {}, .limit = 0, .may_be_stale = true},
+                    call_priority::status,
+                    [this](const result<std::vector<stored_object>>& gateways) {
+                        if (!gateways) {
+                            return log_.info("list of gateways not read, keeps the known peers: " +
+                                             to_string(gateways.error()));
+                        }
+                        add_peers(*gateways);
+                    });
+}
+
+void gateway::state::add_peers(const std::vector<stored_object>& gateways) {
+    const bool is_first = gossip_.known_peers() == 0;
+    for (const auto& object : gateways) {
+        endpoint address;
+        schema_reader reader{unknown_keys::accept};
+        read(nlohmann::json::parse(object.value, nullptr, false), reader, address);
+        if (reader.errors().empty()) {
+            gossip_.add_peer(address);
+        }
+    }
+    if (is_first) {
+        // Peers answer the first digest with a snapshot of their active jobs.
+        send_digest(steady_now());
+    }
 }
 
 void gateway::state::schedule_update() {
--- a/src/object_watcher.cpp
+++ b/src/object_watcher.cpp
@@ -52,10 +52,6 @@
         list_revision_ = page.revision;
     }
     list_items_.insert(list_items_.end(), page.items.begin(), page.items.end());
-    if (page.more && page.items.empty()) {
-        on_failure({error_code::platform_down, "page without objects that is not the last"});
-        return start();
-    }
     if (page.more) {
         return list(page.items.back().id.name);
     }
--- a/src/platform_client.cpp
+++ b/src/platform_client.cpp
@@ -15,6 +15,12 @@
     return watch == nullptr ? base : base + watch->wait;
 }
 
+/// Whether a list can be continued after the page, or the page is its last one.
+bool has_end_or_next(const result<platform_reply>& reply) {
+    const auto* page = reply ? std::get_if<object_page>(&*reply) : nullptr;
+    return page == nullptr || !page->more || !page->items.empty();
+}
+
 } // namespace
 
 http_platform_transport::http_platform_transport(boost::asio::io_context& context, endpoint address,
@@ -65,6 +71,28 @@
     schedule_dispatch(now);
 }
 
+void platform_client::list_all(object_list call, call_priority priority, object_list_handler done) {
+    list_next(std::move(call), priority, {}, std::move(done));
+}
+
+void platform_client::list_next(object_list call, call_priority priority,
+                                std::vector<stored_object> objects, object_list_handler done) {
+    auto on_page = [this, call, priority, objects = std::move(objects),
+                    done = std::move(done)](const result<platform_reply>& reply) mutable {
+        if (!reply) {
+            return done(tl::unexpected{reply.error()});
+        }
+        const auto& page = std::get<object_page>(*reply);
+        objects.insert(objects.end(), page.items.begin(), page.items.end());
+        if (!page.more) {
+            return done(std::move(objects));
+        }
+        call.after = objects.back().id.name;
+        list_next(std::move(call), priority, std::move(objects), std::move(done));
+    };
+    execute(std::move(call), priority, std::move(on_page));
+}
+
 void platform_client::post_failure(std::uint64_t number, const error& failure) {
     boost::asio::post(timer_.get_executor(),
                       [this, lifetime = std::weak_ptr{lifetime_}, number, failure] {
@@ -102,6 +130,10 @@
 }
 
 void platform_client::on_reply(std::uint64_t number, const result<platform_reply>& reply) {
+    if (!has_end_or_next(reply)) {
+        return on_reply(number, fail(error_code::platform_down,
+                                     "page without objects that is not the last one"));
+    }
     const bool was_up = is_up();
     const auto now = steady_now();
     scheduler_.on_completed(number, reply ? nullptr : &reply.error(), now);
--- a/src/platform_client.h
+++ b/src/platform_client.h
@@ -19,6 +19,9 @@
 /// may still do so; see conditional_write.h.
 using platform_reply_handler = std::function<void(const result<platform_reply>& reply)>;
 
+/// Called once with all objects of a list, or the first error.
+using object_list_handler = std::function<void(const result<std::vector<stored_object>>& objects)>;
+
 /// Transport over HTTP. Without a codec it uses the interface of docs/backends/platform.md.
 class http_platform_transport {
 public:
@@ -58,6 +61,9 @@
     /// the platform.
     void execute(platform_call call, call_priority priority, platform_reply_handler done);
 
+    /// Reads a list page by page. Errors: those of execute(), for the first page that fails.
+    void list_all(object_list call, call_priority priority, object_list_handler done);
+
     /// Sends later calls to another address; calls in flight are not affected.
     void set_address(const endpoint& address);
 
@@ -72,6 +78,9 @@
         platform_reply_handler done;
     };
 
+    /// Reads the pages of list_all() that follow the objects read so far.
+    void list_next(object_list call, call_priority priority, std::vector<stored_object> objects,
+                   object_list_handler done);
     /// Sends the calls that the scheduler releases, and fails those that it refuses.
     void dispatch(time_point now);
     /// Executes a call that the scheduler has released.
--- a/src/platform_port.h
+++ b/src/platform_port.h
@@ -86,7 +86,7 @@
     std::vector<stored_object> items;
     /// Revision of the store at which the list was read; a watch can continue from it.
     std::uint64_t revision = 0;
-    /// Whether names after the last item exist.
+    /// Whether names after the last item exist; only set if there is an item.
     bool more = false;
 };
 
--- a/tests/contracts_test.cpp
+++ b/tests/contracts_test.cpp
@@ -176,6 +176,18 @@
     EXPECT_EQ(accepted, 10);
 }
 
+// The status of zones beyond the first page of the store's list was missing.
+TEST_F(admin_api_test, the_status_covers_all_pages_of_the_list) {
+    constexpr std::size_t object_count = 501;
+    for (std::size_t index = 0; index < object_count; ++index) {
+        ASSERT_TRUE(platform_.model().store().put(
+            {{"status", "config/z" + std::to_string(index)}, 0, "{}"}));
+    }
+    const auto [status, body] = call("GET", "/v1/status");
+    EXPECT_EQ(status, 200U);
+    EXPECT_EQ(body["status"].size(), object_count);
+}
+
 TEST_F(admin_api_test, invalid_contracts_and_paths_get_typed_errors) {
     auto bad = sample();
     bad.prompt_token_burst = 1;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -187,6 +187,30 @@
     EXPECT_EQ(std::get<object_page>(*execute(object_list{"contract", "", 0})).items.size(), 1U);
 }
 
+// Callers that read one page took it for the whole list.
+TEST_F(platform_client_test, a_list_is_read_to_its_last_page) {
+    std::vector<std::string> names;
+    for (const auto* name : {"a", "b", "c", "d", "e"}) {
+        ASSERT_TRUE(server_.model().store().put({{"contract", name}, 0, "1"}));
+    }
+    std::optional<result<std::vector<stored_object>>> listed;
+    const auto list = [&] {
+        listed.reset();
+        client_->list_all({.kind = "contract", .after = {}, .limit = 2}, call_priority::claim,
+                          [&](const auto& objects) { listed = objects; });
+        while (!listed && context_.run_one() > 0) {
+        }
+    };
+    list();
+    ASSERT_TRUE(*listed);
+    std::ranges::transform(**listed, std::back_inserter(names),
+                           [](const auto& object) { return object.id.name; });
+    EXPECT_EQ(names, (std::vector<std::string>{"a", "b", "c", "d", "e"}));
+    server_.model().faults().outage = outage_mode::hang;
+    list();
+    EXPECT_EQ(listed->error().code, error_code::platform_down);
+}
+
 TEST_F(platform_client_test, a_watch_waits_for_a_change) {
     std::optional<result<platform_reply>> page;
     client_->execute(object_watch{"contract", 0, std::chrono::milliseconds{5000}},
--- a/tools/magnolia-control.cpp
+++ b/tools/magnolia-control.cpp
@@ -44,7 +44,7 @@
     /// Reads the desired state of the engines from the platform, once per plan_interval. Reads only
     /// the first page of the list.
     void fetch_desired(time_point now);
-    void on_desired(const object_page& page);
+    void on_desired(const std::vector<stored_object>& objects);
     /// Queries the status of the engines whose status the orders need.
     void fetch_status(time_point now);
     void poll_orders(time_point now);
@@ -176,17 +176,20 @@
     }
     is_fetching_desired_ = true;
     next_desired_fetch_ = now + settings_.plan_interval;
-    platform_.execute(object_list{desired_state_kind, {}}, call_priority::configuration,
-                      [this](const result<platform_reply>& reply) {
-                          is_fetching_desired_ = false;
-                          if (reply) {
-                              on_desired(std::get<object_page>(*reply));
-                          }
-                      });
+    platform_.list_all({desired_state_kind, {}}, call_priority::configuration,
+                       [this](const result<std::vector<stored_object>>& objects) {
+                           is_fetching_desired_ = false;
+                           if (!objects) {
+                               log_.warn("Could not read the desired state of the engines: " +
+                                         to_string(objects.error()));
+                               return;
+                           }
+                           on_desired(*objects);
+                       });
 }
 
-void controller::on_desired(const object_page& page) {
-    for (const auto& object : page.items) {
+void controller::on_desired(const std::vector<stored_object>& objects) {
+    for (const auto& object : objects) {
         const auto handle = handles_by_name_.find(object.id.name);
         const auto in = nlohmann::json::parse(object.value, nullptr, false);
         if (handle == handles_by_name_.end() || in.is_discarded()) {
