Send HTTP/1.0 callers streams that end with the connection

What callers would have seen: a caller or proxy that speaks HTTP/1.0 took the framing of chunks for text, and a stream that was broken off for a complete one.

Cause: http_session sent every stream in chunks, and an aborted one ended with an orderly close, which is the proper end of an HTTP/1.0 body.

Change: without chunks the body ends with the connection; if a part of it is missing (abort, failed write, stop of the server), the connection is reset.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -34,7 +34,7 @@
     const auto length = response.body.size();
     session_->start(response.status, std::move(response.headers), length);
     session_->append(response.body);
-    session_->finish(false);
+    session_->finish();
 }
 
 void http_responder::start(unsigned status, const http_headers& headers) const {
@@ -52,7 +52,7 @@
 
 void http_responder::finish() const {
     if (!is_closed()) {
-        session_->finish(true);
+        session_->finish();
     }
 }
 
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -51,7 +51,8 @@
 
     /// Sends a complete response.
     void send(http_response response) const;
-    /// Starts a streamed (chunked) response.
+    /// Starts a streamed response: chunked, or ended by the close of the connection if the peer
+    /// speaks HTTP/1.0.
     void start(unsigned status, const http_headers& headers) const;
     /// Appends a chunk to the stream.
     /// @param on_written  called once the operating system has accepted the chunk; not called if
--- a/src/http_session.cpp
+++ b/src/http_session.cpp
@@ -191,6 +191,7 @@
         co_await refuse(refusal);
         co_return false;
     }
+    accepts_chunks_ = parser.get().version() >= http_11;
     keep_alive_ = parser.keep_alive() && !server_->is_draining;
     request.method = std::string{parser.get().method_string()};
     request.target = std::string{parser.get().target()};
@@ -247,6 +248,7 @@
     ++exchange_;
     is_open_exchange_ = true;
     is_finished_ = false;
+    is_aborted_ = false;
     wake_timer_.expires_at(asio::steady_timer::time_point::max());
     ++server_->active;
 }
@@ -288,7 +290,7 @@
     keep_alive_ = false;
     const auto on_disconnect = std::move(on_disconnect_);
     close_exchange();
-    stream_.close();
+    close_socket();
     if (on_disconnect) {
         on_disconnect();
     }
@@ -300,6 +302,14 @@
     if (is_open_exchange_) {
         handle_disconnect();
     }
+    close_socket();
+}
+
+void http_session::close_socket() {
+    if (framing_ == body_framing::until_close) {
+        system_error ignored;
+        stream_.socket().set_option(asio::socket_base::linger{true, 0}, ignored);
+    }
     stream_.close();
 }
 
@@ -326,10 +336,16 @@
     const bool has_no_body = status == status_no_content || status == status_not_modified;
     if (has_no_body) {
         omits_body_ = true;
+        framing_ = body_framing::none;
     } else if (length) {
         headers.push_back({"Content-Length", std::to_string(*length)});
-    } else {
+        framing_ = body_framing::content_length;
+    } else if (accepts_chunks_) {
         headers.push_back({"Transfer-Encoding", "chunked"});
+        framing_ = body_framing::chunked;
+    } else {
+        keep_alive_ = false;
+        framing_ = body_framing::until_close;
     }
     keep_alive_ = keep_alive_ && server_ != nullptr && !server_->is_draining;
     output_ += serialize_header(status, headers, keep_alive_);
@@ -342,7 +358,9 @@
 }
 
 void http_session::append_chunk(std::string_view text, std::function<void()> on_written) {
-    if (!omits_body_ && !text.empty()) {
+    if (framing_ != body_framing::chunked) {
+        append(text);
+    } else if (!omits_body_ && !text.empty()) {
         output_ += beast::buffers_to_string(http::make_chunk(asio::buffer(text)));
     }
     if (on_written) {
@@ -351,8 +369,8 @@
     flush_output();
 }
 
-void http_session::finish(bool is_chunked) {
-    if (is_chunked && !omits_body_) {
+void http_session::finish() {
+    if (framing_ == body_framing::chunked && !omits_body_) {
         output_ += beast::buffers_to_string(http::make_chunk_last());
     }
     is_finished_ = true;
@@ -362,7 +380,9 @@
 void http_session::abort() {
     on_disconnect_ = nullptr;
     keep_alive_ = false;
-    finish(false);
+    is_aborted_ = true;
+    is_finished_ = true;
+    flush_output();
     if (is_open_exchange_) {
         start_timeout(lingering_close_timeout);
     }
@@ -375,6 +395,7 @@
     }
     if (output_.empty() && output_callbacks_.empty()) {
         if (is_finished_) {
+            framing_ = is_aborted_ ? framing_ : body_framing::none;
             close_exchange();
         }
         return;
--- a/src/http_session_p.h
+++ b/src/http_session_p.h
@@ -75,14 +75,15 @@
     void close_if_reused();
 
     // Used by http_responder.
-    /// Adds the header to the output. Without a length, the body is sent in chunks.
+    /// Adds the header to the output. Without a length, the body is sent in chunks, or ends with
+    /// the connection if the peer speaks HTTP/1.0.
     void start(unsigned status, http_headers headers, std::optional<std::size_t> length);
     /// Adds part of a body with a known length to the output.
     void append(std::string_view text);
     /// Adds a chunk to the output and starts to write.
     void append_chunk(std::string_view text, std::function<void()> on_written);
     /// Ends the response and writes the remaining output.
-    void finish(bool is_chunked);
+    void finish();
     /// Writes the remaining output for a bounded time, then closes the connection.
     void abort();
     void on_disconnect(std::function<void()> handler) { on_disconnect_ = std::move(handler); }
@@ -128,6 +129,9 @@
     void flush_output();
     void on_written(const boost::system::error_code& failure);
     void handle_disconnect();
+    /// Closes the connection; with a reset if an orderly close would complete a response of which a
+    /// part is missing.
+    void close_socket();
 
     boost::beast::tcp_stream stream_;
     /// Cancelled at the end of an exchange to wake the coroutine that waits for it.
@@ -147,6 +151,12 @@
     bool keep_alive_ = true;
     /// Whether the response has no body: to a HEAD request, or with status 204 or 304.
     bool omits_body_ = false;
+    /// Framing of the response in progress; none once it was sent completely.
+    body_framing framing_ = body_framing::none;
+    /// Whether the peer understands the chunked coding.
+    bool accepts_chunks_ = true;
+    /// Whether the response in progress was aborted.
+    bool is_aborted_ = false;
     bool is_writing_ = false;
     std::size_t reserved_body_bytes_ = 0;
     /// Bytes to send with the next write, and bytes of the write in progress.
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -2,6 +2,7 @@
 #include "http_server.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
@@ -114,6 +115,40 @@
     EXPECT_EQ(text, "first second");
 }
 
+// HTTP/1.0 has no chunks: such a caller took their framing for text, and an aborted stream for a
+// complete one.
+TEST_F(http_client_server, an_http_1_0_peer_gets_plain_text_and_a_reset_for_an_aborted_stream) {
+    bool is_aborted = false;
+    serve([&](const auto&, const http_responder& responder) {
+        responder.start(200, {});
+        responder.write("one ");
+        responder.write("two");
+        if (is_aborted) {
+            responder.abort();
+        } else {
+            responder.finish();
+        }
+    });
+    for (const bool aborts : {false, true}) {
+        is_aborted = aborts;
+        asio::ip::tcp::socket socket{context_};
+        socket.connect({asio::ip::make_address("127.0.0.1"), peer_.port});
+        asio::write(socket, asio::buffer(std::string{"GET / HTTP/1.0\r\n\r\n"}));
+        std::string received;
+        std::optional<boost::system::error_code> end;
+        asio::async_read(socket, asio::dynamic_buffer(received),
+                         [&](const auto& failure, auto) { end = failure; });
+        run_until([&] { return end.has_value(); });
+        EXPECT_EQ(*end == asio::error::connection_reset, aborts);
+        EXPECT_EQ(*end == asio::error::eof, !aborts);
+        EXPECT_EQ(received.find("Transfer-Encoding"), std::string::npos);
+        EXPECT_NE(received.find("Connection: close"), std::string::npos);
+        if (!aborts) {
+            EXPECT_TRUE(received.ends_with("\r\n\r\none two"));
+        }
+    }
+}
+
 TEST_F(http_client_server, a_refused_connection_reports_that_no_request_was_written) {
     serve(echo);
     server_->close();
