Test that a framed answer ends where its framing says

Bytes after the end of an answer, a second answer, an interim response, a trailer and a chunk extension must neither lengthen nor break it.

Change: a test with the real client, relay and front, each case with a close and a reset. It passes on the current code; no fault found.

--- a/tests/answer_framing_test.cpp
+++ b/tests/answer_framing_test.cpp
@@ -88,6 +88,29 @@
     EXPECT_EQ(answer->status, 502U);
 }
 
+// Bytes outside the framed body belong to no answer.
+TEST_F(gateway_fixture, a_framed_answer_ends_where_its_framing_says) {
+    const std::string body = "order 1 placed";
+    const auto whole = with_length(body, body.size(), "text/plain");
+    auto with_trailer = chunked(body, "text/plain");
+    with_trailer.insert(with_trailer.size() - 2, "note: late\r\n");
+    auto with_extension = chunked(body, "text/plain");
+    with_extension.insert(with_extension.find("\r\n" + body), ";part=1");
+    auto& backend = add_raw_backend("b1", "desk");
+    for (const auto& bytes :
+         {whole + "more", whole + whole, chunked(body, "text/plain") + "more",
+          "HTTP/1.1 102 Processing\r\n\r\n" + whole, with_trailer, with_extension}) {
+        for (const auto end : {connection_end::orderly, connection_end::reset}) {
+            backend.clear_scripts();
+            backend.add_script(bytes, end);
+            const auto answer = send_request({"POST", "/unsafe/", {}, {}, {}});
+            ASSERT_TRUE(answer);
+            EXPECT_EQ(answer->status, 200U) << bytes;
+            EXPECT_EQ(answer->body, body) << bytes;
+        }
+    }
+}
+
 /// Sends each answer cut off at every byte, closed and reset, through the gateway.
 class cut_answers : public gateway_fixture {
 protected:
