Read the change as a newcomer: replies, log fields, loop of the splitter

A page whose last object has no name cannot be continued and is a failed call. partial_event_bytes counted trailing comments, now only an incomplete event. Shorter loop in event_splitter, one separator in the "end" line.

--- a/src/event_stream.cpp
+++ b/src/event_stream.cpp
@@ -35,8 +35,9 @@
     const std::string_view text{pending_};
     std::vector<stream_event> events;
     std::size_t event_start = 0;
-    for (auto line_end = text.find_first_of("\r\n", line_start_); line_end != std::string::npos;
-         line_end = text.find_first_of("\r\n", line_start_)) {
+    const auto find_line_end = [&] { return text.find_first_of("\r\n", line_start_); };
+    for (auto line_end = find_line_end(); line_end != std::string_view::npos;
+         line_end = find_line_end()) {
         const auto line = text.substr(line_start_, line_end - line_start_);
         const bool follows_cr = line_end > 0 ? text[line_end - 1] == '\r' : follows_cr_;
         const bool is_second_of_crlf = line.empty() && follows_cr && text[line_end] == '\n';
--- a/src/forward_answer.cpp
+++ b/src/forward_answer.cpp
@@ -83,7 +83,8 @@
 void forward_call::on_events(std::string_view text) {
     const auto events = splitter_.append(text);
     answer_summary_.events += events.size();
-    answer_summary_.partial_event_bytes = splitter_.pending().size();
+    answer_summary_.partial_event_bytes =
+        splitter_.is_inside_event() ? splitter_.pending().size() : 0;
     for (const auto& event : events) {
         if (is_complete_ || form_ != answer_form::events) {
             return;
--- a/src/forward_call.h
+++ b/src/forward_call.h
@@ -28,7 +28,7 @@
     std::optional<body_framing> framing;
     /// Complete events of a stream.
     std::size_t events = 0;
-    /// Bytes of a stream after its last complete event.
+    /// Bytes of the incomplete event at the end of a stream.
     std::size_t partial_event_bytes = 0;
     attempt_result result = attempt_result::cancelled;
 };
--- a/src/platform_client.cpp
+++ b/src/platform_client.cpp
@@ -18,7 +18,8 @@
 /// Whether a list can be continued after the page, or the page is its last one.
 bool has_end_or_next(const result<platform_reply>& reply) {
     const auto* page = reply ? std::get_if<object_page>(&*reply) : nullptr;
-    return page == nullptr || !page->more || !page->items.empty();
+    return page == nullptr || !page->more ||
+           (!page->items.empty() && !page->items.back().id.name.empty());
 }
 
 } // namespace
