Accept no resumed stream without the event that was cut before

What callers would have seen: a stream that lacks its end, framed as complete, if a run is cut inside an event and the run that resumes it ends properly without a further event.

Cause: each attempt was judged alone. That an earlier one was cut inside an event proves that there is at least one more event.

Change: forward_call remembers that such an event is missing until a new one arrives, and is_stream_complete needs a new event then, as it does for an unframed answer. "New" is derived from what was forwarded, so a run that only repeats old events does not count. partial_event_bytes is derived once, at the end of an attempt, instead of with each read.

--- a/src/attempt_policy.cpp
+++ b/src/attempt_policy.cpp
@@ -46,8 +46,8 @@
 }
 
 bool is_stream_complete(const ended_stream& stream) {
-    const bool is_empty = stream.framing == body_framing::until_close && stream.events == 0;
-    return !stream.is_inside_event && !is_empty;
+    const bool needs_event = stream.is_event_missing || stream.framing == body_framing::until_close;
+    return !stream.is_inside_event && (stream.has_new_event || !needs_event);
 }
 
 duration caller_idle_timeout(const route_info& route) {
--- a/src/attempt_policy.h
+++ b/src/attempt_policy.h
@@ -52,14 +52,16 @@
 /// Input of is_stream_complete(): a stream of events whose response ended without an error.
 struct ended_stream {
     body_framing framing = body_framing::none;
-    /// Complete events of the response.
-    std::size_t events = 0;
+    /// The response has an event that the caller did not have.
+    bool has_new_event = false;
     bool is_inside_event = false;
+    /// An earlier attempt was cut inside an event that the caller does not have.
+    bool is_event_missing = false;
 };
 
 /// Whether the backend server sent the complete stream. If not, it has broken it off: an event is
-/// incomplete, or the connection closed before the first event with nothing else that marks the end
-/// of the body.
+/// incomplete, or there is no new one although an earlier attempt had more, or although only the
+/// close of the connection marks the end of the body.
 [[nodiscard]] bool is_stream_complete(const ended_stream& stream);
 
 /// Time without an event after which callers are assumed to abandon a stream.
--- a/src/forward_answer.cpp
+++ b/src/forward_answer.cpp
@@ -83,8 +83,6 @@
 void forward_call::on_events(std::string_view text) {
     const auto events = splitter_.append(text);
     answer_summary_.events += events.size();
-    answer_summary_.partial_event_bytes =
-        splitter_.is_inside_event() ? splitter_.pending().size() : 0;
     for (const auto& event : events) {
         if (is_complete_ || form_ != answer_form::events) {
             return;
@@ -105,7 +103,7 @@
                             {error_code::backend_failed,
                              "resumed stream does not continue after the last event sent"});
     }
-    shared_.fleet.on_event(job_, !has_response_started_ || is_resuming_, now);
+    shared_.fleet.on_event(job_, !has_new_event(), now);
     if (!has_response_started_) {
         is_late_ = now - first_requested_at_ > route_->target_latency;
     } else {
@@ -146,13 +144,14 @@
 
 void forward_call::on_stream_end() {
     const ended_stream stream{.framing = answer_summary_.framing.value_or(body_framing::none),
-                              .events = answer_summary_.events,
-                              .is_inside_event = splitter_.is_inside_event()};
+                              .has_new_event = has_new_event(),
+                              .is_inside_event = splitter_.is_inside_event(),
+                              .is_event_missing = is_event_missing_};
     if (!is_stream_complete(stream)) {
         return fail_attempt(run_evidence::in_doubt, attempt_result::lost,
-                            {error_code::backend_lost,
-                             stream.is_inside_event ? "stream ended inside an event"
-                                                    : "stream ended before its first event"});
+                            {error_code::backend_lost, stream.is_inside_event
+                                                           ? "stream ended inside an event"
+                                                           : "stream ended before a new event"});
     }
     start_response();
     // Comments and blank lines after the last event.
--- a/src/forward_call.cpp
+++ b/src/forward_call.cpp
@@ -289,6 +289,7 @@
     predicted_ = chosen.first_event - now;
     members_ = chosen.members;
     form_ = answer_form::none;
+    is_event_missing_ = splitter_.is_inside_event() || (is_event_missing_ && !has_new_event());
     splitter_ = {};
     answer_summary_ = {};
     body_.clear();
@@ -391,6 +392,8 @@
 
 void forward_call::report_answer_end(attempt_result result, std::string_view cause) {
     answer_summary_.result = result;
+    answer_summary_.partial_event_bytes =
+        splitter_.is_inside_event() ? splitter_.pending().size() : 0;
     shared_.on_answer_end(answer_summary_);
     if (result != attempt_result::done && result != attempt_result::cancelled) {
         log_of().info(head_.attempt, "answer attempt=" + std::to_string(sends_made_) +
--- a/src/forward_call.h
+++ b/src/forward_call.h
@@ -149,6 +149,8 @@
     void on_complete_answer();
     /// The backend server or a helper refused; nothing has run.
     void on_refusal();
+    /// Whether the attempt has brought an event that the caller did not have.
+    [[nodiscard]] bool has_new_event() const { return has_response_started_ && !is_resuming_; }
     /// Forwards an event unless the caller already has it.
     void forward_event(const stream_event& event);
     /// Sends status and header to the caller; only the first call has an effect.
@@ -246,6 +248,8 @@
     std::optional<std::uint64_t> last_event_;
     /// The attempt resumes a stream, and its first new event has not arrived.
     bool is_resuming_ = false;
+    /// An earlier attempt was cut inside an event that the caller does not have.
+    bool is_event_missing_ = false;
     /// A target of latency or pause was missed.
     bool is_late_ = false;
     time_point first_byte_at_{};
--- a/tests/answer_framing_test.cpp
+++ b/tests/answer_framing_test.cpp
@@ -80,6 +80,32 @@
     EXPECT_EQ(answer->body, event_text(1) + event_text(2) + event_text(3));
 }
 
+// A run that was cut inside an event had more to send, so a resumed one without a further event is
+// no complete rest. The caller received a complete stream that lacked its end.
+TEST_F(gateway_fixture, a_resumed_stream_without_the_event_that_was_cut_does_not_look_complete) {
+    const auto cut = until_close(event_text(1) + "id: 2\nda");
+    for (const std::string body : {"", "id: 1\ndata: x\n\n"}) {
+        auto& backend = add_raw_backend("b" + std::to_string(body.size()), "llm");
+        backend.add_script(cut, connection_end::orderly);
+        backend.add_script(with_length(body, body.size()), connection_end::orderly);
+        const auto response = send_raw("POST", "/stream/");
+        EXPECT_EQ(count_of(response, "id: "), 1U);
+        EXPECT_FALSE(has_last_chunk(response)) << body;
+        fleet_.set_gone("b" + std::to_string(body.size()));
+    }
+}
+
+// The break before the last chunk may come after the last event; then nothing is left to resume.
+TEST_F(gateway_fixture, a_stream_that_broke_after_its_last_event_is_completed_by_an_empty_rest) {
+    auto& backend = add_raw_backend("b1", "llm");
+    const auto body = event_text(1) + event_text(2);
+    backend.add_script(with_length(body, body.size() + 1), connection_end::orderly);
+    backend.add_script(with_length("", 0), connection_end::orderly);
+    const auto answer = send_request({"POST", "/stream/", {}, "prompt", {}});
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->body, body);
+}
+
 // A connection that closes right after the header proves nothing about the answer.
 TEST_F(gateway_fixture, an_unframed_stream_without_events_does_not_look_complete) {
     add_raw_backend("b1", "llm").add_script(until_close(""), connection_end::orderly);
--- a/tests/attempt_policy_test.cpp
+++ b/tests/attempt_policy_test.cpp
@@ -58,13 +58,17 @@
 TEST(attempt_policy, a_stream_is_complete_only_after_a_complete_event) {
     using enum body_framing;
     for (const auto framing : {content_length, chunked, until_close}) {
-        EXPECT_TRUE(is_stream_complete({framing, 1, false}));
-        EXPECT_FALSE(is_stream_complete({framing, 1, true}));
-        EXPECT_FALSE(is_stream_complete({framing, 0, true}));
+        EXPECT_TRUE(is_stream_complete({.framing = framing, .has_new_event = true}));
+        EXPECT_FALSE(is_stream_complete({.framing = framing, .is_inside_event = true}));
+        EXPECT_FALSE(is_stream_complete(
+            {.framing = framing, .has_new_event = true, .is_inside_event = true}));
+        EXPECT_FALSE(is_stream_complete({.framing = framing, .is_event_missing = true}));
+        EXPECT_TRUE(is_stream_complete(
+            {.framing = framing, .has_new_event = true, .is_event_missing = true}));
     }
-    EXPECT_TRUE(is_stream_complete({none, 0, false}));
-    EXPECT_TRUE(is_stream_complete({chunked, 0, false}));
-    EXPECT_FALSE(is_stream_complete({until_close, 0, false}));
+    EXPECT_TRUE(is_stream_complete({.framing = none}));
+    EXPECT_TRUE(is_stream_complete({.framing = chunked}));
+    EXPECT_FALSE(is_stream_complete({.framing = until_close}));
 }
 
 TEST(attempt_policy, a_backend_server_that_fails_probes_is_lost_sooner) {
