Test the counts of answers; one codec of the store for the tests

Change: gateway_metrics_test; product_store_codec in the gateway fixture, from which the codec with an empty page derives. No check is changed.

--- a/tests/gateway_fixture.cpp
+++ b/tests/gateway_fixture.cpp
@@ -1,5 +1,6 @@
 #include "gateway_fixture.h"
 
+#include "platform_wire.h"
 #include "schema_reader.h"
 
 #include <boost/algorithm/string/predicate.hpp>
@@ -127,6 +128,15 @@
     return {"POST", "/release", {{"attempt", std::string{reservation_id}}}, {}, {}};
 }
 
+http_request product_store_codec::encode(const platform_call& call) const {
+    return encode_call(call);
+}
+
+result<platform_reply> product_store_codec::decode(const platform_call& call,
+                                                   const http_response& response) const {
+    return decode_reply(call, response);
+}
+
 std::size_t count_of(std::string_view text, std::string_view part) {
     std::size_t count = 0;
     for (auto at = text.find(part); at != std::string_view::npos; at = text.find(part, at + 1)) {
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -36,6 +36,14 @@
     [[nodiscard]] std::string_view readiness_path() const override { return "/ready"; }
 };
 
+/// Codec of the object API of the platform server that the tests start.
+class product_store_codec : public store_codec {
+public:
+    [[nodiscard]] http_request encode(const platform_call& call) const override;
+    [[nodiscard]] result<platform_reply> decode(const platform_call& call,
+                                                const http_response& response) const override;
+};
+
 /// Routes /stream/ and /once-stream/ to llm, /safe/ and /unsafe/ to desk; the workspace acme has
 /// the keys k1 and k2.
 [[nodiscard]] routing_config default_config();
--- /dev/null
+++ b/tests/gateway_metrics_test.cpp
@@ -0,0 +1,34 @@
+#include "gateway_metrics.h"
+
+#include <gtest/gtest.h>
+
+namespace magnolia {
+namespace {
+
+// The logs and metrics of the incident ORDER did not show how answers were framed and ended.
+TEST(gateway_metrics, answers_are_counted_by_framing_and_result) {
+    metrics_registry registry;
+    gateway_metrics metrics{registry};
+    const answer_summary broken{.framing = body_framing::until_close,
+                                .events = 2,
+                                .partial_event_bytes = 6,
+                                .result = attempt_result::lost};
+    metrics.count(broken);
+    metrics.count(broken);
+    metrics.count(answer_summary{.framing = body_framing::chunked, .result = attempt_result::done});
+    metrics.count(answer_summary{.result = attempt_result::refused});
+    // The caller left: the rest of the event was not waited for.
+    metrics.count(answer_summary{.framing = body_framing::chunked, .partial_event_bytes = 6});
+    const auto text = registry.text();
+    const auto expect_line = [&text](const std::string& line) {
+        EXPECT_NE(text.find(line + "\n"), std::string::npos) << line << "\n" << text;
+    };
+    expect_line(R"(magnolia_backend_answers_total{framing="until_close",result="lost"} 2)");
+    expect_line(R"(magnolia_backend_answers_total{framing="chunked",result="done"} 1)");
+    expect_line(R"(magnolia_backend_answers_total{framing="chunked",result="cancelled"} 1)");
+    expect_line(R"(magnolia_backend_answers_total{framing="no_header",result="refused"} 1)");
+    expect_line("magnolia_partial_events_total 2");
+}
+
+} // namespace
+} // namespace magnolia
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -2,7 +2,6 @@
 #include "gateway_fixture.h"
 #include "platform_client.h"
 #include "platform_server.h"
-#include "platform_wire.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <unistd.h>
@@ -14,18 +13,6 @@
 namespace magnolia {
 namespace {
 
-/// Codec of the object API of the platform server that the tests start.
-class product_store_codec final : public store_codec {
-public:
-    [[nodiscard]] http_request encode(const platform_call& call) const override {
-        return encode_call(call);
-    }
-    [[nodiscard]] result<platform_reply> decode(const platform_call& call,
-                                                const http_response& response) const override {
-        return decode_reply(call, response);
-    }
-};
-
 std::uint16_t free_port(boost::asio::io_context& context) {
     const boost::asio::ip::tcp::acceptor probe{context,
                                                {boost::asio::ip::make_address("127.0.0.1"), 0}};
--- a/tests/object_watcher_test.cpp
+++ b/tests/object_watcher_test.cpp
@@ -1,8 +1,6 @@
+#include "gateway_fixture.h"
 #include "object_watcher.h"
 #include "platform_server.h"
-#include "platform_wire.h"
-
-#include <gtest/gtest.h>
 
 namespace magnolia {
 namespace {
@@ -11,17 +9,14 @@
 
 /// Codec of the object API whose first reply to a list is a page without objects that is not the
 /// last one.
-class empty_page_codec final : public store_codec {
+class empty_page_codec final : public product_store_codec {
 public:
-    [[nodiscard]] http_request encode(const platform_call& call) const override {
-        return encode_call(call);
-    }
     [[nodiscard]] result<platform_reply> decode(const platform_call& call,
                                                 const http_response& response) const override {
         if (std::holds_alternative<object_list>(call) && std::exchange(is_first_, false)) {
             return object_page{{}, 1, true};
         }
-        return decode_reply(call, response);
+        return product_store_codec::decode(call, response);
     }
 
 private:
