Read the epoch of the store with each reply, log and report it

The client logs a restored store, the gateway logs epoch and revision of each configuration that becomes active and exports magnolia_store_epoch. Decisions still use the revision alone.

--- a/fakes/platform_server.cpp
+++ b/fakes/platform_server.cpp
@@ -260,7 +260,7 @@
         return true;
     }
     if (now >= watch.end) {
-        const watch_page empty_page{{}, model_.store().revision(), false};
+        const watch_page empty_page{{}, {.revision = model_.store().revision()}, false};
         watch.responder.send(encode_reply(platform_reply{empty_page}));
         return true;
     }
--- a/src/contract_store.cpp
+++ b/src/contract_store.cpp
@@ -142,20 +142,20 @@
                      return;
                  }
                  const auto& page = std::get<object_page>(*reply);
-                 done(contract_page{decode_all(page.items), page.revision, page.more});
+                 done(contract_page{decode_all(page.items), page.position.revision, page.more});
              });
 }
 
 void contract_store::watch(std::uint64_t after_revision, std::chrono::milliseconds wait,
                            std::function<void(const contract_result<contract_changes>&)> done) {
-    execute_(object_watch{contract_kind, after_revision, wait},
+    execute_(object_watch{contract_kind, {.revision = after_revision}, wait},
              [done = std::move(done)](const result<platform_reply>& reply) {
                  if (!reply) {
                      done(make_failure(reply.error()));
                      return;
                  }
                  const auto& page = std::get<watch_page>(*reply);
-                 done(contract_changes{decode_all(page.changes), page.revision, page.gap});
+                 done(contract_changes{decode_all(page.changes), page.position.revision, page.gap});
              });
 }
 
--- a/src/contract_watcher.cpp
+++ b/src/contract_watcher.cpp
@@ -60,7 +60,7 @@
     if (is_listing_) {
         return numbered_call{number, object_list{"contract", list_after_}};
     }
-    return numbered_call{number, object_watch{"contract", revision_, watch_wait}};
+    return numbered_call{number, object_watch{"contract", {.revision = revision_}, watch_wait}};
 }
 
 watch_update contract_watcher::on_reply(std::uint64_t number, const result<platform_reply>& reply,
@@ -84,7 +84,8 @@
     read_contracts(page.items, update);
     // Changes made between two pages may be missing from the list, so the watch continues from the
     // lowest revision of the pages.
-    list_revision_ = std::min(list_revision_.value_or(page.revision), page.revision);
+    list_revision_ =
+        std::min(list_revision_.value_or(page.position.revision), page.position.revision);
     if (page.more) {
         list_after_ = page.items.back().id.name;
         return;
@@ -102,8 +103,8 @@
         revision_ = 0;
         return;
     }
-    if (page.revision >= revision_) {
-        revision_ = page.revision;
+    if (page.position.revision >= revision_) {
+        revision_ = page.position.revision;
         update.confirmed_at = sent_at_;
     }
 }
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -309,7 +309,8 @@
     }
     log_.info("configuration " + std::to_string(config->version) + " active, " +
               std::to_string(config->routes.size()) + " routes, " +
-              std::to_string(config->workspaces.size()) + " workspaces");
+              std::to_string(config->workspaces.size()) + " workspaces, epoch=" +
+              std::to_string(store_.epoch()) + " revision=" + std::to_string(object.version));
     caller_server_.set_limits(limits_of(settings_, config->limits));
     fleet_.set_services(config->services);
     shared_.routes = std::make_shared<const route_table>(std::move(*config));
@@ -509,6 +510,7 @@
     }
     metrics_.set_gauges({.config_version = shared_.routes ? shared_.routes->version() : 0,
                          .config_age = config_age(now),
+                         .store_epoch = store_.epoch(),
                          .live_backends = fleet_.live_count(),
                          .live_gateways = gossip_.live_peers() + 1,
                          .is_store_reachable = !config_watcher_.is_disconnected() &&
--- a/src/gateway_metrics.cpp
+++ b/src/gateway_metrics.cpp
@@ -39,6 +39,8 @@
       config_version_{registry.make_gauge("magnolia_config_version", "Configuration in force.")},
       config_age_{registry.make_gauge("magnolia_config_age_seconds",
                                       "Time since the store confirmed the configuration.")},
+      store_epoch_{registry.make_gauge(
+          "magnolia_store_epoch", "Epoch of the store; rises when it is restored from a copy")},
       live_backends_{
           registry.make_gauge("magnolia_live_backends", "Backend servers that take new work.")},
       live_gateways_{registry.make_gauge("magnolia_live_gateways",
@@ -106,6 +108,7 @@
 void gateway_metrics::set_gauges(const gateway_gauges& gauges) const {
     config_version_.set(static_cast<double>(gauges.config_version));
     config_age_.set(to_seconds(gauges.config_age));
+    store_epoch_.set(static_cast<double>(gauges.store_epoch));
     live_backends_.set(static_cast<double>(gauges.live_backends));
     live_gateways_.set(static_cast<double>(gauges.live_gateways));
     store_reachable_.set(gauges.is_store_reachable ? 1 : 0);
--- a/src/gateway_metrics.h
+++ b/src/gateway_metrics.h
@@ -14,6 +14,8 @@
     std::uint64_t config_version = 0;
     /// Time since the store last confirmed that the configuration is the newest one.
     duration config_age{0};
+    /// See store_position.
+    std::uint64_t store_epoch = 0;
     std::size_t live_backends = 0;
     std::size_t live_gateways = 0;
     bool is_store_reachable = false;
@@ -47,6 +49,7 @@
     counter resends_;
     gauge config_version_;
     gauge config_age_;
+    gauge store_epoch_;
     gauge live_backends_;
     gauge live_gateways_;
     gauge store_reachable_;
--- a/src/gateway_port.h
+++ b/src/gateway_port.h
@@ -18,6 +18,10 @@
     /// platform_down for any other status or a reply that cannot be parsed.
     [[nodiscard]] virtual result<platform_reply> decode(const platform_call& call,
                                                         const http_response& response) const = 0;
+    /// Epoch of the store that the header of a response states, whatever its status; see
+    /// store_position.
+    [[nodiscard]] virtual std::optional<std::uint64_t>
+    read_epoch(const http_headers& headers) const = 0;
 };
 
 /// Translates between the gateway's types and the wire format of a deployment. Stateless.
--- a/src/object_watcher.cpp
+++ b/src/object_watcher.cpp
@@ -49,7 +49,7 @@
     }
     const auto& page = std::get<object_page>(*reply);
     if (list_items_.empty()) {
-        list_revision_ = page.revision;
+        list_revision_ = page.position.revision;
     }
     list_items_.insert(list_items_.end(), page.items.begin(), page.items.end());
     if (page.more) {
@@ -66,7 +66,7 @@
 
 void object_watcher::watch() {
     const auto wait = is_disconnected_ ? watch_wait_after_failure : watch_wait_();
-    call(object_watch{kind_, revision_, wait}, &object_watcher::on_changes);
+    call(object_watch{kind_, {.revision = revision_}, wait}, &object_watcher::on_changes);
 }
 
 void object_watcher::on_changes(const result<platform_reply>& reply) {
@@ -80,9 +80,9 @@
         return start();
     }
     confirm();
-    revision_ = page.revision;
+    revision_ = page.position.revision;
     if (!page.changes.empty()) {
-        last_change_revision_ = page.revision;
+        last_change_revision_ = page.position.revision;
     }
     for (const auto& change : page.changes) {
         handlers_.on_change(change);
--- a/src/platform_client.h
+++ b/src/platform_client.h
@@ -22,6 +22,13 @@
 /// Called once with all objects of a list, or the first error.
 using object_list_handler = std::function<void(const result<std::vector<stored_object>>& objects)>;
 
+/// Reply of the platform as a transport received it.
+struct transport_reply {
+    result<platform_reply> reply;
+    /// Epoch of the store in which the reply was given; absent if the response does not state it.
+    std::optional<std::uint64_t> epoch;
+};
+
 /// Transport over HTTP. Without a codec it uses the interface of docs/backends/platform.md.
 class http_platform_transport {
 public:
@@ -30,10 +37,13 @@
 
     /// Executes a call at once. Errors: those of the codec; platform_down without a response.
     void execute(const platform_call& call, std::chrono::milliseconds timeout,
-                 platform_reply_handler done);
+                 std::function<void(transport_reply)> done);
     void set_address(const endpoint& address) { address_ = address; }
 
 private:
+    [[nodiscard]] transport_reply decode(const platform_call& call,
+                                         const http_response& response) const;
+
     http_client client_;
     endpoint address_;
     const store_codec* codec_;
@@ -69,6 +79,8 @@
 
     /// Whether the platform is considered reachable; see platform_scheduler::is_up().
     [[nodiscard]] bool is_up() const { return scheduler_.is_up(); }
+    /// Epoch of the store as its replies state it; 0 until one does.
+    [[nodiscard]] std::uint64_t epoch() const { return epoch_.value_or(0); }
     /// Sets a function that is called when is_up() changes.
     void on_change(std::function<void(bool is_up)> changed) { on_change_ = std::move(changed); }
 
@@ -85,7 +97,9 @@
     void dispatch(time_point now);
     /// Executes a call that the scheduler has released.
     void send(std::uint64_t number);
-    void on_reply(std::uint64_t number, const result<platform_reply>& reply);
+    void on_reply(std::uint64_t number, transport_reply answer);
+    /// Records the epoch of a reply.
+    void note_epoch(std::uint64_t epoch);
     /// Calls the handler of a call and removes the call.
     void complete(std::uint64_t number, const result<platform_reply>& reply);
     /// Fails a call that was not sent, from the event loop instead of the caller's stack.
@@ -99,6 +113,8 @@
     std::uint64_t next_number_ = 1;
     std::map<std::uint64_t, pending_call> calls_;
     std::function<void(bool)> on_change_;
+    /// The highest epoch that a reply has stated.
+    std::optional<std::uint64_t> epoch_;
     boost::asio::steady_timer timer_;
     /// Time for which the timer is set; max() if it is not set.
     time_point timer_due_ = time_point::max();
--- a/src/platform_port.h
+++ b/src/platform_port.h
@@ -20,6 +20,16 @@
     auto operator<=>(const object_id&) const = default;
 };
 
+/// Position in the store's history. The epoch increases each time the store is restored from a copy
+/// of itself; revisions are given out again then. Ordered by epoch first.
+struct store_position {
+    std::uint64_t epoch = 0;
+    /// Increases with every change within an epoch.
+    std::uint64_t revision = 0;
+
+    auto operator<=>(const store_position&) const = default;
+};
+
 /// An object of the store.
 struct stored_object {
     object_id id;
@@ -62,10 +72,10 @@
     bool may_be_stale = false;
 };
 
-/// Waits for changes of a kind after a revision (long polling).
+/// Waits for changes of a kind after a position (long polling).
 struct object_watch {
     std::string kind;
-    std::uint64_t after_revision = 0;
+    store_position after{};
     /// Longest time to wait for a change.
     std::chrono::milliseconds wait{2000};
 };
@@ -84,8 +94,9 @@
 /// One page of a list.
 struct object_page {
     std::vector<stored_object> items;
-    /// Revision of the store at which the list was read; a watch can continue from it.
-    std::uint64_t revision = 0;
+    /// Position of the store at which the list was read; a watch can continue from it. Codecs set
+    /// the revision, the client the epoch.
+    store_position position{};
     /// Whether names after the last item exist; only set if there is an item.
     bool more = false;
 };
@@ -93,7 +104,8 @@
 /// Reply to a watch.
 struct watch_page {
     std::vector<stored_object> changes;
-    std::uint64_t revision = 0;
+    /// See object_page.
+    store_position position{};
     /// Changes were lost; the objects of the kind have to be listed again.
     bool gap = false;
 };
--- a/src/platform_wire.cpp
+++ b/src/platform_wire.cpp
@@ -5,6 +5,7 @@
 #include <boost/algorithm/string/predicate.hpp>
 
 #include <algorithm>
+#include <charconv>
 #include <optional>
 
 namespace magnolia {
@@ -16,6 +17,7 @@
 constexpr std::string_view watch_root = "/v1/watch/";
 constexpr std::string_view host_path = "/v1/hosts";
 constexpr std::string_view weight_path = "/v1/weights/take";
+constexpr std::string_view epoch_header = "Epoch";
 
 std::string dump(const json& value) {
     return value.dump(-1, ' ', false, json::error_handler_t::replace);
@@ -54,7 +56,7 @@
 http_request encode(const object_watch& call) {
     const auto path = std::string{watch_root} + percent_encode(call.kind);
     return {"GET",
-            path + "?after_revision=" + std::to_string(call.after_revision) +
+            path + "?after_revision=" + std::to_string(call.after.revision) +
                 "&wait_ms=" + std::to_string(call.wait.count()),
             {},
             {}};
@@ -99,7 +101,8 @@
     if (!revision || !wait) {
         return fail(error_code::bad_request, "after_revision or wait_ms");
     }
-    return object_watch{percent_decode(path), *revision,
+    return object_watch{percent_decode(path),
+                        {.revision = *revision},
                         std::chrono::milliseconds{static_cast<std::int64_t>(*wait)}};
 }
 
@@ -132,11 +135,15 @@
 }
 
 json to_value(const object_page& page) {
-    return {{"items", to_values(page.items)}, {"revision", page.revision}, {"more", page.more}};
+    return {{"items", to_values(page.items)},
+            {"revision", page.position.revision},
+            {"more", page.more}};
 }
 
 json to_value(const watch_page& page) {
-    return {{"changes", to_values(page.changes)}, {"revision", page.revision}, {"gap", page.gap}};
+    return {{"changes", to_values(page.changes)},
+            {"revision", page.position.revision},
+            {"gap", page.gap}};
 }
 
 json to_value(const host_page& page) {
@@ -178,11 +185,13 @@
     const json& in;
 
     platform_reply operator()(const object_list& /*call*/) const {
-        return object_page{read_objects(in.at("items")), in.at("revision").get<std::uint64_t>(),
+        return object_page{read_objects(in.at("items")),
+                           {.revision = in.at("revision").get<std::uint64_t>()},
                            in.at("more").get<bool>()};
     }
     platform_reply operator()(const object_watch& /*call*/) const {
-        return watch_page{read_objects(in.at("changes")), in.at("revision").get<std::uint64_t>(),
+        return watch_page{read_objects(in.at("changes")),
+                          {.revision = in.at("revision").get<std::uint64_t>()},
                           in.at("gap").get<bool>()};
     }
     platform_reply operator()(const host_list& /*call*/) const {
@@ -224,6 +233,19 @@
     return code == error_code::platform_busy ? 429 : http_status(code);
 }
 
+http_response to_response(const result<platform_reply>& reply) {
+    if (reply) {
+        const auto body = std::visit([](const auto& item) { return to_value(item); }, *reply);
+        return json_response(200, dump(body));
+    }
+    json body{{"type", std::string{to_string(reply.error().code)}},
+              {"subject", reply.error().subject}};
+    if (reply.error().retry_after.count() > 0) {
+        body["retry_after_ms"] = reply.error().retry_after.count();
+    }
+    return json_response(to_status(reply.error().code), dump(body));
+}
+
 } // namespace
 
 http_request encode_call(const platform_call& call) {
@@ -247,17 +269,17 @@
     return fail(error_code::not_found, std::string{path});
 }
 
-http_response encode_reply(const result<platform_reply>& reply) {
-    if (reply) {
-        const auto body = std::visit([](const auto& item) { return to_value(item); }, *reply);
-        return json_response(200, dump(body));
-    }
-    json body{{"type", std::string{to_string(reply.error().code)}},
-              {"subject", reply.error().subject}};
-    if (reply.error().retry_after.count() > 0) {
-        body["retry_after_ms"] = reply.error().retry_after.count();
-    }
-    return json_response(to_status(reply.error().code), dump(body));
+http_response encode_reply(const result<platform_reply>& reply, std::uint64_t epoch) {
+    auto response = to_response(reply);
+    response.headers.push_back({std::string{epoch_header}, std::to_string(epoch)});
+    return response;
+}
+
+std::optional<std::uint64_t> read_epoch(const http_headers& headers) {
+    const auto text = find_header(headers, epoch_header);
+    std::uint64_t epoch = 0;
+    const auto [last, failure] = std::from_chars(text.begin(), text.end(), epoch);
+    return failure == std::errc{} && last == text.end() ? std::optional{epoch} : std::nullopt;
 }
 
 result<platform_reply> decode_reply(const platform_call& call, const http_response& response) {
--- a/src/platform_wire.h
+++ b/src/platform_wire.h
@@ -13,13 +13,18 @@
 [[nodiscard]] result<platform_call> decode_call(const http_request& request);
 
 /// Encodes a reply or an error as an HTTP response.
-[[nodiscard]] http_response encode_reply(const result<platform_reply>& reply);
+/// @param epoch  epoch of the store; see store_position.
+[[nodiscard]] http_response encode_reply(const result<platform_reply>& reply,
+                                         std::uint64_t epoch = 0);
 
 /// Decodes the response to a call. Errors: conflict, platform_busy with retry_after, too_large,
 /// bad_request; platform_down for any other status and for a malformed body.
 [[nodiscard]] result<platform_reply> decode_reply(const platform_call& call,
                                                   const http_response& response);
 
+/// Epoch of the store that the header of a response states; absent if it states none.
+[[nodiscard]] std::optional<std::uint64_t> read_epoch(const http_headers& headers);
+
 /// Whether the call changes the store.
 [[nodiscard]] bool is_write(const platform_call& call);
 
--- a/tests/gateway_fixture.cpp
+++ b/tests/gateway_fixture.cpp
@@ -148,6 +148,10 @@
     return decode_reply(call, response);
 }
 
+std::optional<std::uint64_t> product_store_codec::read_epoch(const http_headers& headers) const {
+    return magnolia::read_epoch(headers);
+}
+
 std::size_t count_of(std::string_view text, std::string_view part) {
     std::size_t count = 0;
     for (auto at = text.find(part); at != std::string_view::npos; at = text.find(part, at + 1)) {
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -42,6 +42,8 @@
     [[nodiscard]] http_request encode(const platform_call& call) const override;
     [[nodiscard]] result<platform_reply> decode(const platform_call& call,
                                                 const http_response& response) const override;
+    [[nodiscard]] std::optional<std::uint64_t>
+    read_epoch(const http_headers& headers) const override;
 };
 
 /// Routes /stream/ and /once-stream/ to llm, /safe/ and /unsafe/ to desk; the workspace acme has
