--- a/fakes/object_store.cpp
+++ b/fakes/object_store.cpp
@@ -71,6 +71,12 @@
     history_start_ = revision_;
 }
 
+void object_store::restore(const object_store& copy) {
+    const auto epoch = epoch_ + 1;
+    *this = copy;
+    epoch_ = epoch;
+}
+
 void object_store::record(const stored_object& change) {
     history_.push_back(change);
     if (history_.size() > max_history_) {
--- a/fakes/object_store.h
+++ b/fakes/object_store.h
@@ -11,7 +11,7 @@
 namespace magnolia {
 
 /// Store in memory. The version of an object is the store's revision at its last write, so that the
-/// version of a deleted object is never reused. Not thread-safe.
+/// version of a deleted object is not reused within an epoch. Not thread-safe.
 class object_store {
 public:
     /// @param history     number of changes kept for watches.
@@ -30,14 +30,20 @@
     /// history does not reach back to the revision, or if the store has not reached it.
     [[nodiscard]] std::optional<watch_page> changes(const object_watch& call) const;
     [[nodiscard]] std::uint64_t revision() const { return revision_; }
+    /// See store_position.
+    [[nodiscard]] std::uint64_t epoch() const { return epoch_; }
     /// Drops the history, so that a watch after an earlier revision gets a gap.
     void discard_history();
+    /// Replaces the state by an earlier copy of this store and begins a new epoch: what was written
+    /// since is lost, and its revisions are given out again.
+    void restore(const object_store& copy);
 
 private:
     void record(const stored_object& change);
 
     std::size_t max_history_;
     std::size_t page_items_;
+    std::uint64_t epoch_ = 0;
     std::uint64_t revision_ = 0;
     /// Oldest revision that a watch can continue from.
     std::uint64_t history_start_ = 0;
--- a/fakes/platform_server.cpp
+++ b/fakes/platform_server.cpp
@@ -151,12 +151,16 @@
     }
     const auto call = decode_call(request);
     if (!call) {
-        responder.send(encode_reply(tl::unexpected{call.error()}));
+        responder.send(encode(tl::unexpected{call.error()}));
         return;
     }
     answer(*call, responder);
 }
 
+http_response platform_server::encode(const result<platform_reply>& reply) {
+    return encode_reply(reply, model_.store().epoch());
+}
+
 void platform_server::handle_control(const http_request& request, const http_responder& responder) {
     const auto path = target_path(request.target);
     const auto body = json::parse(request.body, nullptr, false);
@@ -171,6 +175,12 @@
     } else if (path == "/control/forget-history") {
         model_.store().discard_history();
         responder.send(empty_response());
+    } else if (path == "/control/copy") {
+        copy_ = model_.store();
+        responder.send(empty_response());
+    } else if (path == "/control/restore") {
+        model_.store().restore(copy_);
+        responder.send(empty_response());
     } else if (path.starts_with(host_control)) {
         const auto name = percent_decode(path.substr(host_control.size()));
         if (request.method == "DELETE") {
@@ -193,7 +203,7 @@
     auto simulated = model_.execute(call, now);
     switch (simulated.delivery) {
     case simulated_reply::mode::reply:
-        send_after(responder, encode_reply(simulated.reply), simulated.delay);
+        send_after(responder, encode(simulated.reply), simulated.delay);
         break;
     case simulated_reply::mode::lost:
         abort_after(responder, simulated.delay);
@@ -255,19 +265,22 @@
         watch.responder.abort();
         return true;
     }
-    if (const auto page = model_.watch_changes(watch.call)) {
-        watch.responder.send(encode_reply(platform_reply{*page}));
+    // A watch that waits while the store is restored is not told: its position may lie ahead of the
+    // store's then.
+    const bool is_ahead = watch.call.after.revision > model_.store().revision();
+    if (const auto page = is_ahead ? std::nullopt : model_.watch_changes(watch.call)) {
+        watch.responder.send(encode(platform_reply{*page}));
         return true;
     }
     if (now >= watch.end) {
         const watch_page empty_page{{}, {.revision = model_.store().revision()}, false};
-        watch.responder.send(encode_reply(platform_reply{empty_page}));
+        watch.responder.send(encode(platform_reply{empty_page}));
         return true;
     }
     if (now >= watch.next_charge) {
         watch.next_charge += watch_charge_interval;
         if (const auto charged = model_.charge_watch(now); !charged) {
-            watch.responder.send(encode_reply(tl::unexpected{charged.error()}));
+            watch.responder.send(encode(tl::unexpected{charged.error()}));
             return true;
         }
     }
--- a/fakes/platform_server.h
+++ b/fakes/platform_server.h
@@ -33,6 +33,8 @@
     };
 
     void handle(const http_request& request, const http_responder& responder);
+    /// Encodes a reply with the epoch of the store.
+    [[nodiscard]] http_response encode(const result<platform_reply>& reply);
     /// Handles a /control/ request.
     void handle_control(const http_request& request, const http_responder& responder);
     /// Executes a call and sends its reply as the model decides.
@@ -51,6 +53,8 @@
     std::list<pending_watch> watches_;
     /// Responders of calls that get no response; kept so that their connections stay open.
     std::list<http_responder> unanswered_calls_;
+    /// Copy of the store that /control/restore returns to.
+    object_store copy_;
     boost::asio::steady_timer poll_timer_;
 };
 
--- a/tests/gateway_cluster.cpp
+++ b/tests/gateway_cluster.cpp
@@ -75,7 +75,11 @@
 }
 
 void gateway_cluster::wait_for_peers() {
-    const auto line = "magnolia_live_gateways " + std::to_string(gateways_.size()) + "\n";
+    wait_for_metric("magnolia_live_gateways", gateways_.size());
+}
+
+void gateway_cluster::wait_for_metric(const std::string& name, std::uint64_t value) {
+    const auto line = name + " " + std::to_string(value) + "\n";
     poll([&] {
         return std::ranges::all_of(gateways_, [&](const auto& gateway) {
             return gateway->metrics().find(line) != std::string::npos;
@@ -83,6 +87,14 @@
     });
 }
 
+void gateway_cluster::restore_store(const object_store& copy) {
+    auto& store = store_.model().store();
+    store.restore(copy);
+    for (auto& [id, version] : versions_) {
+        version = store.get(id).version;
+    }
+}
+
 void gateway_cluster::stop_gateways() {
     for (const auto& gateway : gateways_) {
         gateway->request_stop();
--- a/tests/gateway_cluster.h
+++ b/tests/gateway_cluster.h
@@ -83,6 +83,10 @@
     void write(const object_id& id, const std::string& value);
     /// Writes an object to the store and waits for the reply.
     void put(const std::string& kind, const std::string& name, const std::string& value);
+    /// Returns the store to an earlier copy of it.
+    void restore_store(const object_store& copy);
+    /// Waits until each gateway exports the metric with this value.
+    void wait_for_metric(const std::string& name, std::uint64_t value);
     /// Number of objects of a kind in the store.
     std::size_t object_count(const std::string& kind);
     /// Sends a GET request as a caller of the workspace acme.
--- /dev/null
+++ b/tests/restored_store_test.cpp
@@ -0,0 +1,106 @@
+#include "gateway_cluster.h"
+
+namespace magnolia {
+namespace {
+
+/// Gateways on a store that is restored from a copy.
+class restored_store : public gateway_cluster {
+protected:
+    /// Changes after the copy, which the restored store has lost.
+    static constexpr std::uint64_t lost_changes = 40;
+
+    void SetUp() override {
+        gateway_cluster::SetUp();
+        backend_ = std::make_unique<test_backend>(context_);
+        backend_->add_handler(respond_with(200));
+    }
+
+    void start_gateways() {
+        for (const auto* name : {"g1", "g2", "g3"}) {
+            start_gateway(name);
+        }
+        wait_for_peers();
+    }
+
+    void add_backend(const std::string& id) {
+        put("backends", id, "desk 127.0.0.1:" + std::to_string(backend_->port()));
+    }
+
+    /// Writes objects of no interest to the gateways until the store has reached the revision.
+    void write_up_to(std::uint64_t revision) {
+        while (store_.model().store().revision() < revision) {
+            put("other", "o" + std::to_string(next_object_++), "x");
+        }
+    }
+
+    std::unique_ptr<test_backend> backend_;
+
+private:
+    std::size_t next_object_ = 0;
+};
+
+// Incident CONFIG: a watch that waited from a revision of the lost history was not told what was
+// written under the revisions that the restored store gave out again.
+TEST_F(restored_store, a_configuration_written_after_the_restoration_is_in_force_at_all_hosts) {
+    add_backend("b1");
+    start_gateways();
+    const auto copy = store_.model().store();
+    write_up_to(copy.revision() + lost_changes);
+    put("routes", "main", R"({"version":3})");
+    wait_for_metric("magnolia_config_version", 3);
+    const auto lost = store_.model().store().revision();
+
+    restore_store(copy);
+    put("routes", "main", R"({"version":3})");
+    put("routes", "main", R"({"version":4,"without":"/safe/"})");
+    write_up_to(lost + 1);
+    wait_for_metric("magnolia_config_version", 4);
+}
+
+// Incident CONFIG: the same for hosts that the store did not answer while it was restored.
+TEST_F(restored_store, hosts_that_could_not_reach_the_store_read_what_was_written_since) {
+    add_backend("b1");
+    start_gateways();
+    const auto copy = store_.model().store();
+    write_up_to(copy.revision() + lost_changes);
+    put("routes", "main", R"({"version":3})");
+    wait_for_metric("magnolia_config_version", 3);
+    const auto lost = store_.model().store().revision();
+    store_.model().faults().outage = outage_mode::refuse;
+    wait_for_metric("magnolia_store_reachable", 0);
+
+    auto& store = store_.model().store();
+    store.restore(copy);
+    for (const auto* config : {R"({"version":3})", R"({"version":4})"}) {
+        const object_id id{"routes", "main"};
+        ASSERT_TRUE(store.put({id, store.get(id).version, config}));
+    }
+    for (int object = 0; store.revision() <= lost; ++object) {
+        ASSERT_TRUE(store.put({{"other", "after" + std::to_string(object)}, 0, "x"}));
+    }
+    store_.model().faults().outage = outage_mode::none;
+    wait_for_metric("magnolia_config_version", 4);
+}
+
+// Incident CONFIG: the list of backend servers is watched in the same way.
+TEST_F(restored_store, a_backend_server_that_registers_after_the_restoration_is_used_by_all_hosts) {
+    start_gateways();
+    const auto copy = store_.model().store();
+    write_up_to(copy.revision() + lost_changes);
+    put("backends", "b1", "none 127.0.0.1:1");
+    wait_for_metric("magnolia_live_backends", 1);
+    const auto lost = store_.model().store().revision();
+
+    restore_store(copy);
+    add_backend("b2");
+    write_up_to(lost + 1);
+    for (const auto& gateway : gateways_) {
+        poll([&] {
+            const auto answer = get(gateway->settings().listen.port, "/safe/");
+            return answer && answer->status == 200;
+        });
+    }
+}
+
+} // namespace
+} // namespace magnolia
