Compare positions of the store within one epoch only

Cause, as reproduced: the watcher kept a bare revision. After the store came back from a copy, revisions were given out again; a watch that had waited, or went on, from a revision of the lost history was not told what was written under the same numbers, and no host had a newer version to tell others.

Ruled out as a remedy: the gap (410), which a store that has grown past the revision does not report.

Change: epoch and revision are one type, ordered by epoch first. Any reply, and the digest of another host, shows a new epoch; the host lists again, registers again, reads its stored verdicts again, and keeps servers that the copy lacks for 2 s. Late replies of an earlier epoch fail; lists that span a restoration begin anew; another store address counts as another history.

--- a/include/magnolia/schema.h
+++ b/include/magnolia/schema.h
@@ -1265,6 +1265,8 @@
     std::uint64_t backends_hash{0};
     /// Hash of the blocked segment combinations that the sender knows; set in digests only.
     std::uint64_t quarantine_hash{0};
+    /// Epoch of the store, see store_position; backends_revision and config_age are of this epoch.
+    std::uint64_t store_epoch{0};
 
     bool operator==(const placement_update&) const = default;
 };
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -61,6 +61,9 @@
 /// within 2 s of its end. Removals are delayed until shortly before that moment, which stays within
 /// the time limit for removing backend servers that leave.
 constexpr milliseconds removal_hold_after_outage{1800};
+/// A copy from which the store was restored may lack backend servers that have registered since;
+/// those that live register again within 2 s.
+constexpr milliseconds removal_hold_after_restoration{2000};
 
 /// Share of the stop timeout during which new requests are accepted at most.
 constexpr double accept_share = 0.4;
@@ -133,6 +136,9 @@
 private:
     /// Activates the configuration if it is readable and newer than the active one.
     void apply_config(const stored_object& object);
+    /// The store was restored from a copy: reads everything again, and writes what only this
+    /// gateway knows.
+    void on_store_restored();
     void apply_backend(const stored_object& object);
     void apply_backend_list(const std::vector<stored_object>& objects);
     /// Time for which removals of backend servers are delayed after an outage of the store.
@@ -208,6 +214,8 @@
     lag_detector backends_lag_;
     /// Last moment at which the store confirmed the active configuration version to a peer.
     time_point config_confirmed_by_peers_{};
+    /// Moment at which the store was found to be restored; time_point{} if it never was.
+    time_point store_restored_at_{};
     /// Whether this gateway's address is in the store.
     bool is_registered_ = false;
     time_point next_gateway_list_{};
@@ -317,12 +325,25 @@
     config_confirmed_by_peers_ = {};
 }
 
+void gateway::state::on_store_restored() {
+    store_restored_at_ = steady_now();
+    is_registered_ = false;
+    next_gateway_list_ = {};
+    config_watcher_.start();
+    backend_watcher_.start();
+    quarantine_exchange_.on_store_restored();
+}
+
 duration gateway::state::removal_delay() const {
-    if (backend_watcher_.reconnected_at() == time_point{}) {
-        return duration{0};
+    const auto now = steady_now();
+    duration delay{0};
+    if (backend_watcher_.reconnected_at() != time_point{}) {
+        delay = backend_watcher_.reconnected_at() + removal_hold_after_outage - now;
+    }
+    if (store_restored_at_ != time_point{}) {
+        delay = std::max(delay, store_restored_at_ + removal_hold_after_restoration - now);
     }
-    return std::max(backend_watcher_.reconnected_at() + removal_hold_after_outage - steady_now(),
-                    duration{0});
+    return std::max(delay, duration{0});
 }
 
 void gateway::state::apply_backend(const stored_object& object) {
@@ -416,7 +437,9 @@
 }
 
 duration gateway::state::config_age(time_point now) const {
-    return config_watcher_.has_synced() ? now - config_watcher_.confirmed_at() : unknown_age;
+    const bool is_current =
+        config_watcher_.has_synced() && config_watcher_.last_change().epoch == store_.epoch();
+    return is_current ? now - config_watcher_.confirmed_at() : unknown_age;
 }
 
 void gateway::state::send_digest(time_point now) {
@@ -426,9 +449,11 @@
     }
     update->config_version = shared_.routes ? shared_.routes->version() : 0;
     update->config_age = std::chrono::duration_cast<milliseconds>(config_age(now));
-    update->backends_revision = backend_watcher_.last_change_revision();
+    const auto last_change = backend_watcher_.last_change();
+    update->backends_revision = last_change.epoch == store_.epoch() ? last_change.revision : 0;
     update->backends_hash = fleet_.list_hash();
     update->quarantine_hash = quarantine_.hash();
+    update->store_epoch = store_.epoch();
     gossip_.send(*update);
 }
 
@@ -458,16 +483,22 @@
         return;
     }
     const auto version = shared_.routes ? shared_.routes->version() : 0;
+    // What a peer read in an earlier epoch says nothing about the store's present state.
+    if (update.store_epoch < store_.epoch()) {
+        return;
+    }
+    const bool is_later_epoch = update.store_epoch > store_.epoch();
     if (update.config_version == version) {
         config_confirmed_by_peers_ = std::max(config_confirmed_by_peers_, now - update.config_age);
     }
-    relist_if_behind(config_watcher_, config_lag_, update.config_version > version);
-    // The revision alone is not sufficient: it increases with every change of an object of any
+    relist_if_behind(config_watcher_, config_lag_,
+                     is_later_epoch || update.config_version > version);
+    // The position alone is not sufficient: it increases with every change of an object of any
     // kind.
-    const bool is_newer = update.backends_revision > backend_watcher_.last_change_revision();
-    if (is_newer) {
+    const store_position peer_position{update.store_epoch, update.backends_revision};
+    if (peer_position > backend_watcher_.last_change()) {
         relist_if_behind(backend_watcher_, backends_lag_,
-                         update.backends_hash != fleet_.list_hash());
+                         is_later_epoch || update.backends_hash != fleet_.list_hash());
     }
 }
 
@@ -684,6 +715,7 @@
     if (auto opened = gossip_.open(settings_.peer_listen); !opened) {
         return opened;
     }
+    store_.on_restored([this] { on_store_restored(); });
     config_watcher_.start();
     backend_watcher_.start();
     wait_for_hangup();
--- a/src/object_watcher.cpp
+++ b/src/object_watcher.cpp
@@ -49,16 +49,19 @@
     }
     const auto& page = std::get<object_page>(*reply);
     if (list_items_.empty()) {
-        list_revision_ = page.position.revision;
+        list_position_ = page.position;
+    }
+    if (page.position.epoch != list_position_.epoch) {
+        return start();
     }
     list_items_.insert(list_items_.end(), page.items.begin(), page.items.end());
     if (page.more) {
         return list(page.items.back().id.name);
     }
     // Changes to objects of an earlier page may be missing in later pages; a watch from the
-    // revision of the first page reports them.
-    revision_ = list_revision_;
-    last_change_revision_ = revision_;
+    // position of the first page reports them.
+    position_ = list_position_;
+    last_change_ = position_;
     confirm();
     handlers_.on_list(std::exchange(list_items_, {}));
     watch();
@@ -66,7 +69,7 @@
 
 void object_watcher::watch() {
     const auto wait = is_disconnected_ ? watch_wait_after_failure : watch_wait_();
-    call(object_watch{kind_, {.revision = revision_}, wait}, &object_watcher::on_changes);
+    call(object_watch{kind_, position_, wait}, &object_watcher::on_changes);
 }
 
 void object_watcher::on_changes(const result<platform_reply>& reply) {
@@ -75,14 +78,17 @@
         return watch();
     }
     const auto& page = std::get<watch_page>(*reply);
-    if (page.gap) {
+    // Revisions of another epoch, or one below the last, count changes of another history.
+    const bool is_same_history =
+        page.position.epoch == position_.epoch && page.position >= position_;
+    if (page.gap || !is_same_history) {
         log_of().info("store no longer has the history of " + kind_ + "; lists all objects again");
         return start();
     }
     confirm();
-    revision_ = page.position.revision;
+    position_ = page.position;
     if (!page.changes.empty()) {
-        last_change_revision_ = page.position.revision;
+        last_change_ = position_;
     }
     for (const auto& change : page.changes) {
         handlers_.on_change(change);
--- a/src/object_watcher.h
+++ b/src/object_watcher.h
@@ -1,5 +1,6 @@
 /// Keeps a local view of the objects of one kind in the platform's store up to date: lists them,
-/// then watches for changes (long polling), and lists again when changes were lost.
+/// then watches for changes (long polling), and lists again when changes were lost or the store was
+/// restored from a copy.
 #pragma once
 
 #include "platform_client.h"
@@ -31,8 +32,8 @@
     [[nodiscard]] time_point confirmed_at() const { return confirmed_at_; }
     /// Whether a complete list has arrived.
     [[nodiscard]] bool has_synced() const { return confirmed_at_ != time_point{}; }
-    /// Revision of the store at the last list or change received; 0 if none.
-    [[nodiscard]] std::uint64_t last_change_revision() const { return last_change_revision_; }
+    /// Position of the store at the last list or change received; {} if none.
+    [[nodiscard]] store_position last_change() const { return last_change_; }
     /// Whether a call failed since the last confirmation.
     [[nodiscard]] bool is_disconnected() const { return is_disconnected_; }
     /// Moment of the first successful call after the last failure; time_point{} if none failed.
@@ -56,13 +57,13 @@
     std::function<milliseconds()> watch_wait_;
     /// Incremented by each start; replies to calls of an earlier generation are ignored.
     std::uint64_t generation_ = 0;
-    std::uint64_t last_change_revision_ = 0;
+    store_position last_change_{};
     handlers handlers_;
     std::vector<stored_object> list_items_;
-    /// Revision after which the next watch call reports changes.
-    std::uint64_t revision_ = 0;
-    /// Revision of the first page of the pending list.
-    std::uint64_t list_revision_ = 0;
+    /// Position after which the next watch call reports changes.
+    store_position position_{};
+    /// Position of the first page of the pending list.
+    store_position list_position_{};
     time_point confirmed_at_{};
     time_point reconnected_at_{};
     bool is_disconnected_ = false;
--- a/src/platform_client.cpp
+++ b/src/platform_client.cpp
@@ -83,6 +83,11 @@
 
 void platform_client::set_address(const endpoint& address) {
     std::visit([&](auto& transport) { transport.set_address(address); }, transport_);
+    ++address_number_;
+    epoch_.reset();
+    if (on_restored_) {
+        on_restored_();
+    }
 }
 
 void platform_client::execute(platform_call call, call_priority priority,
@@ -99,23 +104,29 @@
 }
 
 void platform_client::list_all(object_list call, call_priority priority, object_list_handler done) {
-    list_next(std::move(call), priority, {}, std::move(done));
+    list_next(std::move(call), priority, {}, std::nullopt, std::move(done));
 }
 
 void platform_client::list_next(object_list call, call_priority priority,
-                                std::vector<stored_object> objects, object_list_handler done) {
-    auto on_page = [this, call, priority, objects = std::move(objects),
+                                std::vector<stored_object> objects,
+                                std::optional<std::uint64_t> epoch, object_list_handler done) {
+    auto on_page = [this, call, priority, objects = std::move(objects), epoch,
                     done = std::move(done)](const result<platform_reply>& reply) mutable {
         if (!reply) {
             return done(tl::unexpected{reply.error()});
         }
         const auto& page = std::get<object_page>(*reply);
+        if (page.position.epoch != epoch.value_or(page.position.epoch)) {
+            return done(
+                fail(error_code::platform_down, "the store was restored between two pages"));
+        }
         objects.insert(objects.end(), page.items.begin(), page.items.end());
         if (!page.more) {
             return done(std::move(objects));
         }
         call.after = objects.back().id.name;
-        list_next(std::move(call), priority, std::move(objects), std::move(done));
+        list_next(std::move(call), priority, std::move(objects), page.position.epoch,
+                  std::move(done));
     };
     execute(std::move(call), priority, std::move(on_page));
 }
@@ -143,6 +154,7 @@
 
 void platform_client::send(std::uint64_t number) {
     const auto& call = calls_.at(number).call;
+    calls_.at(number).address_number = address_number_;
     auto answered = [this, lifetime = std::weak_ptr{lifetime_}, number](transport_reply reply) {
         if (!lifetime.expired()) {
             on_reply(number, std::move(reply));
@@ -160,10 +172,15 @@
     if (!has_end_or_next(reply)) {
         reply = fail(error_code::platform_down, "page without objects that is not the last one");
     }
-    if (answer.epoch) {
-        note_epoch(*answer.epoch);
+    const auto call = calls_.find(number);
+    if (call != calls_.end() && call->second.address_number != address_number_) {
+        reply = fail(error_code::platform_down, "reply of the store at the previous address");
+    } else if (answer.epoch) {
+        if (const auto checked = check_epoch(*answer.epoch); !checked) {
+            reply = tl::unexpected{checked.error()};
+        }
     }
-    set_epoch(reply, answer.epoch.value_or(epoch()));
+    set_epoch(reply, epoch());
     const bool was_up = is_up();
     const auto now = steady_now();
     scheduler_.on_completed(number, reply ? nullptr : &reply.error(), now);
@@ -174,12 +191,19 @@
     complete(number, reply);
 }
 
-void platform_client::note_epoch(std::uint64_t epoch) {
-    if (epoch_ && epoch > *epoch_) {
+result<void> platform_client::check_epoch(std::uint64_t epoch) {
+    if (epoch_ && epoch < *epoch_) {
+        return fail(error_code::platform_down, "reply of an earlier epoch of the store");
+    }
+    const auto previous = std::exchange(epoch_, epoch);
+    if (previous && epoch > *previous) {
         log_of().warn("store was restored from a copy epoch=" + std::to_string(epoch) +
-                      " previous_epoch=" + std::to_string(*epoch_));
+                      " previous_epoch=" + std::to_string(*previous));
+        if (on_restored_) {
+            on_restored_();
+        }
     }
-    epoch_ = std::max(epoch_.value_or(0), epoch);
+    return {};
 }
 
 void platform_client::complete(std::uint64_t number, const result<platform_reply>& reply) {
--- a/src/platform_client.h
+++ b/src/platform_client.h
@@ -74,13 +74,17 @@
     /// Reads a list page by page. Errors: those of execute(), for the first page that fails.
     void list_all(object_list call, call_priority priority, object_list_handler done);
 
-    /// Sends later calls to another address; calls in flight are not affected.
+    /// Sends later calls to another address, where another store counts as a restored one. Calls in
+    /// flight fail with platform_down when their replies arrive.
     void set_address(const endpoint& address);
 
     /// Whether the platform is considered reachable; see platform_scheduler::is_up().
     [[nodiscard]] bool is_up() const { return scheduler_.is_up(); }
     /// Epoch of the store as its replies state it; 0 until one does.
     [[nodiscard]] std::uint64_t epoch() const { return epoch_.value_or(0); }
+    /// Sets a function that is called when a reply shows that the store was restored from a copy,
+    /// before that reply is handed on: positions and versions read before mean nothing any more.
+    void on_restored(std::function<void()> restored) { on_restored_ = std::move(restored); }
     /// Sets a function that is called when is_up() changes.
     void on_change(std::function<void(bool is_up)> changed) { on_change_ = std::move(changed); }
 
@@ -88,18 +92,22 @@
     struct pending_call {
         platform_call call;
         platform_reply_handler done;
+        /// See address_number_.
+        std::uint64_t address_number = 0;
     };
 
     /// Reads the pages of list_all() that follow the objects read so far.
+    /// @param epoch  epoch of the pages read so far; absent for the first one.
     void list_next(object_list call, call_priority priority, std::vector<stored_object> objects,
-                   object_list_handler done);
+                   std::optional<std::uint64_t> epoch, object_list_handler done);
     /// Sends the calls that the scheduler releases, and fails those that it refuses.
     void dispatch(time_point now);
     /// Executes a call that the scheduler has released.
     void send(std::uint64_t number);
     void on_reply(std::uint64_t number, transport_reply answer);
-    /// Records the epoch of a reply.
-    void note_epoch(std::uint64_t epoch);
+    /// Records the epoch of a reply. Errors: platform_down if the reply belongs to an earlier
+    /// epoch, whose state is lost.
+    [[nodiscard]] result<void> check_epoch(std::uint64_t epoch);
     /// Calls the handler of a call and removes the call.
     void complete(std::uint64_t number, const result<platform_reply>& reply);
     /// Fails a call that was not sent, from the event loop instead of the caller's stack.
@@ -113,8 +121,11 @@
     std::uint64_t next_number_ = 1;
     std::map<std::uint64_t, pending_call> calls_;
     std::function<void(bool)> on_change_;
-    /// The highest epoch that a reply has stated.
+    std::function<void()> on_restored_;
+    /// The highest epoch that a reply from the current address has stated.
     std::optional<std::uint64_t> epoch_;
+    /// Incremented by set_address().
+    std::uint64_t address_number_ = 0;
     boost::asio::steady_timer timer_;
     /// Time for which the timer is set; max() if it is not set.
     time_point timer_due_ = time_point::max();
--- a/src/quarantine_exchange.cpp
+++ b/src/quarantine_exchange.cpp
@@ -165,6 +165,12 @@
     load();
 }
 
+void quarantine_exchange::on_store_restored() {
+    stored_.clear();
+    next_load_ = {};
+    next_fresh_load_ = {};
+}
+
 bool quarantine_exchange::is_loaded(time_point now) const {
     return was_read_ || (started_at_ != time_point{} && now - started_at_ >= max_load_time);
 }
--- a/src/quarantine_exchange.h
+++ b/src/quarantine_exchange.h
@@ -35,6 +35,8 @@
     void send_snapshot(const boost::asio::ip::udp::endpoint& peer);
     /// Reads the stored verdicts for the first time. Call once the store answers.
     void start();
+    /// The store was restored from a copy: reads the verdicts again and writes those that it lacks.
+    void on_store_restored();
     /// Periodic work: repeats recent reports, reads and writes the store, forgets what is too old.
     void tick(time_point now);
     /// Whether the stored verdicts were read, or could not be read for some time after start().
--- a/tests/object_watcher_test.cpp
+++ b/tests/object_watcher_test.cpp
@@ -111,7 +111,7 @@
     run_until([&] { return !changed_.empty(); });
     EXPECT_EQ(listed_.size(), 1U);
     EXPECT_EQ(changed_.size(), 1U);
-    EXPECT_GT(watcher_->last_change_revision(), 0U);
+    EXPECT_GT(watcher_->last_change().revision, 0U);
 }
 
 // A long watch call that is lost would delay the detection of the end of an outage.
@@ -131,5 +131,48 @@
     EXPECT_FALSE(watcher_->is_disconnected());
 }
 
+/// Codec of the object API that lacks the epoch.
+class no_epoch_codec final : public product_store_codec {
+public:
+    [[nodiscard]] std::optional<std::uint64_t>
+    read_epoch(const http_headers& /*headers*/) const override {
+        return std::nullopt;
+    }
+};
+
+// Incident CONFIG: the position was set back to the store's, and what lay between was skipped.
+TEST_F(object_watcher_test, a_revision_below_the_last_one_shows_that_the_store_was_restored) {
+    const no_epoch_codec codec;
+    watch_store(&codec);
+    auto& store = server_.model().store();
+    const auto copy = store;
+    for (const std::string name : {"a", "b", "c"}) {
+        ASSERT_TRUE(store.put({{"route", name}, 0, "1"}));
+    }
+    watcher_->start();
+    run_until([&] { return !listed_.empty(); });
+    store.restore(copy);
+    ASSERT_TRUE(store.put({{"route", "d"}, 0, "1"}));
+    run_until([&] { return listed_.size() == 2; });
+    EXPECT_EQ(listed_.back(), 1U);
+}
+
+// The rest of a list that began in an earlier epoch lacks what was restored in its first part.
+TEST_F(object_watcher_test, a_list_that_continues_after_a_restoration_begins_anew) {
+    constexpr std::size_t objects = 700;
+    auto& store = server_.model().store();
+    for (std::size_t object = 0; object < objects; ++object) {
+        ASSERT_TRUE(store.put({{"route", std::to_string(object)}, 0, "1"}));
+    }
+    const auto copy = store;
+    server_.model().faults().delay = milliseconds{20};
+    watcher_->start();
+    run_until([&] { return server_.model().counts().reads == 1; });
+    store.restore(copy);
+    run_until([&] { return !listed_.empty(); });
+    EXPECT_EQ(listed_, std::vector<std::size_t>{objects});
+    EXPECT_EQ(server_.model().counts().reads, 4U);
+}
+
 } // namespace
 } // namespace magnolia
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -223,6 +223,29 @@
     EXPECT_EQ(std::get<watch_page>(**page).changes.size(), 1U);
 }
 
+// A reply that was given before the store was restored describes state that is lost.
+TEST_F(platform_client_test, a_reply_of_an_earlier_epoch_fails) {
+    int restorations = 0;
+    client_->on_restored([&] { ++restorations; });
+    ASSERT_TRUE(execute(object_put{sample_id, 0, "1"}));
+    server_.model().faults().delay = std::chrono::milliseconds{50};
+    std::optional<result<platform_reply>> late;
+    client_->execute(object_get{sample_id}, call_priority::claim,
+                     [&](const result<platform_reply>& reply) { late = reply; });
+    const auto reads = server_.model().counts().reads;
+    while (server_.model().counts().reads == reads && context_.run_one() > 0) {
+    }
+    server_.model().faults().delay = {};
+    server_.model().store().restore(object_store{});
+    EXPECT_EQ(std::get<stored_object>(*execute(object_get{sample_id})).version, 0U);
+    EXPECT_EQ(restorations, 1);
+    EXPECT_EQ(client_->epoch(), 1U);
+    while (!late && context_.run_one() > 0) {
+    }
+    EXPECT_EQ(late->error().code, error_code::platform_down);
+    EXPECT_EQ(restorations, 1);
+}
+
 TEST_F(platform_client_test, lost_replies_and_outages_return_platform_down) {
     server_.model().faults().lost_answers = 1;
     EXPECT_EQ(execute(object_put{sample_id, 0, "1"}).error().code, error_code::platform_down);
--- a/tests/restored_store_test.cpp
+++ b/tests/restored_store_test.cpp
@@ -102,5 +102,87 @@
     }
 }
 
+// A host that reads the copy must not go back to the older configuration that it holds.
+TEST_F(restored_store, hosts_keep_the_configuration_that_the_copy_has_lost) {
+    add_backend("b1");
+    start_gateways();
+    const auto copy = store_.model().store();
+    put("routes", "main", R"({"version":3,"without":"/safe/"})");
+    wait_for_metric("magnolia_config_version", 3);
+    restore_store(copy);
+    wait_for_metric("magnolia_store_epoch", 1);
+    put("backends", "b2", "none 127.0.0.1:1");
+    wait_for_metric("magnolia_live_backends", 2);
+    for (const auto& gateway : gateways_) {
+        const auto answer = get(gateway->settings().listen.port, "/safe/");
+        ASSERT_TRUE(answer);
+        EXPECT_EQ(answer->status, 404U);
+    }
+}
+
+// The list of the copy lacks backend servers that have registered since; they register again
+// within two seconds.
+TEST_F(restored_store, backend_servers_that_the_copy_lacks_are_used_until_they_register_again) {
+    start_gateways();
+    const auto copy = store_.model().store();
+    add_backend("b1");
+    wait_for_metric("magnolia_live_backends", 1);
+    restore_store(copy);
+    wait_for_metric("magnolia_store_epoch", 1);
+    for (const auto& gateway : gateways_) {
+        const auto answer = get(gateway->settings().listen.port, "/safe/");
+        ASSERT_TRUE(answer);
+        EXPECT_EQ(answer->status, 200U);
+    }
+    poll([this] {
+        const auto answer = get(gateways_.front()->settings().listen.port, "/safe/");
+        return answer && answer->status == 503;
+    });
+}
+
+// What hosts keep in the store is lost with it.
+TEST_F(restored_store, hosts_register_again) {
+    const auto copy = store_.model().store();
+    start_gateways();
+    poll([this] { return object_count("gateways") == 3; });
+    restore_store(copy);
+    poll([this] { return object_count("gateways") == 3; });
+}
+
+TEST_F(restored_store, a_store_may_be_restored_again_before_hosts_have_read_it) {
+    add_backend("b1");
+    start_gateways();
+    const auto copy = store_.model().store();
+    write_up_to(copy.revision() + lost_changes);
+    put("routes", "main", R"({"version":3})");
+    wait_for_metric("magnolia_config_version", 3);
+    restore_store(copy);
+    put("routes", "main", R"({"version":4})");
+    restore_store(copy);
+    put("routes", "main", R"({"version":5})");
+    write_up_to(copy.revision() + lost_changes + 2);
+    wait_for_metric("magnolia_config_version", 5);
+    wait_for_metric("magnolia_store_epoch", 2);
+}
+
+// The revisions of another store are those of another history as well.
+TEST_F(restored_store, the_store_at_a_new_address_is_read_from_the_start) {
+    add_backend("b1");
+    start_gateways();
+    platform_server other{context_, 2};
+    ASSERT_TRUE(other.listen(endpoint{}));
+    auto& objects = other.model().store();
+    ASSERT_TRUE(objects.put({{"routes", "main"}, 0, R"({"version":3})"}));
+    while (objects.revision() <= store_.model().store().revision() + lost_changes) {
+        const auto name = "o" + std::to_string(objects.revision());
+        ASSERT_TRUE(objects.put({{"other", name}, 0, "x"}));
+    }
+    for (const auto& gateway : gateways_) {
+        gateway->write_settings({"127.0.0.1", other.port()});
+    }
+    wait_for_metric("magnolia_config_version", 3);
+    stop_gateways();
+}
+
 } // namespace
 } // namespace magnolia
