Let the test of a lost history fail instead of hang

The mutation restored-watch was not caught: the store was restored before the watch had arrived, so that the gap told the watcher. Now the watch waits first, and the number of watches bounds the test.

--- a/tests/object_watcher_test.cpp
+++ b/tests/object_watcher_test.cpp
@@ -150,11 +150,13 @@
         ASSERT_TRUE(store.put({{"route", name}, 0, "1"}));
     }
     watcher_->start();
-    run_until([&] { return !listed_.empty(); });
+    constexpr std::uint64_t list_and_watch = 2;
+    run_until([&] { return server_.model().counts().reads == list_and_watch; });
     store.restore(copy);
     ASSERT_TRUE(store.put({{"route", "d"}, 0, "1"}));
-    run_until([&] { return listed_.size() == 2; });
-    EXPECT_EQ(listed_.back(), 1U);
+    constexpr int max_waits = 4;
+    run_until([&] { return listed_.size() == 2 || waits_requested_ == max_waits; });
+    EXPECT_EQ(listed_, (std::vector<std::size_t>{3, 1}));
 }
 
 // The rest of a list that began in an earlier epoch lacks what was restored in its first part.
