Let no host that lacks a change hide it from others

Cause, second part: a digest of a host without newer state ended the lag that the digest of a host with newer state had begun. As soon as two hosts had missed a change, neither learned of it from a third; with 76 hosts a digest of one that lacks it arrives every 7 ms, and each host waits for its own watch, up to 6.7 s.

Change: the detector keeps the newest state that was told within 5 s and compares that with the host's own, on each digest and tick. Epoch, version of the configuration and list of servers each have one.

--- a/fakes/delay_link.cpp
+++ b/fakes/delay_link.cpp
@@ -30,10 +30,12 @@
 /// Relays one direction of a connection. Keeps itself alive through its pending operations.
 class one_way_relay : public std::enable_shared_from_this<one_way_relay> {
 public:
+    /// @param is_silent  whether bytes are dropped.
     one_way_relay(std::shared_ptr<tcp::socket> from, std::shared_ptr<tcp::socket> to,
-                  const delay_link_settings& settings, std::uint64_t seed)
-        : from_{std::move(from)}, to_{std::move(to)}, timer_{from_->get_executor()},
-          delay_{settings.delay}, extra_delay_{0, settings.spread.count()}, random_{seed} {}
+                  std::shared_ptr<const bool> is_silent, const delay_link_settings& settings,
+                  std::uint64_t seed)
+        : from_{std::move(from)}, to_{std::move(to)}, is_silent_{std::move(is_silent)},
+          timer_{from_->get_executor()}, delay_{settings.delay}, extra_delay_{0, settings.spread.count()}, random_{seed} {}
 
     /// Reads the next chunk.
     void read() {
@@ -51,6 +53,9 @@
     void on_read(std::vector<char> bytes) {
         is_reading_ = false;
         const bool is_end = bytes.empty();
+        if (*is_silent_) {
+            return is_end ? void() : read();
+        }
         const auto due = steady_now() + delay_ + duration{extra_delay_(random_)};
         last_due_ = std::max(last_due_, due);
         buffered_bytes_ += bytes.size();
@@ -76,6 +81,9 @@
 
     /// Writes the first buffered chunk, or shuts the direction down at the end of the stream.
     void write_front() {
+        if (*is_silent_) {
+            return;
+        }
         const auto& chunk = buffered_.front();
         if (chunk.bytes.empty()) {
             io_error ignored;
@@ -108,6 +116,7 @@
 
     std::shared_ptr<tcp::socket> from_;
     std::shared_ptr<tcp::socket> to_;
+    std::shared_ptr<const bool> is_silent_;
     boost::asio::steady_timer timer_;
     duration delay_;
     std::uniform_int_distribution<duration::rep> extra_delay_;
@@ -147,6 +156,10 @@
         }
     }
 
+    void silence_connections() {
+        *std::exchange(is_silent_, std::make_shared<bool>(false)) = true;
+    }
+
     void close() {
         io_error ignored;
         acceptor_.close(ignored);
@@ -192,8 +205,11 @@
                 near->set_option(tcp::no_delay{true});
                 far->set_option(tcp::no_delay{true});
                 const auto seed = self->settings_.seed + 2 * ++self->connections_;
-                std::make_shared<one_way_relay>(near, far, self->settings_, seed)->read();
-                std::make_shared<one_way_relay>(far, near, self->settings_, seed + 1)->read();
+                const auto& is_silent = self->is_silent_;
+                std::make_shared<one_way_relay>(near, far, is_silent, self->settings_, seed)
+                    ->read();
+                std::make_shared<one_way_relay>(far, near, is_silent, self->settings_, seed + 1)
+                    ->read();
             });
     }
 
@@ -202,6 +218,8 @@
     tcp::acceptor acceptor_{context_};
     std::vector<std::weak_ptr<tcp::socket>> sockets_;
     std::uint64_t connections_ = 0;
+    /// Of the connections opened since the last silence.
+    std::shared_ptr<bool> is_silent_ = std::make_shared<bool>(false);
     bool is_partitioned_ = false;
 };
 
@@ -220,6 +238,10 @@
     return state_->port();
 }
 
+void delay_link::silence_connections() {
+    state_->silence_connections();
+}
+
 void delay_link::set_partitioned(bool is_partitioned) {
     state_->set_partitioned(is_partitioned);
 }
--- a/fakes/delay_link.h
+++ b/fakes/delay_link.h
@@ -39,6 +39,8 @@
     [[nodiscard]] std::uint16_t port() const;
     /// Simulates a network partition: closes all connections, and new ones at once until it ends.
     void set_partitioned(bool is_partitioned);
+    /// Drops all further bytes of the open connections without closing them; new ones work.
+    void silence_connections();
 
 private:
     class state;
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -98,6 +98,25 @@
     return std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>{seconds});
 }
 
+/// A number that rises: version of the configuration, epoch of the store.
+struct told_number {
+    std::uint64_t value = 0;
+
+    [[nodiscard]] bool is_newer_than(const told_number& other) const { return value > other.value; }
+};
+
+/// List of backend servers at a host.
+struct told_list {
+    store_position last_change{};
+    std::uint64_t hash = 0;
+
+    /// The position alone is not sufficient: it increases with every change of an object of any
+    /// kind.
+    [[nodiscard]] bool is_newer_than(const told_list& other) const {
+        return last_change > other.last_change && hash != other.hash;
+    }
+};
+
 long ms_count(duration span) {
     return std::chrono::duration_cast<milliseconds>(span).count();
 }
@@ -163,8 +182,10 @@
     void on_peer_message(const peer_message& message, const boost::asio::ip::udp::endpoint& sender);
     /// Sends what a gateway that has just started cannot know.
     void on_peer_discovered(const boost::asio::ip::udp::endpoint& peer);
-    /// Lists the objects again if peers have reported newer ones for some time.
-    void relist_if_behind(object_watcher& watcher, lag_detector& detector, bool is_behind);
+    /// Lists the objects again if peers have told newer ones for some time.
+    void resync_if_behind(time_point now);
+    /// Version of the active configuration; 0 if there is none.
+    [[nodiscard]] std::uint64_t config_version() const;
     /// Longest wait of the next watch call, with jitter.
     [[nodiscard]] milliseconds watch_wait();
     /// Periodic work: registration, peers, settings file, gauges, digest.
@@ -210,8 +231,9 @@
     boost::asio::steady_timer stop_timer_;
     boost::asio::signal_set hangup_signal_;
     bool is_update_scheduled_ = false;
-    lag_detector config_lag_;
-    lag_detector backends_lag_;
+    lag_detector<told_number> epoch_lag_;
+    lag_detector<told_number> config_lag_;
+    lag_detector<told_list> backends_lag_;
     /// Last moment at which the store confirmed the active configuration version to a peer.
     time_point config_confirmed_by_peers_{};
     /// Moment at which the store was found to be restored; time_point{} if it never was.
@@ -447,7 +469,7 @@
     if (!update) {
         return;
     }
-    update->config_version = shared_.routes ? shared_.routes->version() : 0;
+    update->config_version = config_version();
     update->config_age = std::chrono::duration_cast<milliseconds>(config_age(now));
     const auto last_change = backend_watcher_.last_change();
     update->backends_revision = last_change.epoch == store_.epoch() ? last_change.revision : 0;
@@ -482,33 +504,41 @@
     if (!update.is_digest) {
         return;
     }
-    const auto version = shared_.routes ? shared_.routes->version() : 0;
-    // What a peer read in an earlier epoch says nothing about the store's present state.
-    if (update.store_epoch < store_.epoch()) {
-        return;
+    epoch_lag_.on_digest({update.store_epoch}, now);
+    // Versions are the operator's, so that they are comparable over epochs.
+    config_lag_.on_digest({update.config_version}, now);
+    if (update.store_epoch >= store_.epoch()) {
+        backends_lag_.on_digest(
+            {{update.store_epoch, update.backends_revision}, update.backends_hash}, now);
     }
-    const bool is_later_epoch = update.store_epoch > store_.epoch();
-    if (update.config_version == version) {
+    if (update.store_epoch == store_.epoch() && update.config_version == config_version()) {
         config_confirmed_by_peers_ = std::max(config_confirmed_by_peers_, now - update.config_age);
     }
-    relist_if_behind(config_watcher_, config_lag_,
-                     is_later_epoch || update.config_version > version);
-    // The position alone is not sufficient: it increases with every change of an object of any
-    // kind.
-    const store_position peer_position{update.store_epoch, update.backends_revision};
-    if (peer_position > backend_watcher_.last_change()) {
-        relist_if_behind(backend_watcher_, backends_lag_,
-                         is_later_epoch || update.backends_hash != fleet_.list_hash());
-    }
+    resync_if_behind(now);
 }
 
-void gateway::state::relist_if_behind(object_watcher& watcher, lag_detector& detector,
-                                      bool is_behind) {
-    if (detector.on_digest(is_behind, watcher.is_disconnected(), steady_now())) {
-        log_.info("digest of a peer reports newer state than the store sent to this gateway; lists "
-                  "the objects again");
-        watcher.start();
+void gateway::state::resync_if_behind(time_point now) {
+    const bool is_epoch_old =
+        epoch_lag_.needs_resync({store_.epoch()}, config_watcher_.is_disconnected(), now);
+    const bool is_config_old =
+        config_lag_.needs_resync({config_version()}, config_watcher_.is_disconnected(), now);
+    const told_list own_list{backend_watcher_.last_change(), fleet_.list_hash()};
+    const bool is_list_old =
+        backends_lag_.needs_resync(own_list, backend_watcher_.is_disconnected(), now);
+    if (is_epoch_old || is_config_old) {
+        log_.info("peers have a newer configuration or epoch of the store than this gateway, lists "
+                  "the configuration again");
+        config_watcher_.start();
     }
+    if (is_epoch_old || is_list_old) {
+        log_.info("peers have a newer list of backend servers or epoch of the store than this "
+                  "gateway, lists them again");
+        backend_watcher_.start();
+    }
+}
+
+std::uint64_t gateway::state::config_version() const {
+    return shared_.routes ? shared_.routes->version() : 0;
 }
 
 milliseconds gateway::state::watch_wait() {
@@ -533,13 +563,14 @@
         fetch_gateway_list();
     }
     gossip_.expire_silent_peers(now);
+    resync_if_behind(now);
     quarantine_exchange_.tick(now);
     check_settings_file(now);
     // Peers that were discovered since the last tick reduce this gateway's share of the reserve.
     for (auto& budget : shared_.retry_budgets | std::views::values) {
         budget.set_reserve(budget_reserve(), now);
     }
-    metrics_.set_gauges({.config_version = shared_.routes ? shared_.routes->version() : 0,
+    metrics_.set_gauges({.config_version = config_version(),
                          .config_age = config_age(now),
                          .store_epoch = store_.epoch(),
                          .live_backends = fleet_.live_count(),
--- a/src/lag_detector.h
+++ b/src/lag_detector.h
@@ -4,20 +4,63 @@
 
 #include <magnolia/types.h>
 
+#include <optional>
+
 namespace magnolia {
 
-/// Requests a full resync once other hosts have reported newer state for a minimum time. Used by
-/// the gateway. Not thread-safe.
+/// Requests a full resync once this host has lacked a state that another host told for a minimum
+/// time. Hosts that lack it as well do not delay that. Used by the gateway. Not thread-safe.
+///
+/// A State has the member `is_newer_than(const State&)`.
+template <class State>
 class lag_detector {
 public:
-    /// Handles a digest from another host.
-    /// @param is_behind        the other host has newer state.
+    /// Another host has this state.
+    void on_digest(const State& told, time_point now) {
+        if (!is_fresh(now) || !newest_->is_newer_than(told)) {
+            newest_ = told;
+            told_at_ = now;
+        }
+    }
+
+    /// Whether another host has recently told a state that is newer than this host's.
+    [[nodiscard]] bool is_behind(const State& own, time_point now) const {
+        return is_fresh(now) && newest_->is_newer_than(own);
+    }
+
+    /// Whether to read the complete state again.
     /// @param is_disconnected  this host's calls to the store fail: it already retries, and a
-    /// resync would fail as well.
-    /// @returns whether to read the complete state again.
-    [[nodiscard]] bool on_digest(bool is_behind, bool is_disconnected, time_point now);
+    ///                         resync would fail as well.
+    [[nodiscard]] bool needs_resync(const State& own, bool is_disconnected, time_point now) {
+        if (!is_behind(own, now) || is_disconnected) {
+            behind_since_ = {};
+            return false;
+        }
+        if (behind_since_ == time_point{}) {
+            behind_since_ = now;
+        }
+        if (now - behind_since_ < min_lag_time || now < next_resync_at_) {
+            return false;
+        }
+        behind_since_ = {};
+        next_resync_at_ = now + min_resync_interval;
+        return true;
+    }
 
 private:
+    /// Time for which this host must lack the state; a change reaches hosts some ms apart.
+    static constexpr duration min_lag_time = std::chrono::milliseconds{250};
+    /// Minimum time between resyncs. A list takes a few round trips, more if the store is slow.
+    static constexpr duration min_resync_interval = std::chrono::milliseconds{1000};
+    /// Time after which a state that no host tells any more is forgotten.
+    static constexpr duration told_lifetime = std::chrono::seconds{5};
+
+    [[nodiscard]] bool is_fresh(time_point now) const {
+        return newest_ && now - told_at_ <= told_lifetime;
+    }
+
+    std::optional<State> newest_;
+    time_point told_at_{};
     time_point behind_since_{};
     time_point next_resync_at_{};
 };
--- a/tests/gateway_cluster.cpp
+++ b/tests/gateway_cluster.cpp
@@ -21,7 +21,7 @@
 } // namespace
 
 running_gateway::running_gateway(boost::asio::io_context& context, const std::string& name,
-                                 const endpoint& store)
+                                 const endpoint& store, const store_codec& store_codec)
     : settings_file_{std::filesystem::path{testing::TempDir()} /
                      ("gateway_" + name + "_" + std::to_string(::getpid()) + ".yaml")} {
     settings_.process.name = name;
@@ -33,8 +33,8 @@
     settings_.stop_timeout_s = 2;
     write_settings(store);
     owner_ = std::make_unique<process>(settings_.process, settings_file_);
-    thread_ = std::thread{[this] {
-        gateway host{*owner_, settings_, codec_, store_codec_};
+    thread_ = std::thread{[this, &store_codec] {
+        gateway host{*owner_, settings_, codec_, store_codec};
         EXPECT_TRUE(host.run());
         has_ended_ = true;
     }};
@@ -57,6 +57,7 @@
 
 void gateway_cluster::SetUp() {
     ASSERT_TRUE(store_.listen(endpoint{}));
+    gateways_store_ = {"127.0.0.1", store_.port()};
     operator_client_ = std::make_unique<platform_client>(
         context_, endpoint{"127.0.0.1", store_.port()},
         platform_budget{.writes_per_second = 400, .reads_per_second = 400}, 1);
@@ -68,8 +69,11 @@
 }
 
 running_gateway& gateway_cluster::start_gateway(const std::string& name) {
-    gateways_.push_back(
-        std::make_unique<running_gateway>(context_, name, endpoint{"127.0.0.1", store_.port()}));
+    return start_gateway(name, store_codec_);
+}
+
+running_gateway& gateway_cluster::start_gateway(const std::string& name, const store_codec& codec) {
+    gateways_.push_back(std::make_unique<running_gateway>(context_, name, gateways_store_, codec));
     wait_for_readiness(*gateways_.back(), true);
     return *gateways_.back();
 }
--- a/tests/gateway_cluster.h
+++ b/tests/gateway_cluster.h
@@ -17,9 +17,10 @@
 /// A complete gateway with its process object, settings file and thread. Stops with the object.
 class running_gateway {
 public:
-    /// @param context  finds free ports.
+    /// @param context      finds free ports.
+    /// @param store_codec  has to outlive the gateway.
     running_gateway(boost::asio::io_context& context, const std::string& name,
-                    const endpoint& store);
+                    const endpoint& store, const store_codec& store_codec);
     ~running_gateway();
     running_gateway(const running_gateway&) = delete;
     running_gateway& operator=(const running_gateway&) = delete;
@@ -36,7 +37,6 @@
 
 private:
     test_codec codec_;
-    product_store_codec store_codec_;
     gateway_settings settings_;
     std::filesystem::path settings_file_;
     std::unique_ptr<process> owner_;
@@ -54,6 +54,7 @@
 
     /// Starts a gateway and waits until it is ready.
     running_gateway& start_gateway(const std::string& name);
+    running_gateway& start_gateway(const std::string& name, const store_codec& codec);
     /// Waits until each gateway receives the messages of all others.
     void wait_for_peers();
     /// Stops the gateways and removes them.
@@ -95,7 +96,10 @@
     void wait_for_readiness(const running_gateway& gateway, bool expected_ready);
 
     boost::asio::io_context context_{1};
+    product_store_codec store_codec_;
     platform_server store_{context_, 1};
+    /// Address at which gateways reach the store.
+    endpoint gateways_store_{};
     http_client caller_{context_, 0};
     std::unique_ptr<platform_client> operator_client_;
     std::map<object_id, std::uint64_t> versions_;
--- a/tests/lag_detector_test.cpp
+++ b/tests/lag_detector_test.cpp
@@ -7,31 +7,64 @@
 
 using std::chrono::milliseconds;
 
-constexpr time_point start{std::chrono::seconds{100}};
-
-TEST(lag_detector, a_lag_must_persist) {
-    lag_detector detector;
-    EXPECT_FALSE(detector.on_digest(true, false, start));
-    EXPECT_FALSE(detector.on_digest(false, false, start + milliseconds{200}));
-    EXPECT_FALSE(detector.on_digest(true, false, start + milliseconds{400}));
-    EXPECT_TRUE(detector.on_digest(true, false, start + milliseconds{650}));
-}
+struct numbered_state {
+    int number = 0;
+
+    [[nodiscard]] bool is_newer_than(const numbered_state& other) const {
+        return number > other.number;
+    }
+};
+
+constexpr numbered_state older{1};
+constexpr numbered_state newer{2};
 
-TEST(lag_detector, resyncs_are_a_second_apart) {
-    lag_detector detector;
-    int resyncs = 0;
-    for (int ms = 0; ms <= 5000; ms += 50) {
-        resyncs += detector.on_digest(true, false, start + milliseconds{ms}) ? 1 : 0;
+class lag_detector_test : public testing::Test {
+protected:
+    /// Number of resyncs in a time during which the others tell these states in turn.
+    int count_resyncs(std::initializer_list<numbered_state> told, bool is_disconnected,
+                      milliseconds time) {
+        int resyncs = 0;
+        for (const auto end = now_ + time; now_ <= end; now_ += interval) {
+            for (const auto& state : told) {
+                detector_.on_digest(state, now_);
+            }
+            resyncs += detector_.needs_resync(older, is_disconnected, now_) ? 1 : 0;
+        }
+        return resyncs;
     }
+
+    static constexpr milliseconds interval{50};
+    lag_detector<numbered_state> detector_;
+    time_point now_{std::chrono::seconds{100}};
+};
+
+TEST_F(lag_detector_test, a_lag_must_persist) {
+    EXPECT_EQ(count_resyncs({newer}, false, milliseconds{200}), 0);
+    EXPECT_FALSE(detector_.needs_resync(newer, false, now_));
+    EXPECT_EQ(count_resyncs({newer}, false, milliseconds{200}), 0);
+    EXPECT_EQ(count_resyncs({newer}, false, milliseconds{100}), 1);
+}
+
+// Incident CONFIG: digests of hosts that had missed the change as well ended the lag each time.
+TEST_F(lag_detector_test, hosts_that_are_behind_too_do_not_end_a_lag) {
+    EXPECT_EQ(count_resyncs({newer, older}, false, milliseconds{300}), 1);
+}
+
+TEST_F(lag_detector_test, resyncs_are_a_second_apart) {
+    const int resyncs = count_resyncs({newer}, false, milliseconds{5000});
     EXPECT_GE(resyncs, 4);
     EXPECT_LE(resyncs, 5);
 }
 
-TEST(lag_detector, a_disconnected_host_does_not_resync) {
-    lag_detector detector;
-    for (int ms = 0; ms <= 5000; ms += 50) {
-        EXPECT_FALSE(detector.on_digest(true, true, start + milliseconds{ms}));
-    }
+TEST_F(lag_detector_test, a_disconnected_host_does_not_resync) {
+    EXPECT_EQ(count_resyncs({newer}, true, milliseconds{5000}), 0);
+}
+
+// A host that told a state that the store never had must not cause resyncs for ever.
+TEST_F(lag_detector_test, a_state_that_no_host_tells_any_more_is_forgotten) {
+    detector_.on_digest(newer, now_);
+    EXPECT_GT(count_resyncs({older}, false, milliseconds{5000}), 0);
+    EXPECT_EQ(count_resyncs({older}, false, milliseconds{5000}), 0);
 }
 
 } // namespace
