Distrust all connections of a peer once one of them timed out

Change: a timeout discards the peer's idle connections; the first page of a list uses a connection of its own.

--- a/fakes/delay_link.cpp
+++ b/fakes/delay_link.cpp
@@ -35,7 +35,8 @@
                   std::shared_ptr<const bool> is_silent, const delay_link_settings& settings,
                   std::uint64_t seed)
         : from_{std::move(from)}, to_{std::move(to)}, is_silent_{std::move(is_silent)},
-          timer_{from_->get_executor()}, delay_{settings.delay}, extra_delay_{0, settings.spread.count()}, random_{seed} {}
+          timer_{from_->get_executor()}, delay_{settings.delay},
+          extra_delay_{0, settings.spread.count()}, random_{seed} {}
 
     /// Reads the next chunk.
     void read() {
@@ -156,9 +157,7 @@
         }
     }
 
-    void silence_connections() {
-        *std::exchange(is_silent_, std::make_shared<bool>(false)) = true;
-    }
+    void silence_connections() { *std::exchange(is_silent_, std::make_shared<bool>(false)) = true; }
 
     void close() {
         io_error ignored;
@@ -195,22 +194,21 @@
         sockets_.emplace_back(near);
         sockets_.emplace_back(far);
         auto& target = *far;
-        target.async_connect(
-            to_tcp(settings_.target), [self = shared_from_this(), near, far](io_error failure) {
-                if (failure) {
-                    io_error ignored;
-                    near->close(ignored);
-                    return;
-                }
-                near->set_option(tcp::no_delay{true});
-                far->set_option(tcp::no_delay{true});
-                const auto seed = self->settings_.seed + 2 * ++self->connections_;
-                const auto& is_silent = self->is_silent_;
-                std::make_shared<one_way_relay>(near, far, is_silent, self->settings_, seed)
-                    ->read();
-                std::make_shared<one_way_relay>(far, near, is_silent, self->settings_, seed + 1)
-                    ->read();
-            });
+        target.async_connect(to_tcp(settings_.target), [self = shared_from_this(), near,
+                                                        far](io_error failure) {
+            if (failure) {
+                io_error ignored;
+                near->close(ignored);
+                return;
+            }
+            near->set_option(tcp::no_delay{true});
+            far->set_option(tcp::no_delay{true});
+            const auto seed = self->settings_.seed + 2 * ++self->connections_;
+            const auto& is_silent = self->is_silent_;
+            std::make_shared<one_way_relay>(near, far, is_silent, self->settings_, seed)->read();
+            std::make_shared<one_way_relay>(far, near, is_silent, self->settings_, seed + 1)
+                ->read();
+        });
     }
 
     boost::asio::io_context& context_;
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -93,6 +93,9 @@
         return nullptr;
     }
 
+    /// Closes the peer's idle connections.
+    void discard(const endpoint& peer) { idle_.erase(pool_key(peer)); }
+
     /// Returns a connection to the pool; closes it if the peer's pool is full or unread bytes are
     /// left.
     void release(const endpoint& peer, std::unique_ptr<connection> conn) {
@@ -366,6 +369,10 @@
         } else {
             connection_->stream.close();
         }
+        if (failure == beast::error::timeout) {
+            // Connections may go silent together, when a network path or the peer is lost.
+            client_->pool.discard(peer_);
+        }
         while (is_writing_) {
             system_error ignored;
             wake_timer_.expires_at(steady_clock::time_point::max());
--- a/src/platform_client.cpp
+++ b/src/platform_client.cpp
@@ -52,6 +52,9 @@
     limits.connect_timeout = timeout;
     limits.inactivity_timeout = timeout;
     limits.total_timeout = timeout;
+    // A list often follows the suspicion that a watch is waiting on a dead connection.
+    const auto* list = std::get_if<object_list>(&call);
+    limits.may_reuse_connection = list == nullptr || !list->after.empty();
     // The platform bounds the number of items and the bytes of a page.
     limits.max_body_bytes = std::size_t{64} << 20U;
     client_.call(address_, codec_ != nullptr ? codec_->encode(call) : encode_call(call), limits,
