Notice dead connections to the store within the contact time

Lone waits had no jitter, so that hosts noticed together instead of one early.

Waits and timeouts are in watch_schedule.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -6,6 +6,7 @@
 #include "object_watcher.h"
 #include "peer_gossip.h"
 #include "quarantine_exchange.h"
+#include "watch_schedule.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -30,22 +31,6 @@
 /// Kind of the objects under which gateways register their gossip addresses.
 constexpr auto gateway_kind = "gateways";
 
-/// Wait of a watch call on a gateway without live peers, as a share of the contact time. Together
-/// with the timeout of the reply, a dead connection is detected within three quarters of the
-/// contact time.
-constexpr double watch_wait_share = 0.5;
-/// Timeout of the reply to a call to the store, as a share of the contact time.
-constexpr double store_timeout_share = 0.23;
-/// Live gateways share the watching of the store: each waits longer, so that the watch calls of all
-/// gateways together end at about this interval. A gateway whose connection is dead learns of
-/// changes from the digests of the others.
-constexpr milliseconds cluster_watch_interval{400};
-/// Upper bound of the wait of a watch call, in contact times.
-constexpr int max_watch_contact_times = 2;
-/// Each wait is drawn from the range between this share and all of it (jitter), so that gateways do
-/// not call at the same time.
-constexpr double min_watch_share = 0.6;
-
 /// Backoff between calls while the platform does not respond: short, as gateways must be up to date
 /// within the contact time after an outage.
 constexpr milliseconds min_store_backoff{60};
@@ -125,7 +110,7 @@
     platform_budget budget;
     budget.reads_per_second = store_reads_per_s;
     budget.writes_per_second = store_writes_per_s;
-    budget.timeout = fraction_of(settings.contact_ms, store_timeout_share);
+    budget.timeout = store_timeout(settings.contact_ms);
     budget.initial_backoff = min_store_backoff;
     budget.max_backoff = max_store_backoff;
     return budget;
@@ -187,7 +172,7 @@
     /// Version of the active configuration; 0 if there is none.
     [[nodiscard]] std::uint64_t config_version() const;
     /// Longest wait of the next watch call, with jitter.
-    [[nodiscard]] milliseconds watch_wait();
+    [[nodiscard]] milliseconds next_watch_wait();
     /// Periodic work: registration, peers, settings file, gauges, digest.
     void tick();
     /// Retries per window that this gateway may make regardless of its number of requests.
@@ -310,7 +295,7 @@
                         }},
       config_watcher_{store_,
                       codec.config_object().kind,
-                      [this] { return watch_wait(); },
+                      [this] { return next_watch_wait(); },
                       {[this](const auto& objects) {
                            std::ranges::for_each(objects,
                                                  [this](const auto& item) { apply_config(item); });
@@ -318,7 +303,7 @@
                        [this](const auto& object) { apply_config(object); }}},
       backend_watcher_{store_,
                        codec.backend_kind(),
-                       [this] { return watch_wait(); },
+                       [this] { return next_watch_wait(); },
                        {[this](const auto& objects) { apply_backend_list(objects); },
                         [this](const auto& object) { apply_backend(object); }}},
       tick_timer_{io_}, stop_timer_{io_}, hangup_signal_{io_, SIGHUP} {}
@@ -541,15 +526,8 @@
     return shared_.routes ? shared_.routes->version() : 0;
 }
 
-milliseconds gateway::state::watch_wait() {
-    const auto single_host_wait = fraction_of(settings_.contact_ms, watch_wait_share);
-    const auto hosts = static_cast<std::int64_t>(gossip_.live_peers()) + 1;
-    const auto shared_wait =
-        std::min(cluster_watch_interval * hosts, settings_.contact_ms * max_watch_contact_times);
-    std::uniform_real_distribution<double> jitter{min_watch_share, 1.0};
-    return hosts == 1
-               ? single_host_wait
-               : std::max(single_host_wait, fraction_of(shared_wait, jitter(shared_.random)));
+milliseconds gateway::state::next_watch_wait() {
+    return watch_wait(settings_.contact_ms, gossip_.live_peers() + 1, shared_.random);
 }
 
 void gateway::state::tick() {
--- /dev/null
+++ b/tests/watch_schedule_test.cpp
@@ -0,0 +1,67 @@
+#include "watch_schedule.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <vector>
+
+namespace magnolia {
+namespace {
+
+constexpr milliseconds contact_time{3000};
+/// Times of the gateway: between two digests, and until a told state counts as missed.
+constexpr milliseconds digest_interval{500};
+constexpr milliseconds lag_time{250};
+/// Connection, call and delays of timers on a busy host.
+constexpr milliseconds reconnect_time{100};
+
+/// Hosts whose connections to the store all go silent at time zero, in the middle of watch calls.
+class silent_deployment {
+public:
+    silent_deployment(std::size_t hosts, std::uint64_t seed) : random_{seed} {
+        for (std::size_t host = 0; host < hosts; ++host) {
+            const auto wait = watch_wait(contact_time, hosts, random_);
+            const auto remaining = draw(wait);
+            detected_.push_back(remaining + store_timeout(contact_time) + reconnect_time);
+        }
+    }
+
+    /// Time at which the last host has what was written at time zero.
+    milliseconds all_informed() {
+        const auto hosts = static_cast<std::int64_t>(detected_.size());
+        const auto first = std::ranges::min(detected_);
+        milliseconds last{0};
+        for (const auto own : detected_) {
+            const auto told = first + draw(digest_interval);
+            // Hosts check for a lag at each digest of any host.
+            const auto checked = told + lag_time + draw(digest_interval / hosts);
+            last = std::max(last, std::min(own, checked + reconnect_time));
+        }
+        return last;
+    }
+
+private:
+    milliseconds draw(milliseconds longest) {
+        return milliseconds{
+            std::uniform_int_distribution<std::int64_t>{0, longest.count()}(random_)};
+    }
+
+    std::mt19937_64 random_;
+    std::vector<milliseconds> detected_;
+};
+
+// Incident CONFIG: with all connections silent, hosts waited up to 6.7 s for a change.
+TEST(watch_schedule,
+     hosts_are_up_to_date_within_the_contact_time_after_all_connections_went_silent) {
+    constexpr std::uint64_t seeds = 1000;
+    for (const std::size_t hosts : {1, 2, 3, 6, 8, 12, 20, 30, 76, 100, 300, 380}) {
+        milliseconds worst{0};
+        for (std::uint64_t seed = 0; seed < seeds; ++seed) {
+            worst = std::max(worst, silent_deployment{hosts, seed}.all_informed());
+        }
+        EXPECT_LE(worst, contact_time) << hosts << " hosts";
+    }
+}
+
+} // namespace
+} // namespace magnolia
