Refuse no route or key on a configuration older than a peer's

Cause: only the store's confirmation was asked, though the digests of the other hosts tell a higher version.

Change: while a peer tells a higher version, the host's configuration counts as unconfirmed, so that unknown routes and keys get 503. Before: lagging_hosts.a_host_that_heard_of_a_newer_configuration_refuses_no_route_or_key failed (404 for 10 s); after: passes.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -154,6 +154,9 @@
     /// Adds the addresses of registered gateways to those that gossip is sent to.
     void add_peers(const std::vector<stored_object>& gateways);
     void on_request(http_request request, const http_responder& responder);
+    /// Last moment at which the active configuration was confirmed to be the newest; time_point{}
+    /// if a peer has told a newer one.
+    [[nodiscard]] time_point routes_confirmed_at(time_point now) const;
     [[nodiscard]] http_response readiness_response(const http_request& request) const;
     [[nodiscard]] bool is_ready() const;
     /// Sends the placements and ends of jobs since the previous update to all peers, in one
@@ -573,11 +576,16 @@
 // Callers.
 
 void gateway::state::on_request(http_request request, const http_responder& responder) {
-    shared_.routes_confirmed_at =
-        std::max(config_watcher_.confirmed_at(), config_confirmed_by_peers_);
+    shared_.routes_confirmed_at = routes_confirmed_at(steady_now());
     std::make_shared<forward_call>(shared_, std::move(request), responder)->start();
 }
 
+time_point gateway::state::routes_confirmed_at(time_point now) const {
+    const bool is_outdated = config_lag_.is_behind({config_version()}, now);
+    return is_outdated ? time_point{}
+                       : std::max(config_watcher_.confirmed_at(), config_confirmed_by_peers_);
+}
+
 bool gateway::state::is_ready() const {
     return !is_stopping_ && shared_.routes && backend_watcher_.has_synced() &&
            quarantine_exchange_.is_loaded(steady_now());
--- a/tests/lagging_hosts_test.cpp
+++ b/tests/lagging_hosts_test.cpp
@@ -16,6 +16,27 @@
     }
 };
 
+/// Codec of the object API that reports the configuration of the first list for ever.
+class frozen_codec final : public product_store_codec {
+public:
+    [[nodiscard]] result<platform_reply> decode(const platform_call& call,
+                                                const http_response& response) const override {
+        auto reply = product_store_codec::decode(call, response);
+        if (const auto* watch = std::get_if<object_watch>(&call); watch != nullptr && reply) {
+            return watch_page{{}, watch->after, false};
+        }
+        const auto* list = std::get_if<object_list>(&call);
+        if (list != nullptr && list->kind == "routes" && reply) {
+            first_ = first_.value_or(std::get<object_page>(*reply));
+            return *first_;
+        }
+        return reply;
+    }
+
+private:
+    mutable std::optional<object_page> first_;
+};
+
 class lagging_hosts : public gateway_cluster {};
 
 // Incident CONFIG: a host that had missed a change as well made the others forget that a third one
@@ -34,5 +55,22 @@
     stop_gateways();
 }
 
+// Incident CONFIG: the store confirmed an older configuration to a host, which then refused
+// requests on routes that the other hosts knew to exist.
+TEST_F(lagging_hosts, a_host_that_heard_of_a_newer_configuration_refuses_no_route_or_key) {
+    put("routes", "main", R"({"version":3,"without":"/safe/"})");
+    const frozen_codec frozen;
+    auto& lagging = start_gateway("g1", frozen);
+    start_gateway("g2");
+    wait_for_peers();
+    EXPECT_EQ(get(lagging.settings().listen.port, "/safe/")->status, 404U);
+    put("routes", "main", R"({"version":4})");
+    poll([&] {
+        const auto answer = get(lagging.settings().listen.port, "/safe/");
+        return answer && answer->status == 503;
+    });
+    stop_gateways();
+}
+
 } // namespace
 } // namespace magnolia
