Apply another content of the active configuration's version

Cause: versions were compared and contents were not. The store reports objects in the order of their writes, so another content of the same version is newer.

Before: whole_gateway.another_content_of_the_same_version_is_applied failed (10 s); after: passes.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
+#include <xxhash.h>
 
 #include <csignal>
 #include <fstream>
@@ -138,7 +139,8 @@
     result<void> run();
 
 private:
-    /// Activates the configuration if it is readable and newer than the active one.
+    /// Activates the configuration if it is readable and newer than the active one. Another content
+    /// of the same version is newer, as the store reports objects in the order of their writes.
     void apply_config(const stored_object& object);
     /// The store was restored from a copy: reads everything again, and writes what only this
     /// gateway knows.
@@ -222,6 +224,8 @@
     lag_detector<told_number> epoch_lag_;
     lag_detector<told_number> config_lag_;
     lag_detector<told_list> backends_lag_;
+    /// Hash of the active configuration as it is in the store.
+    std::uint64_t config_content_ = 0;
     /// Last moment at which the store confirmed the active configuration version to a peer.
     time_point config_confirmed_by_peers_{};
     /// Moment at which the store was found to be restored; time_point{} if it never was.
@@ -322,9 +326,12 @@
         return log_.error("configuration not readable, keeps the active version: " +
                           to_string(config.error()));
     }
-    if (shared_.routes && config->version <= shared_.routes->version()) {
+    const auto content = XXH3_64bits(object.value.data(), object.value.size());
+    const bool is_known = config->version == config_version() && content == config_content_;
+    if (shared_.routes && (config->version < config_version() || is_known)) {
         return;
     }
+    config_content_ = content;
     log_.info("configuration " + std::to_string(config->version) + " active, " +
               std::to_string(config->routes.size()) + " routes, " +
               std::to_string(config->workspaces.size()) + " workspaces, epoch=" +
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -72,6 +72,16 @@
     wait_for_status("/safe/", 200);
 }
 
+// Incident CONFIG: the store's present content was ignored because its version was known.
+TEST_F(whole_gateway, another_content_of_the_same_version_is_applied) {
+    backend_->add_handler(respond_with(200));
+    wait_for_status("/safe/", 200);
+    put("routes", "main", R"({"version":5,"without":"/safe/"})");
+    wait_for_status("/safe/", 404);
+    put("routes", "main", R"({"version":5})");
+    wait_for_status("/safe/", 200);
+}
+
 TEST_F(whole_gateway, changes_of_backend_servers_are_applied) {
     backend_->add_handler(respond_with(200));
     wait_for_status("/safe/", 200);
