--- a/src/forward_call.cpp
+++ b/src/forward_call.cpp
@@ -1,6 +1,7 @@
 #include "forward_call.h"
 
 #include "log.h"
+#include "request_fingerprint.h"
 
 #include <algorithm>
 
@@ -479,8 +480,9 @@
     if (result != attempt_result::done && result != attempt_result::cancelled) {
         log_of().info(head_.attempt, "answer attempt=" + std::to_string(sends_made_) +
                                          " backend=" + backend_ + " " + to_string(answer_summary_) +
-                                         " segments=" + join(head_.prompt.shared) + " cause=\"" +
-                                         std::string{cause} + "\"");
+                                         " segments=" + join(head_.prompt.shared) +
+                                         " request=" + request_fingerprint(head_.key, request_) +
+                                         " cause=\"" + std::string{cause} + "\"");
     }
 }
 
