--- a/tests/backend_limit_cluster_test.cpp
+++ b/tests/backend_limit_cluster_test.cpp
@@ -33,36 +33,6 @@
         wait_for_peers();
     }
 
-    /// Sends requests to all gateways in turn until this time.
-    void send_until(time_point end) {
-        std::size_t next = 0;
-        std::size_t pending = 0;
-        boost::asio::steady_timer timer{context_};
-        std::function<void()> send = [&] {
-            ++pending;
-            ++sent_;
-            const auto& gateway = *gateways_[next++ % gateways_.size()];
-            caller_.call({"127.0.0.1", gateway.settings().listen.port},
-                         {"GET",
-                          "/safe/",
-                          {{"Host", "shop.example"}, {"attempt", "a1"}, {"key", "k1"}},
-                          {},
-                          {}},
-                         {}, [&](const auto& answer) {
-                             --pending;
-                             served_ += answer && answer->status == 200 ? 1 : 0;
-                         });
-            timer.expires_after(request_interval);
-            timer.async_wait([&](const auto& /*failure*/) {
-                if (steady_now() < end) {
-                    send();
-                }
-            });
-        };
-        send();
-        run_until([&] { return steady_now() >= end && pending == 0; });
-    }
-
     /// Most requests, probes included, that the limited server received in any window after the
     /// contact time.
     [[nodiscard]] std::size_t most_requests() const {
@@ -82,8 +52,6 @@
     time_point first_statement_{};
     /// Requests at the first backend server.
     std::vector<time_point> arrivals_;
-    std::size_t sent_ = 0;
-    std::size_t served_ = 0;
 
 private:
     void on_request(const test_backend& server, const http_request& request,
@@ -107,10 +75,10 @@
 // Incident LIMIT: each host sent as if no server had named a limit, twelve and more in four
 // seconds.
 TEST_F(limited_backend, a_stated_limit_holds_for_all_hosts_together) {
-    send_until(steady_now() + contact_time + window * 3 / 2);
+    const auto load = send_until(steady_now() + contact_time + window * 3 / 2, request_interval);
     ASSERT_NE(first_statement_, time_point{});
     EXPECT_LE(most_requests(), max_requests);
-    EXPECT_EQ(served_, sent_);
+    EXPECT_EQ(load.served, load.sent);
 }
 
 } // namespace
--- a/tests/gateway_cluster.cpp
+++ b/tests/gateway_cluster.cpp
@@ -153,4 +153,33 @@
     });
 }
 
+gateway_cluster::load_result gateway_cluster::send_until(time_point end, milliseconds interval,
+                                                         const std::string& target) {
+    load_result load;
+    std::size_t pending = 0;
+    boost::asio::steady_timer timer{context_};
+    std::function<void()> send = [&] {
+        ++pending;
+        const auto& settings = gateways_[load.sent++ % gateways_.size()]->settings();
+        const http_headers headers{{"Host", "shop.example"},
+                                   {"attempt", "a1"},
+                                   {"key", "k1"},
+                                   {"via", settings.process.name}};
+        caller_.call({"127.0.0.1", settings.listen.port}, {"GET", target, headers, {}, {}}, {},
+                     [&](const auto& answer) {
+                         --pending;
+                         load.served += answer && answer->status == 200 ? 1 : 0;
+                     });
+        timer.expires_after(interval);
+        timer.async_wait([&](const auto& failure) {
+            if (!failure && steady_now() < end) {
+                send();
+            }
+        });
+    };
+    send();
+    run_until([&] { return steady_now() >= end && pending == 0; });
+    return load;
+}
+
 } // namespace magnolia
--- a/tests/gateway_cluster.h
+++ b/tests/gateway_cluster.h
@@ -95,6 +95,16 @@
                                                   const http_headers& headers = {});
     void wait_for_readiness(const running_gateway& gateway, bool expected_ready);
 
+    struct load_result {
+        std::size_t sent = 0;
+        /// Requests that were answered with status 200.
+        std::size_t served = 0;
+    };
+    /// Sends requests to all gateways in turn until this time and waits for the answers. Each
+    /// names its gateway in the header `via`.
+    load_result send_until(time_point end, milliseconds interval,
+                           const std::string& target = "/safe/");
+
     boost::asio::io_context context_{1};
     product_store_codec store_codec_;
     platform_server store_{context_, 1};
--- a/tests/gateway_fixture.cpp
+++ b/tests/gateway_fixture.cpp
@@ -79,6 +79,10 @@
     if (const auto limit = find_header(headers, "limit"); !limit.empty()) {
         answer.requests_per_s = std::stod(std::string{limit});
     }
+    // Milliseconds.
+    if (const auto retry_after = find_header(headers, "Retry-After"); !retry_after.empty()) {
+        answer.retry_after = milliseconds{parse_number(retry_after)};
+    }
     endpoint fault;
     if (read_text(std::string{find_header(headers, "fault")}, fault)) {
         answer.faulty_backend = fault;
