Send no requests to a backend server that asked for rest

Cause: the time of a 503 with Retry-After was told to the caller and used for nothing else. Ruled out as the only cause: requests chosen before the answer (bounded by the connection timeout, and by the reservation timeout, which now chooses anew) and probes.

Change: stated_terms holds what one process of a server stated; backend_fleet leaves out servers at rest, refuses at once with the first end if all rest, and brings load back in steps. No probes or reservations in a rest. A time that cannot be read counts as a second.

--- a/src/backend_fleet.cpp
+++ b/src/backend_fleet.cpp
@@ -174,7 +174,8 @@
     remove_expired(now);
     std::vector<backend_record*> usable;
     for (auto& record : backends_ | std::views::values) {
-        if (record.info.service == service && is_usable(record, now)) {
+        if (record.info.service == service && is_usable(record, now) &&
+            record.terms.admits(record.open_calls, now)) {
             usable.push_back(&record);
         }
     }
@@ -194,10 +195,27 @@
 
 bool backend_fleet::has_live(std::string_view service, time_point now) {
     return std::ranges::any_of(backends_ | std::views::values, [&](const auto& record) {
-        return record.info.service == service && is_usable(record, now);
+        return record.info.service == service && is_usable(record, now) && !record.terms.rests(now);
     });
 }
 
+bool backend_fleet::is_still_admitted(const chosen_backends& chosen, time_point now) const {
+    return std::ranges::none_of(chosen.members,
+                                [&](const auto& member) { return is_resting(member.id, now); });
+}
+
+std::optional<time_point> backend_fleet::first_rest_end(std::string_view service,
+                                                        time_point now) const {
+    std::optional<time_point> first_end;
+    for (const auto& record : backends_ | std::views::values) {
+        if (record.info.service == service && is_usable(record, now) && record.terms.rests(now)) {
+            const auto end = record.terms.rests_until();
+            first_end = std::min(first_end.value_or(end), end);
+        }
+    }
+    return first_end;
+}
+
 backend_process backend_fleet::process_of(const std::string& id) const {
     const auto found = backends_.find(id);
     return {id, found == backends_.end() ? 0 : found->second.info.started_ms};
@@ -239,6 +257,10 @@
                                               const std::vector<std::string>& tried,
                                               time_point now) {
     const auto usable = usable_backends(service, tried, now);
+    if (const auto rest_end = first_rest_end(service, now); usable.empty() && rest_end) {
+        return fail(error_code::no_capacity, "all backend servers rest",
+                    std::chrono::ceil<milliseconds>(*rest_end - now));
+    }
     const auto reserved = engines_reserved_for_long(service, usable, now);
     std::vector<placement_candidate> candidates;
     candidates.reserve(usable.size());
@@ -397,6 +419,7 @@
     switch (result) {
     case attempt_result::done:
         record.circuit.on_success();
+        record.terms.on_answered();
         record.failure_rate *= 1 - success_gain;
         return;
     case attempt_result::lost:
@@ -437,16 +460,31 @@
     open_jobs_.erase(found);
 }
 
+void backend_fleet::on_rest_asked(const backend_process& process, duration span, time_point now) {
+    auto* record = find(process.id);
+    if (record != nullptr && record->info.started_ms == process.started_ms) {
+        record->terms.ask_for_rest(span, now, random_);
+    }
+}
+
+bool backend_fleet::is_resting(const std::string& backend, time_point now) const {
+    const auto found = backends_.find(backend);
+    return found != backends_.end() && found->second.terms.rests(now);
+}
+
 bool backend_fleet::set_stated_limit(const std::string& backend,
                                      std::optional<double> requests_per_s) {
     auto* record = find(backend);
-    return record != nullptr &&
-           std::exchange(record->stated_limit, requests_per_s) != requests_per_s;
+    if (record == nullptr || record->terms.limit() == requests_per_s) {
+        return false;
+    }
+    record->terms.set_limit(requests_per_s);
+    return true;
 }
 
 std::optional<double> backend_fleet::stated_limit(const std::string& backend) const {
     const auto found = backends_.find(backend);
-    return found == backends_.end() ? std::nullopt : found->second.stated_limit;
+    return found == backends_.end() ? std::nullopt : found->second.terms.limit();
 }
 
 void backend_fleet::on_answer_bytes(const std::string& backend, time_point now) {
--- a/src/backend_fleet.h
+++ b/src/backend_fleet.h
@@ -6,6 +6,7 @@
 #include "breaker.h"
 #include "engine_partition.h"
 #include "placement.h"
+#include "stated_terms.h"
 
 #include <magnolia/schema.h>
 
@@ -80,11 +81,14 @@
     void on_helper_failure(const std::string& id, time_point now);
 
     /// Chooses backend servers of a service for a request. Those in `tried` and those with an open
-    /// circuit breaker are used only if there are no others. Errors: no_capacity with retry_after.
+    /// circuit breaker are used only if there are no others. Errors: no_capacity with retry_after,
+    /// which is the first end of a rest if all backend servers rest.
     [[nodiscard]] result<chosen_backends> choose(std::string_view service,
                                                  const placement_query& query,
                                                  const std::vector<std::string>& tried,
                                                  time_point now);
+    /// Whether none of the chosen backend servers has asked for rest since.
+    [[nodiscard]] bool is_still_admitted(const chosen_backends& chosen, time_point now) const;
     /// Whether any backend server of the service takes new requests.
     [[nodiscard]] bool has_live(std::string_view service, time_point now);
     /// The process that the platform's list has under this id now.
@@ -105,6 +109,10 @@
     void on_late(job_id id);
     /// Ends a job and counts the result for the health of the backend server that decoded.
     void on_ended(job_id id, attempt_result result, time_point now);
+    /// An answer of this process asks for no requests of this gateway for this time.
+    void on_rest_asked(const backend_process& process, duration span, time_point now);
+    /// Whether the backend server asked for rest that has not ended.
+    [[nodiscard]] bool is_resting(const std::string& backend, time_point now) const;
     /// Records the limit that an answer of the backend server states, or that it states none;
     /// returns whether that changed.
     bool set_stated_limit(const std::string& backend, std::optional<double> requests_per_s);
@@ -143,8 +151,7 @@
         breaker circuit;
         /// Moving average of failed attempts, 0 to 1.
         double failure_rate = 0;
-        /// See answer_head::requests_per_s.
-        std::optional<double> stated_limit;
+        stated_terms terms;
         time_point last_answer{};
         time_point last_probe_success{};
         time_point last_probe_failure{};
@@ -161,8 +168,11 @@
     };
 
     [[nodiscard]] backend_record* find(const std::string& id);
-    /// Whether it takes new requests.
+    /// Whether it is listed and takes part in the service.
     [[nodiscard]] bool is_usable(const backend_record& record, time_point now) const;
+    /// First end of a rest of the service's backend servers; empty if none rests.
+    [[nodiscard]] std::optional<time_point> first_rest_end(std::string_view service,
+                                                           time_point now) const;
     /// Removes backend servers whose grace period is over.
     void remove_expired(time_point now);
     void apply_profile(backend_record& record);
--- a/src/forward_answer.cpp
+++ b/src/forward_answer.cpp
@@ -1,6 +1,7 @@
 /// Second half of forward_call: handles the responses of backend servers and the answer to the
 /// caller.
 #include "forward_call.h"
+#include "log.h"
 
 #include <algorithm>
 
@@ -19,10 +20,18 @@
 /// (backpressure).
 constexpr std::size_t max_unsent_bytes = std::size_t{256} << 10U;
 
+/// Rest of a backend server that asks for one of a time that cannot be read.
+constexpr milliseconds unreadable_rest{1000};
+
 constexpr unsigned first_success = 200;
 constexpr unsigned first_redirect = 300;
 constexpr unsigned first_server_error = 500;
 
+const logger& log_of() {
+    static const logger log{"call"};
+    return log;
+}
+
 bool is_success(unsigned status) {
     return status >= first_success && status < first_redirect;
 }
@@ -37,6 +46,9 @@
     if (shared_.fleet.set_stated_limit(backend_, answer_.requests_per_s)) {
         shared_.on_limit_changed(backend_, answer_.requests_per_s);
     }
+    if (answer_.asks_for_rest) {
+        grant_rest();
+    }
     const bool is_events = route_->is_stream && is_success(head.status) && answer_.is_signed &&
                            answer_.is_event_stream;
     form_ = is_events ? answer_form::events : answer_form::buffered;
@@ -45,6 +57,14 @@
     }
 }
 
+void forward_call::grant_rest() {
+    const auto rest = answer_.retry_after.count() > 0 ? answer_.retry_after : unreadable_rest;
+    log_of().info(head_.attempt, "backend server asks for rest backend=" + backend_ +
+                                     " ms=" + std::to_string(rest.count()) +
+                                     " readable=" + (rest == answer_.retry_after ? "1" : "0"));
+    shared_.fleet.on_rest_asked(process_, rest, steady_now());
+}
+
 void forward_call::on_body(std::string_view text) {
     const auto now = steady_now();
     shared_.fleet.on_answer_bytes(backend_, now);
--- a/src/forward_call.cpp
+++ b/src/forward_call.cpp
@@ -315,12 +315,17 @@
             if (self->is_complete_ || self->attempt_number_ != number) {
                 return;
             }
-            if (all_granted && !self->refuse_if_quarantined()) {
+            const bool is_admitted = self->shared_.fleet.is_still_admitted(chosen, steady_now());
+            if (all_granted && is_admitted && !self->refuse_if_quarantined()) {
                 return self->send(std::move(chosen));
             }
             if (self->is_complete_) {
                 return self->end_attempt(attempt_result::cancelled);
             }
+            if (!is_admitted) {
+                self->end_attempt(attempt_result::cancelled);
+                return self->next_attempt();
+            }
             self->reservation_.clear();
             self->end_attempt(attempt_result::cancelled);
             self->wait_for_capacity(
--- a/src/forward_call.h
+++ b/src/forward_call.h
@@ -181,6 +181,8 @@
     [[nodiscard]] attempt_parameters parameters_for(const chosen_backends& chosen) const;
 
     void on_header(const http_response_head& head);
+    /// The backend server asked for rest.
+    void grant_rest();
     void on_body(std::string_view text);
     void on_end(const http_failure* failure);
     void on_events(std::string_view text);
--- a/src/forward_types.h
+++ b/src/forward_types.h
@@ -186,6 +186,9 @@
     /// Backend server that failed, if the answer names one. It may be a helper, not the sender.
     std::optional<endpoint> faulty_backend;
     milliseconds retry_after{0};
+    /// The backend server turns the request away and wants no others from this gateway: for
+    /// retry_after, or for a time that cannot be read if that is 0.
+    bool asks_for_rest = false;
     /// Requests per second that the backend server takes from all gateways together, if it states a
     /// limit.
     std::optional<double> requests_per_s;
--- a/src/liveness_prober.cpp
+++ b/src/liveness_prober.cpp
@@ -36,6 +36,9 @@
 
 void liveness_prober::probe_at_once(const std::string& backend, const endpoint& address,
                                     time_point now) {
+    if (fleet_.is_resting(backend, now)) {
+        return;
+    }
     probes_[backend] = {true, now};
     if (const auto limit = fleet_.stated_limit(backend)) {
         log_of().info("probes a backend server that states a limit backend=" + backend +
--- a/src/liveness_prober.h
+++ b/src/liveness_prober.h
@@ -22,7 +22,8 @@
     /// Probes the backend server, unless a probe is in flight or was started a moment ago. The
     /// result arrives at backend_fleet::on_probe_answered() or on_probe_failed().
     void probe(const std::string& backend, const endpoint& address, time_point now);
-    /// Probes the backend server regardless of other probes: it may have ended since.
+    /// Probes the backend server regardless of other probes, as it may have ended since; not one
+    /// that rests.
     void probe_at_once(const std::string& backend, const endpoint& address, time_point now);
 
 private:
--- a/tests/backend_fleet_test.cpp
+++ b/tests/backend_fleet_test.cpp
@@ -68,6 +68,42 @@
     EXPECT_FALSE(fleet_.has_live("llm", start));
 }
 
+// Incident BUDGET: a server that had asked for rest was chosen again.
+TEST_F(fleet_test, a_backend_server_at_rest_is_not_chosen_even_if_there_is_no_other) {
+    fleet_.on_rest_asked(fleet_.process_of("a"), milliseconds{4000}, start);
+    for (int round = 0; round < 20; ++round) {
+        EXPECT_EQ(chosen(), "b");
+    }
+    EXPECT_EQ(chosen({"b"}), "b");
+    fleet_.on_rest_asked(fleet_.process_of("b"), milliseconds{2000}, start);
+    const auto refusal = fleet_.choose("llm", short_query(), {}, start);
+    ASSERT_FALSE(refusal);
+    EXPECT_GE(refusal.error().retry_after, milliseconds{2000});
+    EXPECT_LE(refusal.error().retry_after, milliseconds{2200});
+    EXPECT_FALSE(fleet_.has_live("llm", start));
+    EXPECT_EQ(chosen({}, start + milliseconds{2500}), "b");
+}
+
+TEST_F(fleet_test, a_request_for_rest_holds_for_one_process) {
+    const auto old_process = fleet_.process_of("a");
+    fleet_.on_rest_asked(old_process, milliseconds{4000}, start);
+    auto restarted = make_backend("a");
+    restarted.started_ms = 1;
+    fleet_.put(restarted);
+    EXPECT_FALSE(fleet_.is_resting("a", start));
+    // An answer of the earlier process may arrive late.
+    fleet_.on_rest_asked(old_process, milliseconds{4000}, start);
+    EXPECT_FALSE(fleet_.is_resting("a", start));
+}
+
+TEST_F(fleet_test, a_choice_is_withdrawn_if_one_of_its_backend_servers_asks_for_rest) {
+    const auto choice = fleet_.choose("llm", short_query(), {}, start);
+    ASSERT_TRUE(choice);
+    EXPECT_TRUE(fleet_.is_still_admitted(*choice, start));
+    fleet_.on_rest_asked(fleet_.process_of(choice->members.front().id), milliseconds{500}, start);
+    EXPECT_FALSE(fleet_.is_still_admitted(*choice, start));
+}
+
 TEST_F(fleet_test, a_removal_takes_effect_after_its_grace_and_can_be_revoked) {
     fleet_.remove("a", milliseconds{1000}, start);
     fleet_.remove("b", duration{0}, start);
--- a/tests/forward_call_test.cpp
+++ b/tests/forward_call_test.cpp
@@ -234,6 +234,20 @@
     static_cast<void>(send_request({"POST", "/unsafe/", {}, "order", {}}));
 }
 
+// Incident BUDGET: a server that had asked for rest was sent requests. None is held until its end.
+TEST_F(gateway_fixture, a_request_is_refused_at_once_while_all_backend_servers_rest) {
+    add_backend("b1", "desk").add_handler([](const auto&, const http_responder& responder) {
+        responder.send({503, {{"not-run", "1"}, {"Retry-After", "5000"}}, {}});
+    });
+    for (int request = 0; request < 5; ++request) {
+        const auto answer = send_request({"GET", "/safe/", {}, {}, {}});
+        EXPECT_EQ(answer->status, 503U);
+        EXPECT_GE(std::stoi(std::string{find_header(answer->headers, "Retry-After")}), 4000);
+        EXPECT_LT(summaries_.back().elapsed, std::chrono::seconds{1});
+    }
+    EXPECT_EQ(backends_.front()->requests().size(), 1U);
+}
+
 // Reservation ids are sent in a list with separators. An attempt id in it could add an address of
 // the caller's choice to the list of helpers.
 TEST_F(gateway_fixture, a_reservation_id_contains_no_caller_input) {
--- a/tests/gateway_fixture.cpp
+++ b/tests/gateway_fixture.cpp
@@ -82,6 +82,7 @@
     // Milliseconds.
     if (const auto retry_after = find_header(headers, "Retry-After"); !retry_after.empty()) {
         answer.retry_after = milliseconds{parse_number(retry_after)};
+        answer.asks_for_rest = status == 503;
     }
     endpoint fault;
     if (read_text(std::string{find_header(headers, "fault")}, fault)) {
--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -255,6 +255,24 @@
     EXPECT_EQ(wire_codec{}.read_answer(200, {}).requests_per_s, std::nullopt);
 }
 
+// Incident BUDGET: a request for rest was told to the caller only.
+TEST(wire_codec, reads_a_request_for_rest) {
+    const platform::wire_codec codec;
+    const auto read = [&](unsigned status, const std::string& retry_after) {
+        return codec.read_answer(status, {{"Retry-After", retry_after}});
+    };
+    EXPECT_TRUE(read(503, "2.5").asks_for_rest);
+    EXPECT_EQ(read(503, "2.5").retry_after, milliseconds{2500});
+    EXPECT_FALSE(read(503, "0").asks_for_rest);
+    EXPECT_FALSE(read(429, "2").asks_for_rest);
+    EXPECT_FALSE(codec.read_answer(503, {}).asks_for_rest);
+    EXPECT_EQ(read(503, "1e300").retry_after, std::chrono::hours{24});
+    for (const auto* text : {"-1", "nan", "soon", "Fri, 04 Dec 2026 12:00:00 GMT"}) {
+        EXPECT_TRUE(read(503, text).asks_for_rest) << text;
+        EXPECT_EQ(read(503, text).retry_after, milliseconds{0}) << text;
+    }
+}
+
 TEST(wire_codec, a_refusal_carries_retry_after) {
     request_head head;
     head.attempt = "9c41";
