Register a host that starts at another address

Hosts that all restarted at other addresses never found each other: no gossip, so no word of a newer configuration, of jobs or of verdicts. Cause: a registration that met an entry of the same name counted as done, whatever address the entry held. Found by a test of hosts that are killed just after a store was restored. Change: the entry is read first and replaced if it differs; one read more for each start of a host.

Before: registration.* failed (10 s without a live peer); after: passes.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -151,6 +151,7 @@
     [[nodiscard]] duration removal_delay() const;
     /// Stores this gateway's gossip address for the other gateways.
     void register_self();
+    void on_registration_failure(const error& failure);
     /// Reads the gossip addresses of the other gateways.
     void fetch_gateway_list();
     /// Adds the addresses of registered gateways to those that gossip is sent to.
@@ -400,17 +401,30 @@
 // Other gateways.
 
 void gateway::state::register_self() {
-    const auto value = nlohmann::json(settings_.peer_listen).dump();
-    store_.execute(
-        object_put{{gateway_kind, settings_.process.name}, 0, value}, call_priority::status,
-        [this](const result<platform_reply>& reply) {
-            const bool is_registered = reply || reply.error().code == error_code::conflict;
-            is_registered_ = is_registered;
-            if (!is_registered) {
-                log_.warn("registration in the store failed, retries at the next tick: " +
-                          to_string(reply.error()));
-            }
-        });
+    const object_id id{gateway_kind, settings_.process.name};
+    store_.execute(object_get{id}, call_priority::status, [this, id](const auto& reply) {
+        if (!reply && reply.error().code != error_code::not_found) {
+            return on_registration_failure(reply.error());
+        }
+        const auto value = nlohmann::json(settings_.peer_listen).dump();
+        const auto* registered = reply ? &std::get<stored_object>(*reply) : nullptr;
+        if (registered != nullptr && registered->value == value) {
+            is_registered_ = true;
+            return;
+        }
+        const auto version = registered != nullptr ? registered->version : 0;
+        store_.execute(object_put{id, version, value}, call_priority::status,
+                       [this](const auto& written) {
+                           is_registered_ = written.has_value();
+                           if (!written) {
+                               on_registration_failure(written.error());
+                           }
+                       });
+    });
+}
+
+void gateway::state::on_registration_failure(const error& failure) {
+    log_.warn("registration in the store failed, retries at the next tick: " + to_string(failure));
 }
 
 void gateway::state::fetch_gateway_list() {
