--- a/tests/resting_backend_cluster_test.cpp
+++ b/tests/resting_backend_cluster_test.cpp
@@ -24,9 +24,7 @@
                 auto& arrivals = arrivals_[std::string{find_header(request.headers, "via")}];
                 arrivals.push_back(now);
                 responder.send(
-                    {503,
-                     {{"not-run", "1"}, {"Retry-After", std::to_string(rest.count())}},
-                     {}});
+                    {503, {{"not-run", "1"}, {"Retry-After", std::to_string(rest.count())}}, {}});
             });
         backends_[1]->add_handler(respond_with(200));
         backends_[2]->add_handler(respond_with(200));
--- a/tests/restored_store_test.cpp
+++ b/tests/restored_store_test.cpp
@@ -140,6 +140,71 @@
     });
 }
 
+// Hosts that are killed on the copy know its configuration only. What is written again, with a
+// route that the copy lacks, has to be in force at all of them.
+TEST_F(restored_store, hosts_that_start_on_the_copy_take_what_is_written_again) {
+    add_backend("b1");
+    put("routes", "main", R"({"version":3,"without":"/safe/"})");
+    start_gateways();
+    const auto copy = store_.model().store();
+    write_up_to(copy.revision() + lost_changes);
+    put("routes", "main", R"({"version":4})");
+    wait_for_metric("magnolia_config_version", 4);
+    const auto lost = store_.model().store().revision();
+
+    restore_store(copy);
+    stop_gateways();
+    start_gateways();
+    put("routes", "main", R"({"version":4})");
+    write_up_to(lost + 1);
+    wait_for_metric("magnolia_config_version", 4);
+    for (const auto& gateway : gateways_) {
+        EXPECT_EQ(get(gateway->settings().listen.port, "/safe/")->status, 200U);
+    }
+}
+
+// A host that starts on the copy beside one that knows the lost configuration refuses no route that
+// the latter serves.
+TEST_F(restored_store, a_host_that_starts_on_the_copy_does_not_deny_what_its_peers_know) {
+    add_backend("b1");
+    put("routes", "main", R"({"version":3,"without":"/safe/"})");
+    start_gateways();
+    const auto copy = store_.model().store();
+    put("routes", "main", R"({"version":4})");
+    wait_for_metric("magnolia_config_version", 4);
+    restore_store(copy);
+    wait_for_metric("magnolia_store_epoch", 1);
+
+    const auto& started = start_gateway("g4");
+    poll([&] { return get(started.settings().listen.port, "/safe/")->status == 503; });
+    put("routes", "main", R"({"version":4})");
+    poll([&] { return get(started.settings().listen.port, "/safe/")->status == 200; });
+}
+
+// A host without a configuration must not deny routes, and takes the newest once there is a store.
+TEST_F(restored_store, a_host_that_starts_while_the_store_is_away_denies_nothing) {
+    add_backend("b1");
+    put("routes", "main", R"({"version":3})");
+    const auto copy = store_.model().store();
+    store_.model().faults().outage = outage_mode::refuse;
+    gateways_.push_back(
+        std::make_unique<running_gateway>(context_, "g1", gateways_store_, store_codec_));
+    const auto& settings = gateways_.back()->settings();
+    poll([&] {
+        const auto answer = get(settings.listen.port, "/safe/");
+        return answer && answer->status == 503;
+    });
+    EXPECT_EQ(get(settings.readiness.port, "/ready")->status, 503U);
+    auto& store = store_.model().store();
+    store.restore(copy);
+    const object_id id{"routes", "main"};
+    ASSERT_TRUE(store.put({id, store.get(id).version, R"({"version":5})"}));
+    store_.model().faults().outage = outage_mode::none;
+    wait_for_readiness(*gateways_.back(), true);
+    wait_for_metric("magnolia_config_version", 5);
+    EXPECT_EQ(get(settings.listen.port, "/safe/")->status, 200U);
+}
+
 // What hosts keep in the store is lost with it.
 TEST_F(restored_store, hosts_register_again) {
     const auto copy = store_.model().store();
