--- a/fakes/delay_link.cpp
+++ b/fakes/delay_link.cpp
@@ -144,11 +144,12 @@
             return fail(error_code::connection,
                         settings_.listen.address + ":" + std::to_string(settings_.listen.port));
         }
+        address_ = acceptor_.local_endpoint();
         accept();
         return {};
     }
 
-    [[nodiscard]] std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+    [[nodiscard]] std::uint16_t port() const { return address_.port(); }
 
     void set_partitioned(bool is_partitioned) {
         is_partitioned_ = is_partitioned;
@@ -157,6 +158,33 @@
         }
     }
 
+    result<void> set_fault(link_fault fault) {
+        stop_listening();
+        if (fault == link_fault::hang) {
+            silence_connections();
+        } else if (fault == link_fault::reset) {
+            reset_connections();
+        }
+        const bool is_refused = fault == link_fault::reset || fault == link_fault::refuse_new;
+        if (is_refused) {
+            return {};
+        }
+        io_error failure;
+        acceptor_.open(address_.protocol(), failure);
+        acceptor_.set_option(tcp::acceptor::reuse_address{true}, failure);
+        acceptor_.bind(address_, failure);
+        if (failure) {
+            return fail(error_code::connection, failure.message());
+        }
+        if (fault == link_fault::hang) {
+            fill_backlog();
+        } else {
+            acceptor_.listen(tcp::acceptor::max_listen_connections, failure);
+            accept();
+        }
+        return {};
+    }
+
     void silence_connections() { *std::exchange(is_silent_, std::make_shared<bool>(false)) = true; }
 
     void close() {
@@ -166,6 +194,34 @@
     }
 
 private:
+    void stop_listening() {
+        io_error ignored;
+        acceptor_.close(ignored);
+        backlog_.clear();
+    }
+
+    void reset_connections() {
+        for (const auto& weak_socket : sockets_) {
+            if (const auto socket = weak_socket.lock(); socket && socket->is_open()) {
+                io_error ignored;
+                socket->set_option(boost::asio::socket_base::linger{true, 0}, ignored);
+            }
+        }
+        close_connections();
+    }
+
+    /// Listens without accepting, and occupies the places of connections that wait for that: the
+    /// kernel answers no further ones.
+    void fill_backlog() {
+        constexpr int places = 2;
+        io_error ignored;
+        acceptor_.listen(0, ignored);
+        for (int place = 0; place < places; ++place) {
+            auto& socket = backlog_.emplace_back(context_);
+            socket.async_connect(address_, [](io_error /*failure*/) {});
+        }
+    }
+
     void close_connections() {
         for (const auto& weak_socket : sockets_) {
             if (const auto socket = weak_socket.lock()) {
@@ -178,7 +234,7 @@
 
     void accept() {
         acceptor_.async_accept([self = shared_from_this()](io_error failure, tcp::socket socket) {
-            if (!self->acceptor_.is_open()) {
+            if (failure == boost::asio::error::operation_aborted || !self->acceptor_.is_open()) {
                 return;
             }
             if (!failure && !self->is_partitioned_) {
@@ -214,6 +270,10 @@
     boost::asio::io_context& context_;
     delay_link_settings settings_;
     tcp::acceptor acceptor_{context_};
+    /// Address that the link listens at, also while it does not.
+    tcp::endpoint address_;
+    /// Connections that wait to be accepted during link_fault::hang.
+    std::deque<tcp::socket> backlog_;
     std::vector<std::weak_ptr<tcp::socket>> sockets_;
     std::uint64_t connections_ = 0;
     /// Of the connections opened since the last silence.
@@ -236,6 +296,10 @@
     return state_->port();
 }
 
+result<void> delay_link::set_fault(link_fault fault) {
+    return state_->set_fault(fault);
+}
+
 void delay_link::silence_connections() {
     state_->silence_connections();
 }
--- a/fakes/delay_link.h
+++ b/fakes/delay_link.h
@@ -25,6 +25,17 @@
 /// Maximum number of buffered bytes per direction of a connection; reading pauses at this limit.
 inline constexpr std::size_t max_buffered_bytes = std::size_t{8} << 20U;
 
+/// Faults of a link.
+enum class link_fault : std::uint8_t {
+    none,
+    /// A partition: open connections go silent, and new ones are not answered.
+    hang,
+    /// Open connections are reset, and new ones are refused.
+    reset,
+    /// Open connections work, and new ones are refused.
+    refuse_new,
+};
+
 /// One link: a listener that relays each accepted connection to the target. Used by fake-link and
 /// tests; all calls must be made on the context's thread.
 class delay_link {
@@ -39,6 +50,9 @@
     [[nodiscard]] std::uint16_t port() const;
     /// Simulates a network partition: closes all connections, and new ones at once until it ends.
     void set_partitioned(bool is_partitioned);
+    /// Begins a fault, which lasts until the next call. Errors: connection, if the port is taken
+    /// when the link listens again.
+    [[nodiscard]] result<void> set_fault(link_fault fault);
     /// Drops all further bytes of the open connections without closing them; new ones work.
     void silence_connections();
 
--- a/tests/gateway_cluster.cpp
+++ b/tests/gateway_cluster.cpp
@@ -21,7 +21,8 @@
 } // namespace
 
 running_gateway::running_gateway(boost::asio::io_context& context, const std::string& name,
-                                 const endpoint& store, const store_codec& store_codec)
+                                 const endpoint& store, const store_codec& store_codec,
+                                 const gateway_codec* codec)
     : settings_file_{std::filesystem::path{testing::TempDir()} /
                      ("gateway_" + name + "_" + std::to_string(::getpid()) + ".yaml")} {
     settings_.process.name = name;
@@ -33,8 +34,8 @@
     settings_.stop_timeout_s = 2;
     write_settings(store);
     owner_ = std::make_unique<process>(settings_.process, settings_file_);
-    thread_ = std::thread{[this, &store_codec] {
-        gateway host{*owner_, settings_, codec_, store_codec};
+    thread_ = std::thread{[this, &store_codec, codec] {
+        gateway host{*owner_, settings_, codec != nullptr ? *codec : default_codec_, store_codec};
         EXPECT_TRUE(host.run());
         has_ended_ = true;
     }};
@@ -72,8 +73,10 @@
     return start_gateway(name, store_codec_);
 }
 
-running_gateway& gateway_cluster::start_gateway(const std::string& name, const store_codec& codec) {
-    gateways_.push_back(std::make_unique<running_gateway>(context_, name, gateways_store_, codec));
+running_gateway& gateway_cluster::start_gateway(const std::string& name, const store_codec& codec,
+                                                const gateway_codec* gateway_codec) {
+    gateways_.push_back(
+        std::make_unique<running_gateway>(context_, name, gateways_store_, codec, gateway_codec));
     wait_for_readiness(*gateways_.back(), true);
     return *gateways_.back();
 }
--- a/tests/gateway_cluster.h
+++ b/tests/gateway_cluster.h
@@ -19,8 +19,10 @@
 public:
     /// @param context      finds free ports.
     /// @param store_codec  has to outlive the gateway.
+    /// @param codec        has to outlive the gateway; test_codec if null.
     running_gateway(boost::asio::io_context& context, const std::string& name,
-                    const endpoint& store, const store_codec& store_codec);
+                    const endpoint& store, const store_codec& store_codec,
+                    const gateway_codec* codec = nullptr);
     ~running_gateway();
     running_gateway(const running_gateway&) = delete;
     running_gateway& operator=(const running_gateway&) = delete;
@@ -36,7 +38,7 @@
     [[nodiscard]] bool has_ended() const { return has_ended_; }
 
 private:
-    test_codec codec_;
+    test_codec default_codec_;
     gateway_settings settings_;
     std::filesystem::path settings_file_;
     std::unique_ptr<process> owner_;
@@ -54,7 +56,8 @@
 
     /// Starts a gateway and waits until it is ready.
     running_gateway& start_gateway(const std::string& name);
-    running_gateway& start_gateway(const std::string& name, const store_codec& codec);
+    running_gateway& start_gateway(const std::string& name, const store_codec& codec,
+                                   const gateway_codec* gateway_codec = nullptr);
     /// Waits until each gateway receives the messages of all others.
     void wait_for_peers();
     /// Stops the gateways and removes them.
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -12,7 +12,7 @@
 namespace magnolia {
 
 /// Codec with a minimal wire format that no deployment uses.
-class test_codec final : public gateway_codec {
+class test_codec : public gateway_codec {
 public:
     [[nodiscard]] result<request_head> read_request(const http_request& request) const override;
     [[nodiscard]] http_request write_request(const http_request& request,
