Pass requests on to another host while a service is unreachable

Cause: a host has no way to a server but its own links; it tried four servers and answered 503. Ruled out: the neighbours were not affected (no ejection, no verdict), readiness alone serves nobody. At the cut host itself breakers of all servers stayed open after the cut: class, the own path's failure taken for the servers'.

Passed on once, at-most-once and 'not run' kept over both hosts. Breakers of a service are closed when it is reachable again. Digests carry zone, load, unreachable services.

--- a/include/magnolia/config.h
+++ b/include/magnolia/config.h
@@ -62,6 +62,9 @@
 /// dropped and counted.
 inline constexpr std::size_t max_queued_events = 8192;
 
+/// Maximum number of hosts among which a host chooses one that it passes requests on to.
+inline constexpr std::size_t max_relay_hosts = 1024;
+
 /// Crashes of backend servers that are kept as evidence against prompt segments; the oldest one is
 /// dropped.
 inline constexpr std::size_t max_crashes = 64;
--- a/include/magnolia/schema.h
+++ b/include/magnolia/schema.h
@@ -549,7 +549,7 @@
     endpoint listen{};
     /// Listener for the readiness check.
     endpoint readiness{};
-    /// UDP address for exchanging placement updates with other gateways.
+    /// Address for other gateways: UDP for gossip, TCP for requests that they pass on.
     endpoint peer_listen{};
     /// Policy for choosing backend servers.
     placement_policy policy{placement_policy::pause_aware};
@@ -570,6 +570,9 @@
     std::chrono::milliseconds max_reservation_ms{20000};
     /// Maximum memory for the bodies of active requests. [1048576..17179869184 bytes]
     std::uint64_t body_memory{33554432};
+    /// Maximum number of requests in progress that other hosts have passed on to this one; 0 takes
+    /// none. [0..100000 requests]
+    std::uint32_t max_relayed{64};
 
     bool operator==(const gateway_settings&) const = default;
 };
@@ -1267,6 +1270,14 @@
     std::uint64_t quarantine_hash{0};
     /// Epoch of the store, see store_position; backends_revision and config_age are of this epoch.
     std::uint64_t store_epoch{0};
+    /// Availability zone of the sender; set in digests only.
+    std::string zone{};
+    /// Whether the sender takes requests that other hosts pass on.
+    bool takes_relayed{false};
+    /// Services to whose backend servers the sender cannot open connections; set in digests only.
+    std::vector<std::string> unreachable{};
+    /// Requests in progress at the sender; set in digests only.
+    std::uint32_t open_requests{0};
 
     bool operator==(const placement_update&) const = default;
 };
@@ -1274,6 +1285,27 @@
 void to_json(nlohmann::json& out, const placement_update& value);
 void read(const nlohmann::json& in, schema_reader& reader, placement_update& value);
 
+/// What a host that passes a request on tells the host that it chose.
+struct relay_context {
+    /// Name of the host that the caller sent the request to.
+    std::string sender{};
+    /// Time until the caller's deadline. [ms]
+    std::chrono::milliseconds time_left{};
+    /// Most backend servers that the request may still be sent to.
+    std::uint32_t sends_left{1};
+    /// Version of the sender's configuration; the request must not be handled by an older one.
+    std::uint64_t config_version{0};
+    /// Whether the caller has a part of the stream.
+    bool is_resumed{false};
+    /// Number of the last event that the caller has, if the stream is resumed.
+    std::uint64_t last_event{0};
+
+    bool operator==(const relay_context&) const = default;
+};
+
+void to_json(nlohmann::json& out, const relay_context& value);
+void read(const nlohmann::json& in, schema_reader& reader, relay_context& value);
+
 /// Segments of one prompt.
 struct prompt_outline {
     /// IDs of the segments that other prompts may have too.
--- a/src/backend_fleet.cpp
+++ b/src/backend_fleet.cpp
@@ -216,6 +216,39 @@
     return first_end;
 }
 
+std::vector<chosen_member> backend_fleet::live_backends(std::string_view service,
+                                                        time_point now) const {
+    std::vector<chosen_member> live;
+    for (const auto& [id, record] : backends_) {
+        if (record.info.service == service && is_usable(record, now) && !record.terms.rests(now)) {
+            live.push_back({id, record.info.address, 0});
+        }
+    }
+    return live;
+}
+
+std::string backend_fleet::service_of(const std::string& id) const {
+    const auto found = backends_.find(id);
+    return found == backends_.end() ? std::string{} : found->second.info.service;
+}
+
+std::set<std::string> backend_fleet::services() const {
+    std::set<std::string> services;
+    for (const auto& record : backends_ | std::views::values) {
+        services.insert(record.info.service);
+    }
+    return services;
+}
+
+void backend_fleet::reset_health(std::string_view service) {
+    for (auto& record : backends_ | std::views::values) {
+        if (record.info.service == service) {
+            record.circuit = {};
+            record.failure_rate = 0;
+        }
+    }
+}
+
 backend_process backend_fleet::process_of(const std::string& id) const {
     const auto found = backends_.find(id);
     return {id, found == backends_.end() ? 0 : found->second.info.started_ms};
--- a/src/backend_fleet.h
+++ b/src/backend_fleet.h
@@ -91,6 +91,16 @@
     [[nodiscard]] bool is_still_admitted(const chosen_backends& chosen, time_point now) const;
     /// Whether any backend server of the service takes new requests.
     [[nodiscard]] bool has_live(std::string_view service, time_point now);
+    /// Backend servers of the service that take new requests and do not rest.
+    [[nodiscard]] std::vector<chosen_member> live_backends(std::string_view service,
+                                                           time_point now) const;
+    /// Service of a listed backend server; empty if it is not listed.
+    [[nodiscard]] std::string service_of(const std::string& id) const;
+    /// Services of all listed backend servers.
+    [[nodiscard]] std::set<std::string> services() const;
+    /// Closes the circuit breakers of the service and forgets its failed attempts: this host could
+    /// not reach it.
+    void reset_health(std::string_view service);
     /// The process that the platform's list has under this id now.
     [[nodiscard]] backend_process process_of(const std::string& id) const;
     /// Whether the backend server is listed and not leaving.
--- a/src/forward_answer.cpp
+++ b/src/forward_answer.cpp
@@ -32,6 +32,12 @@
     return log;
 }
 
+/// Whether a failure of this status states that the request was not run.
+bool promises_not_run(unsigned status) {
+    constexpr unsigned status_unavailable = 503;
+    return status < first_server_error || status == status_unavailable;
+}
+
 bool is_success(unsigned status) {
     return status >= first_success && status < first_redirect;
 }
@@ -43,11 +49,11 @@
     status_ = head.status;
     answer_summary_.framing = head.framing;
     answer_ = shared_.codec.read_answer(head.status, head.headers);
-    if (shared_.fleet.set_stated_limit(backend_, answer_.requests_per_s)) {
-        shared_.on_limit_changed(backend_, answer_.requests_per_s);
-    }
-    if (answer_.asks_for_rest) {
-        grant_rest();
+    if (!relay_host_.empty()) {
+        relay_outcome_ = read_relay_outcome(head.headers);
+    } else {
+        shared_.reach.on_connected(backend_);
+        take_statements();
     }
     const bool is_events = route_->is_stream && is_success(head.status) && answer_.is_signed &&
                            answer_.is_event_stream;
@@ -57,7 +63,13 @@
     }
 }
 
-void forward_call::grant_rest() {
+void forward_call::take_statements() {
+    if (shared_.fleet.set_stated_limit(backend_, answer_.requests_per_s)) {
+        shared_.on_limit_changed(backend_, answer_.requests_per_s);
+    }
+    if (!answer_.asks_for_rest) {
+        return;
+    }
     const auto rest = answer_.retry_after.count() > 0 ? answer_.retry_after : unreadable_rest;
     log_of().info(head_.attempt, "backend server asks for rest backend=" + backend_ +
                                      " ms=" + std::to_string(rest.count()) +
@@ -154,6 +166,12 @@
     if (failure != nullptr) {
         const auto evidence =
             failure->is_request_written ? run_evidence::in_doubt : run_evidence::not_sent;
+        if (!relay_host_.empty()) {
+            return on_relay_lost(evidence, *failure);
+        }
+        if (!failure->is_request_written) {
+            shared_.reach.on_connection_failed(backend_, steady_now());
+        }
         if (failure->is_refused) {
             shared_.quarantine.on_connection_refused(process_, steady_now());
             shared_.on_quarantine_evidence();
@@ -195,9 +213,31 @@
     complete(status_, {});
 }
 
+void forward_call::on_relay_lost(run_evidence evidence, const http_failure& failure) {
+    if (evidence == run_evidence::not_sent) {
+        tried_hosts_.push_back(relay_host_);
+        shared_.relays.on_refused(relay_host_, steady_now());
+    }
+    fail_attempt(evidence, attempt_result::lost, failure.failure);
+}
+
+void forward_call::on_relay_failure() {
+    const error failure{error_code::backend_refused,
+                        "status " + std::to_string(status_) + " of host " + relay_host_,
+                        answer_.retry_after};
+    if (relay_outcome_ == relay_outcome::in_doubt) {
+        return fail_attempt(run_evidence::in_doubt, attempt_result::failed, failure);
+    }
+    tried_hosts_.push_back(relay_host_);
+    shared_.relays.on_refused(relay_host_, steady_now());
+    // No backend server has the request, so that another host may take it.
+    fail_attempt(run_evidence::not_sent, attempt_result::refused, failure);
+}
+
 void forward_call::report_loss() {
     const auto now = steady_now();
-    const bool is_at_risk = answer_summary_.events == 0 && shared_.fleet.is_staying(backend_);
+    const bool is_at_risk =
+        relay_host_.empty() && answer_summary_.events == 0 && shared_.fleet.is_staying(backend_);
     if (!is_at_risk) {
         return;
     }
@@ -231,6 +271,9 @@
 }
 
 void forward_call::on_complete_answer() {
+    if (relay_outcome_) {
+        return on_relay_failure();
+    }
     if (answer_.is_not_run || answer_.is_other_backend) {
         return on_refusal();
     }
@@ -243,7 +286,7 @@
                             {error_code::backend_failed, "status " + std::to_string(status_)});
     }
     const bool is_failure = status_ >= first_server_error;
-    if (is_failure && route_->repeat != repeat_rule::never && sends_made_ < route_->max_attempts &&
+    if (is_failure && route_->repeat != repeat_rule::never && sends_made_ < max_sends() &&
         spend_retry_budget()) {
         is_in_doubt_ = true;
         end_attempt(attempt_result::failed, "status " + std::to_string(status_));
@@ -272,6 +315,10 @@
     }
     status_ = http_status(failure.code);
     auto response = shared_.codec.write_failure(head_, with_retry_after(failure));
+    if (relayed_) {
+        set_relay_outcome(response, promises_not_run(status_) ? relay_outcome::not_run
+                                                              : relay_outcome::in_doubt);
+    }
     responder_.send(std::move(response));
     complete(status_, to_string(failure));
 }
@@ -296,6 +343,7 @@
                     .backends = tried_backends_,
                     .status = status,
                     .cause = std::move(cause),
+                    .relayed_from = relayed_ ? relayed_->sender : std::string{},
                     .prompt_tokens = head_.prompt_tokens,
                     .members = members_.size(),
                     .elapsed = now - request_.received,
--- a/src/forward_call.cpp
+++ b/src/forward_call.cpp
@@ -88,9 +88,9 @@
 }
 
 forward_call::forward_call(shared_call_state& shared, http_request request,
-                           http_responder responder)
+                           http_responder responder, std::optional<relay_context> relayed)
     : shared_{shared}, request_{std::move(request)}, responder_{std::move(responder)},
-      timer_{shared.io} {}
+      relayed_{std::move(relayed)}, timer_{shared.io} {}
 
 void forward_call::start() {
     responder_.on_disconnect([self = shared_from_this()] { self->on_caller_disconnected(); });
@@ -99,6 +99,12 @@
         return answer_failure(head.error());
     }
     head_ = std::move(*head);
+    if (relayed_) {
+        head_.time_left = relayed_->time_left;
+        if (relayed_->is_resumed) {
+            head_.resume_after = relayed_->last_event;
+        }
+    }
     request_.headers = end_to_end_headers(request_.headers);
     if (const auto found = find_route(); !found) {
         return answer_failure(found.error());
@@ -117,6 +123,10 @@
     if (!routes_) {
         return fail(error_code::platform_down, "no configuration received yet", milliseconds{500});
     }
+    if (relayed_ && routes_->version() < relayed_->config_version) {
+        return fail(error_code::platform_down, "configuration older than the other host's",
+                    milliseconds{500});
+    }
     const bool is_current =
         steady_now() - shared_.routes_confirmed_at <= shared_.max_confirmation_age;
     const auto refuse_unknown = [&](error_code code, std::string subject) {
@@ -148,7 +158,7 @@
     const auto time_allowed = std::min(head_.time_left.value_or(route_->timeout), route_->timeout);
     deadline_ = request_.received + time_allowed;
     first_requested_at_ = request_.received;
-    if (head_.time_left) {
+    if (head_.time_left && !relayed_) {
         first_requested_at_ -= shared_.retry_detectors[route_->name].time_since_first_try(
             *head_.time_left, route_->timeout);
     }
@@ -180,7 +190,14 @@
     demand_.value = 1 + head_.prompt_tokens / tokens_per_value;
     auto& budget =
         shared_.retry_budgets.try_emplace(service_, shared_.make_retry_budget()).first->second;
-    budget.on_first_attempt(1, now);
+    // The host that the caller sent it to has counted a relayed request.
+    if (!relayed_) {
+        budget.on_first_attempt(1, now);
+    }
+}
+
+std::uint32_t forward_call::max_sends() const {
+    return relayed_ ? std::min(route_->max_attempts, relayed_->sends_left) : route_->max_attempts;
 }
 
 void forward_call::update_demand(time_point now) {
@@ -197,7 +214,7 @@
     if (now >= deadline_) {
         return on_deadline();
     }
-    if (refuse_if_quarantined()) {
+    if (refuse_if_quarantined() || relay_if_unreachable(now)) {
         return;
     }
     update_demand(now);
@@ -236,6 +253,43 @@
     }
 }
 
+bool forward_call::relay_if_unreachable(time_point now) {
+    if (!shared_.reach.is_unreachable(service_)) {
+        return false;
+    }
+    if (relayed_) {
+        refuse_with_retry_after({error_code::no_capacity, "service is unreachable from this host"});
+        return true;
+    }
+    const auto host = shared_.relays.choose(service_, tried_hosts_, now, shared_.random);
+    if (host) {
+        relay(*host);
+    }
+    return host.has_value();
+}
+
+void forward_call::relay(const relay_host& host) {
+    const auto now = steady_now();
+    sends_before_relay_ = sends_made_;
+    const relay_context context{.sender = shared_.host,
+                                .time_left = to_milliseconds(deadline_ - now),
+                                .sends_left = max_sends() - sends_made_,
+                                .config_version = routes_->version(),
+                                .is_resumed = last_event_.has_value(),
+                                .last_event = last_event_.value_or(0)};
+    job_ = {};
+    process_ = {};
+    predicted_ = {};
+    members_.clear();
+    begin_attempt(host.name, host.address, now);
+    relay_host_ = host.name;
+    sends_made_ = max_sends();
+    log_of().info(head_.attempt, "relay host=" + host.name + " service=" + service_ +
+                                     " sends_left=" + std::to_string(context.sends_left) +
+                                     " left_ms=" + std::to_string(context.time_left.count()));
+    open_call(make_relay_request(request_, context), now);
+}
+
 bool forward_call::refuse_if_quarantined() {
     const auto now = steady_now();
     const auto* verdict = shared_.quarantine.find_block(head_.prompt.shared, now);
@@ -362,22 +416,41 @@
         start_job(chosen);
     }
     const auto& first = chosen.members.front();
-    backend_ = first.id;
     process_ = shared_.fleet.process_of(first.id);
-    is_resend_barred_ = false;
-    address_ = first.address;
-    tried_backends_.push_back(first.id);
     avoided_backends_.push_back(first.id);
-    last_progress_ = now;
     predicted_ = chosen.first_event - now;
     members_ = chosen.members;
+    begin_attempt(first.id, first.address, now);
+    log_of().info(head_.attempt,
+                  "send attempt=" + std::to_string(sends_made_) + " route=" + route_->name +
+                      " tokens=" + std::to_string(head_.prompt_tokens) +
+                      " members=" + member_list(chosen) +
+                      " predicted_ms=" + std::to_string(to_milliseconds(predicted_).count()) +
+                      " left_ms=" + std::to_string(to_milliseconds(deadline_ - now).count()));
+    open_call(shared_.codec.write_request(request_, parameters_for(chosen)), now);
+}
+
+void forward_call::begin_attempt(const std::string& backend, const endpoint& address,
+                                 time_point now) {
+    backend_ = backend;
+    address_ = address;
+    relay_host_.clear();
+    relay_outcome_.reset();
+    is_resend_barred_ = false;
+    tried_backends_.push_back(backend);
+    last_progress_ = now;
     form_ = answer_form::none;
     is_event_missing_ = splitter_.is_inside_event() || (is_event_missing_ && !has_new_event());
     splitter_ = {};
     answer_summary_ = {};
     body_.clear();
     is_resuming_ = has_response_started_;
-    const auto number = ++attempt_number_;
+    ++attempt_number_;
+    ++sends_made_;
+}
+
+void forward_call::open_call(http_request request, time_point now) {
+    const auto number = attempt_number_;
     const auto self = shared_from_this();
     http_call_limits limits;
     limits.connect_timeout = connect_timeout;
@@ -400,16 +473,7 @@
             self->on_end(failure);
         }
     };
-    ++sends_made_;
-    log_of().info(head_.attempt,
-                  "send attempt=" + std::to_string(sends_made_) + " route=" + route_->name +
-                      " tokens=" + std::to_string(head_.prompt_tokens) +
-                      " members=" + member_list(chosen) +
-                      " predicted_ms=" + std::to_string(to_milliseconds(predicted_).count()) +
-                      " left_ms=" + std::to_string(to_milliseconds(deadline_ - now).count()));
-    call_ = shared_.client.stream(first.address,
-                                  shared_.codec.write_request(request_, parameters_for(chosen)),
-                                  limits, std::move(handlers));
+    call_ = shared_.client.stream(address_, std::move(request), limits, std::move(handlers));
 }
 
 bool forward_call::spend_retry_budget() {
@@ -420,6 +484,9 @@
 void forward_call::fail_attempt(run_evidence evidence, attempt_result result,
                                 const error& failure) {
     end_attempt(result, to_string(failure));
+    if (!relay_host_.empty() && evidence != run_evidence::in_doubt) {
+        sends_made_ = sends_before_relay_ + 1;
+    }
     if (evidence == run_evidence::not_sent) {
         --sends_made_;
         ++sends_not_written_;
@@ -431,7 +498,7 @@
                                 .is_earlier_attempt_in_doubt = is_in_doubt_,
                                 .has_partial_answer = has_response_started_,
                                 .sends = sends_made_,
-                                .max_sends = route_->max_attempts,
+                                .max_sends = max_sends(),
                                 .unsent_attempts = sends_not_written_,
                                 .time_left = deadline_ - steady_now()};
     is_in_doubt_ = is_in_doubt_ || evidence == run_evidence::in_doubt;
@@ -502,7 +569,7 @@
 
 void forward_call::check_silence(time_point now) {
     const bool may_resend = call_.value != 0 && has_job_ && route_->repeat != repeat_rule::never &&
-                            sends_made_ < route_->max_attempts;
+                            sends_made_ < max_sends();
     if (!may_resend) {
         return;
     }
@@ -537,6 +604,11 @@
     if (now >= deadline_) {
         return on_deadline();
     }
+    if (call_.value != 0 && !relay_host_.empty() && !shared_.relays.is_alive(relay_host_, now)) {
+        shared_.client.cancel(call_);
+        return fail_attempt(run_evidence::in_doubt, attempt_result::lost,
+                            {error_code::backend_lost, "host " + relay_host_ + " is silent"});
+    }
     check_silence(now);
     arm_timer();
 }
--- a/src/forward_call.h
+++ b/src/forward_call.h
@@ -8,10 +8,13 @@
 #include "dispatch_policy.h"
 #include "event_stream.h"
 #include "gateway_port.h"
+#include "host_relay.h"
 #include "http_client.h"
 #include "http_server.h"
 #include "liveness_prober.h"
 #include "prompt_quarantine.h"
+#include "reach_prober.h"
+#include "relay_directory.h"
 #include "reservations.h"
 #include "retry_budget.h"
 #include "route_table.h"
@@ -64,6 +67,8 @@
     /// Error or cause of an aborted answer; empty if a backend server's answer was forwarded. The
     /// text before the first ':' is a label value of magnolia_requests_total and must stay.
     std::string cause;
+    /// Host that passed the request on; empty if its caller sent it to this one.
+    std::string relayed_from;
     std::uint32_t prompt_tokens = 0;
     /// Engines that shared the prefill of the last attempt.
     std::size_t members = 0;
@@ -97,6 +102,10 @@
     reservation_manager& reservations;
     liveness_prober& prober;
     prompt_quarantine& quarantine;
+    reach_prober& reach;
+    relay_directory& relays;
+    /// Name of this host.
+    std::string host;
     std::mt19937_64 random;
     /// Random id of this gateway's process.
     std::uint64_t origin = 0;
@@ -137,7 +146,9 @@
 /// Each attempt has a number; callbacks of an earlier attempt are ignored.
 class forward_call : public std::enable_shared_from_this<forward_call>, public call_hook {
 public:
-    forward_call(shared_call_state& shared, http_request request, http_responder responder);
+    /// @param relayed  set if another host passed the request on; it is not passed on again.
+    forward_call(shared_call_state& shared, http_request request, http_responder responder,
+                 std::optional<relay_context> relayed = {});
 
     /// Routes the request and makes the first attempt. Call once.
     void start();
@@ -176,19 +187,33 @@
     /// Reserves memory on all chosen engines that need it, then sends; retries if not all grant it.
     void reserve_and_send(chosen_backends chosen);
     void send(chosen_backends chosen);
+    /// Passes the request on to another host if this one cannot reach its service; refuses it if
+    /// another host has passed it on. Returns whether it did either.
+    [[nodiscard]] bool relay_if_unreachable(time_point now);
+    void relay(const relay_host& host);
+    /// Resets the state of the answer and counts a send.
+    void begin_attempt(const std::string& backend, const endpoint& address, time_point now);
+    /// Sends the request of the current attempt.
+    void open_call(http_request request, time_point now);
+    /// Most backend servers that the request may be sent to.
+    [[nodiscard]] std::uint32_t max_sends() const;
     /// Registers the placement with the fleet and the other gateways.
     void start_job(const chosen_backends& chosen);
     [[nodiscard]] attempt_parameters parameters_for(const chosen_backends& chosen) const;
 
     void on_header(const http_response_head& head);
-    /// The backend server asked for rest.
-    void grant_rest();
+    /// Records what the backend server states about itself.
+    void take_statements();
     void on_body(std::string_view text);
     void on_end(const http_failure* failure);
     void on_events(std::string_view text);
     /// The response of a stream of events ended without an error.
     void on_stream_end();
     void on_complete_answer();
+    /// The connection to the host that has the request failed or broke.
+    void on_relay_lost(run_evidence evidence, const http_failure& failure);
+    /// The host that took the request has failed it.
+    void on_relay_failure();
     /// The answer broke off. Before its first event that is evidence against the prompt's segments.
     void report_loss();
     /// The backend server or a helper refused; nothing has run.
@@ -230,6 +255,7 @@
     shared_call_state& shared_;
     http_request request_;
     http_responder responder_;
+    std::optional<relay_context> relayed_;
     request_head head_;
     std::shared_ptr<const route_table> routes_;
     const route_info* route_ = nullptr;
@@ -266,6 +292,12 @@
     bool has_job_ = false;
     /// An earlier attempt may have run.
     bool is_in_doubt_ = false;
+    /// Host that has the current attempt; empty if a backend server has it.
+    std::string relay_host_;
+    /// Sends before the attempt that another host has. That host may make all that are left.
+    std::uint32_t sends_before_relay_ = 0;
+    /// Hosts that did not take the request.
+    std::vector<std::string> tried_hosts_;
     /// The retry budget was already charged for the next send.
     bool is_retry_paid_ = false;
     /// Last moment at which the attempt was sent or part of its answer arrived.
@@ -287,6 +319,8 @@
     unsigned status_ = 0;
     http_headers headers_;
     answer_head answer_;
+    /// Set if the host that took the request failed it.
+    std::optional<relay_outcome> relay_outcome_;
     std::string body_;
     event_splitter splitter_;
     /// Answer of the current or last attempt.
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -6,6 +6,7 @@
 #include "object_watcher.h"
 #include "peer_gossip.h"
 #include "quarantine_exchange.h"
+#include "relay_receiver.h"
 #include "watch_schedule.h"
 
 #include <boost/asio/post.hpp>
@@ -142,6 +143,10 @@
     /// Activates the configuration if it is readable and newer than the active one. Another content
     /// of the same version is newer, as the store reports objects in the order of their writes.
     void apply_config(const stored_object& object);
+    /// Applies the limits of requests to both listeners.
+    void set_request_limits(const caller_limits& configured);
+    /// Requests in progress of callers and of other hosts.
+    [[nodiscard]] std::size_t active_requests() const;
     /// The store was restored from a copy: reads everything again, and writes what only this
     /// gateway knows.
     void on_store_restored();
@@ -210,11 +215,14 @@
     gateway_metrics metrics_;
     reservation_manager reservations_;
     prompt_quarantine quarantine_;
+    reach_prober reach_;
+    relay_directory relays_;
     liveness_prober prober_;
     peer_gossip gossip_;
     shared_call_state shared_;
     quarantine_exchange quarantine_exchange_;
     http_server caller_server_;
+    relay_receiver relay_receiver_;
     http_server readiness_server_;
     object_watcher config_watcher_;
     object_watcher backend_watcher_;
@@ -249,6 +257,8 @@
       backend_client_{io_, 0}, fleet_{settings.process.zone, owner.boot(), settings.policy},
       metrics_{owner.metrics()}, reservations_{io_, backend_client_, codec, reservation_ttl()},
       quarantine_{settings.process.name, owner.boot(), settings.quarantine},
+      reach_{io_, backend_client_, fleet_, [this] { send_digest(steady_now()); }},
+      relays_{settings.process.zone},
       prober_{backend_client_, fleet_, codec,
               [this](const backend_process& backend) {
                   quarantine_.on_connection_refused(backend, steady_now());
@@ -267,6 +277,9 @@
               .reservations = reservations_,
               .prober = prober_,
               .quarantine = quarantine_,
+              .reach = reach_,
+              .relays = relays_,
+              .host = settings.process.name,
               .random = std::mt19937_64{owner.boot()},
               .origin = owner.boot(),
               .routes = nullptr,
@@ -296,6 +309,7 @@
                          on_request(std::move(request), responder);
                      },
                      [this](const error& failure) { return codec_.write_failure({}, failure); }},
+      relay_receiver_{shared_, [this](const auto& address) { return gossip_.knows(address); }},
       readiness_server_{io_,
                         {},
                         [this](const http_request& request, const http_responder& responder) {
@@ -337,12 +351,22 @@
               std::to_string(config->routes.size()) + " routes, " +
               std::to_string(config->workspaces.size()) + " workspaces, epoch=" +
               std::to_string(store_.epoch()) + " revision=" + std::to_string(object.version));
-    caller_server_.set_limits(limits_of(settings_, config->limits));
+    set_request_limits(config->limits);
     fleet_.set_services(config->services);
     shared_.routes = std::make_shared<const route_table>(std::move(*config));
     config_confirmed_by_peers_ = {};
 }
 
+void gateway::state::set_request_limits(const caller_limits& configured) {
+    const auto limits = limits_of(settings_, configured);
+    caller_server_.set_limits(limits);
+    relay_receiver_.set_limits(limits, settings_.max_relayed);
+}
+
+std::size_t gateway::state::active_requests() const {
+    return caller_server_.active_requests() + relay_receiver_.active_requests();
+}
+
 void gateway::state::on_store_restored() {
     store_restored_at_ = steady_now();
     is_registered_ = false;
@@ -485,6 +509,10 @@
     update->backends_hash = fleet_.list_hash();
     update->quarantine_hash = quarantine_.hash();
     update->store_epoch = store_.epoch();
+    update->zone = settings_.process.zone;
+    update->takes_relayed = is_ready() && relay_receiver_.takes_more();
+    update->unreachable = reach_.unreachable();
+    update->open_requests = static_cast<std::uint32_t>(active_requests());
     gossip_.send(*update);
 }
 
@@ -493,6 +521,7 @@
     if (const auto* update = std::get_if<placement_update>(&message)) {
         on_placement_update(*update);
         if (update->is_digest) {
+            relays_.on_digest(*update, {sender.address().to_string(), sender.port()}, steady_now());
             quarantine_exchange_.on_digest(update->quarantine_hash, sender);
         }
     } else if (const auto* verdicts = std::get_if<quarantine_update>(&message)) {
@@ -579,7 +608,9 @@
                          .live_gateways = gossip_.live_peers() + 1,
                          .is_store_reachable = !config_watcher_.is_disconnected() &&
                                                !backend_watcher_.is_disconnected(),
-                         .open_requests = caller_server_.active_requests(),
+                         .open_requests = active_requests(),
+                         .relayed_requests = relay_receiver_.active_requests(),
+                         .unreachable_services = reach_.unreachable().size(),
                          .reservations = reservations_.size()});
     send_digest(now);
     if (is_ready() && !was_ready_) {
@@ -645,6 +676,7 @@
                   (summary.backends.empty() ? "" : " " + to_string(summary.answer)) +
                   " config=" + std::to_string(summary.config_version) +
                   " config_age_ms=" + std::to_string(ms_count(config_age(steady_now()))) +
+                  (summary.relayed_from.empty() ? "" : " relayed_from=" + summary.relayed_from) +
                   (summary.cause.empty() ? "" : " cause=\"" + summary.cause + "\""));
 }
 
@@ -703,17 +735,19 @@
         log_.info("store address changed by the settings; connects to the new address");
         store_.set_address(settings_.process.platform);
     }
-    caller_server_.set_limits(
-        limits_of(settings_, shared_.routes ? shared_.routes->config().limits : caller_limits{}));
+    settings_.max_relayed = settings->max_relayed;
+    set_request_limits(shared_.routes ? shared_.routes->config().limits : caller_limits{});
     log_.info("settings reloaded");
 }
 
 void gateway::state::begin_stop() {
     is_stopping_ = true;
     stop_began_at_ = steady_now();
-    log_.info("planned stop begins, " + std::to_string(caller_server_.active_requests()) +
+    log_.info("planned stop begins, " + std::to_string(active_requests()) +
               " requests in progress");
     caller_server_.begin_drain();
+    relay_receiver_.server().begin_drain();
+    send_digest(stop_began_at_);
     poll_stop();
 }
 
@@ -722,18 +756,19 @@
     const auto stop_timeout = seconds_to_ms(settings_.stop_timeout_s);
     const auto accept_time =
         std::min(balancer_removal_time, fraction_of(stop_timeout, accept_share));
-    const bool is_idle = caller_server_.active_requests() == 0;
+    const bool is_idle = active_requests() == 0;
     const bool is_timed_out = elapsed >= stop_timeout - abort_reserve;
     if (is_timed_out || (elapsed >= accept_time && is_idle)) {
-        log_.info("planned stop ends, " + std::to_string(caller_server_.active_requests()) +
-                  " requests aborted");
+        log_.info("planned stop ends, " + std::to_string(active_requests()) + " requests aborted");
         caller_server_.close();
+        relay_receiver_.server().close();
         stop_timer_.expires_after(flush_time);
         stop_timer_.async_wait([this](const auto& /*failure*/) { io_.stop(); });
         return;
     }
     if (elapsed >= accept_time) {
         caller_server_.stop_accepting();
+        relay_receiver_.server().stop_accepting();
     }
     stop_timer_.expires_after(stop_poll_interval);
     stop_timer_.async_wait([this](const auto& failure) {
@@ -750,6 +785,9 @@
             return opened;
         }
     }
+    if (auto opened = relay_receiver_.listen(settings_.peer_listen); !opened) {
+        return opened;
+    }
     if (auto opened = gossip_.open(settings_.peer_listen); !opened) {
         return opened;
     }
--- a/src/gateway_metrics.cpp
+++ b/src/gateway_metrics.cpp
@@ -48,6 +48,10 @@
       store_reachable_{
           registry.make_gauge("magnolia_store_reachable", "1 while the platform's store answers.")},
       open_requests_{registry.make_gauge("magnolia_open_requests", "Requests under way.")},
+      relayed_requests_{registry.make_gauge("magnolia_relayed_requests",
+                                            "Requests under way that other hosts passed on.")},
+      unreachable_services_{registry.make_gauge("magnolia_unreachable_services",
+                                                "Services that this host cannot connect to.")},
       reservations_{registry.make_gauge("magnolia_reservations",
                                         "Requests that hold memory of several engines.")} {
     for (std::size_t class_index = 0; class_index < first_byte_.size(); ++class_index) {
@@ -113,6 +117,8 @@
     live_gateways_.set(static_cast<double>(gauges.live_gateways));
     store_reachable_.set(gauges.is_store_reachable ? 1 : 0);
     open_requests_.set(static_cast<double>(gauges.open_requests));
+    relayed_requests_.set(static_cast<double>(gauges.relayed_requests));
+    unreachable_services_.set(static_cast<double>(gauges.unreachable_services));
     reservations_.set(static_cast<double>(gauges.reservations));
 }
 
--- a/src/gateway_metrics.h
+++ b/src/gateway_metrics.h
@@ -20,6 +20,10 @@
     std::size_t live_gateways = 0;
     bool is_store_reachable = false;
     std::size_t open_requests = 0;
+    /// Those of open_requests that other hosts have passed on.
+    std::size_t relayed_requests = 0;
+    /// Services to whose backend servers this host cannot open connections.
+    std::size_t unreachable_services = 0;
     std::size_t reservations = 0;
 };
 
@@ -54,6 +58,8 @@
     gauge live_gateways_;
     gauge store_reachable_;
     gauge open_requests_;
+    gauge relayed_requests_;
+    gauge unreachable_services_;
     gauge reservations_;
 };
 
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -126,6 +126,8 @@
 
     /// Performs the call and reports its end to the handlers.
     asio::awaitable<void> run(http_call_id id);
+    /// Opens and closes a connection and reports the result to the handlers.
+    asio::awaitable<void> check_connection();
     void cancel();
     void pause() { is_paused_ = true; }
     void resume();
@@ -350,6 +352,17 @@
     return result;
 }
 
+asio::awaitable<void> http_exchange::check_connection() {
+    const boost::intrusive_ptr<http_exchange> self{this};
+    const auto failure = co_await connect();
+    connection_.reset();
+    if (client_->is_closed) {
+        co_return;
+    }
+    const auto error_report = make_failure(failure);
+    handlers_.on_end(failure ? &error_report : nullptr);
+}
+
 asio::awaitable<void> http_exchange::run(http_call_id id) {
     const boost::intrusive_ptr<http_exchange> self{this};
     auto failure =
@@ -435,6 +448,17 @@
     return stream(peer, std::move(request), limits, std::move(handlers));
 }
 
+void http_client::check_connection(const endpoint& peer, std::chrono::milliseconds timeout,
+                                   std::function<void(const http_failure* failure)> done) {
+    http_call_limits limits;
+    limits.connect_timeout = timeout;
+    limits.may_reuse_connection = false;
+    const boost::intrusive_ptr<http_exchange> exchange{new http_exchange{
+        state_, peer, {}, limits, {.on_header = {}, .on_body = {}, .on_end = std::move(done)}}};
+    asio::co_spawn(
+        state_->executor, [exchange] { return exchange->check_connection(); }, asio::detached);
+}
+
 http_call_id http_client::stream(const endpoint& peer, http_request request,
                                  const http_call_limits& limits, http_stream_handlers handlers) {
     const http_call_id id{state_->next_id++};
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -85,6 +85,10 @@
     /// Sends a request; the handlers receive the response as it arrives.
     http_call_id stream(const endpoint& peer, http_request request, const http_call_limits& limits,
                         http_stream_handlers handlers);
+    /// Opens a connection and closes it without sending anything.
+    /// @param done  called once; the failure is null if the peer accepted the connection.
+    void check_connection(const endpoint& peer, std::chrono::milliseconds timeout,
+                          std::function<void(const http_failure* failure)> done);
     /// Ends a call with caller_gone and closes its connection. No effect on a call that has ended.
     void cancel(http_call_id id);
     /// Stops reading a stream until resume(), so that TCP flow control slows down the peer.
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -107,6 +107,10 @@
         return;
     }
     system_error ignored;
+    const auto peer = socket.remote_endpoint(ignored);
+    if (is_admitted && !is_admitted(peer.address().to_string())) {
+        return;
+    }
     socket.set_option(tcp::no_delay{true}, ignored);
     const boost::intrusive_ptr<http_session> session{new http_session{std::move(socket), *this}};
     sessions.push_back(*session);
@@ -186,6 +190,10 @@
     state_->shut_down();
 }
 
+void http_server::set_peer_filter(std::function<bool(const std::string& address)> is_admitted) {
+    state_->is_admitted = std::move(is_admitted);
+}
+
 std::size_t http_server::active_requests() const {
     return state_->active;
 }
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -95,6 +95,9 @@
                 http_error_formatter error_formatter = error_response);
     ~http_server();
 
+    /// Closes each new connection from an address for which the function returns false. Without a
+    /// filter all are served.
+    void set_peer_filter(std::function<bool(const std::string& address)> is_admitted);
     /// Opens the listener; with port 0 the operating system chooses the port. Errors: connection.
     [[nodiscard]] result<void> listen(const endpoint& local);
     /// Port that the listener is bound to.
--- a/src/http_session_p.h
+++ b/src/http_session_p.h
@@ -40,6 +40,8 @@
     http_handler handler;
     http_error_formatter error_formatter;
     boost::asio::ip::tcp::acceptor acceptor;
+    /// See http_server::set_peer_filter(); empty if all are served.
+    std::function<bool(const std::string& address)> is_admitted;
     /// Memory reserved for the bodies of requests in progress, in bytes.
     std::size_t body_bytes = 0;
     /// Number of requests in progress.
--- a/src/peer_gossip.cpp
+++ b/src/peer_gossip.cpp
@@ -145,6 +145,12 @@
     }
 }
 
+bool peer_gossip::knows(const std::string& address) const {
+    return std::ranges::any_of(peers_ | std::views::keys, [&](const auto& peer) {
+        return peer.address().to_string() == address;
+    });
+}
+
 std::size_t peer_gossip::live_peers() const {
     return static_cast<std::size_t>(std::ranges::count_if(
         peers_ | std::views::values, [](const auto& peer) { return peer.origin != 0; }));
--- a/src/peer_gossip.h
+++ b/src/peer_gossip.h
@@ -48,6 +48,8 @@
     void expire_silent_peers(time_point now);
     /// Peers that were ever listed or seen, without this gateway.
     [[nodiscard]] std::size_t known_peers() const { return peers_.size(); }
+    /// Whether a peer has this IP address.
+    [[nodiscard]] bool knows(const std::string& address) const;
     /// Peers that are not timed out, without this gateway.
     [[nodiscard]] std::size_t live_peers() const;
 
