Test what callers were promised for requests that two hosts handle

At most once and no more sends than the route allows over both hosts, truth of 'not run', a server's own failure, streams resumed without a gap, callers that leave, services that no host reaches, one service cut at each host, routes checked by the other host, planned stops.

--- a/include/magnolia/schema.h
+++ b/include/magnolia/schema.h
@@ -1289,9 +1289,9 @@
 struct relay_context {
     /// Name of the host that the caller sent the request to.
     std::string sender{};
-    /// Time until the caller's deadline. [ms]
+    /// Time until the caller's deadline. [0..86400000 ms]
     std::chrono::milliseconds time_left{};
-    /// Most backend servers that the request may still be sent to.
+    /// Most backend servers that the request may still be sent to. [1..1000]
     std::uint32_t sends_left{1};
     /// Version of the sender's configuration; the request must not be handled by an older one.
     std::uint64_t config_version{0};
--- a/tests/linked_hosts.cpp
+++ b/tests/linked_hosts.cpp
@@ -24,12 +24,34 @@
     return backend;
 }
 
+linked_hosts::linked_hosts() : handler_{answer} {}
+
+std::size_t linked_hosts::request_count(const std::string& service) const {
+    std::size_t count = 0;
+    for (const auto& [id, server] : servers_) {
+        count += server.service == service ? server.backend->requests().size() : 0;
+    }
+    return count;
+}
+
+void linked_hosts::cut_first_host(fakes::link_fault fault) {
+    set_links(0, fault);
+    poll([this] {
+        static_cast<void>(get(gateways_.front()->settings().listen.port, "/safe/"));
+        return gateways_.front()->metrics().find("magnolia_unreachable_services 2\n") !=
+               std::string::npos;
+    });
+}
+
 void linked_hosts::start_hosts(std::size_t count) {
     for (const auto* service : {"desk", "llm"}) {
         for (std::size_t index = 1; index <= servers_per_service; ++index) {
             const auto id = service + std::to_string(index);
             auto backend = std::make_unique<test_backend>(context_);
-            backend->add_handler(answer);
+            backend->add_handler(
+                [this](const http_request& request, const http_responder& responder) {
+                    handler_(request, responder);
+                });
             put("backends", id,
                 std::string{service} + " 127.0.0.1:" + std::to_string(backend->port()));
             servers_.emplace(id, linked_server{service, std::move(backend)});
--- a/tests/linked_hosts.h
+++ b/tests/linked_hosts.h
@@ -20,13 +20,16 @@
     std::map<std::uint16_t, std::uint16_t> links_;
 };
 
-/// Hosts g1, g2, ... before the servers of both services, which answer all requests.
+/// Hosts g1, g2, ... before the servers of both services, which answer all requests unless the test
+/// sets another handler.
 class linked_hosts : public gateway_cluster {
 protected:
     static constexpr std::size_t servers_per_service = 3;
     /// Time after a cut from which the users count requests.
     static constexpr duration contact_time = std::chrono::seconds{3};
 
+    linked_hosts();
+
     void start_hosts(std::size_t count);
     /// Cuts the host from all servers, from those of one service, or ends the cut.
     void set_links(std::size_t host, fakes::link_fault fault, const std::string& service = {});
@@ -35,7 +38,13 @@
     std::size_t unserved(duration span);
     /// Runs the test's I/O for this time, with a few requests to each host.
     void pass_time(duration span);
-    [[nodiscard]] test_backend& server(const std::string& id) { return *servers_.at(id).backend; }
+    /// Requests that the servers of the service have received.
+    [[nodiscard]] std::size_t request_count(const std::string& service) const;
+    /// Cuts the first host from all servers and waits until it knows.
+    void cut_first_host(fakes::link_fault fault);
+
+    /// Handles all requests to servers.
+    http_handler handler_;
 
 private:
     struct linked_server {
