Block a request that crashes the servers of a plain service, at all hosts

Cause: only shared segments of prompts were evidence; a request without a prompt has none. Ruled out: load, as the first end of each series came in a calm second; the hosts' own repeats alone, as first attempts ended servers too.

Change: the whole request is one more segment, by its fingerprint. Reports, verdicts and clearances travel as before. recent_times bounds what is remembered of sound requests.

--- a/include/magnolia/config.h
+++ b/include/magnolia/config.h
@@ -73,8 +73,8 @@
 /// are ignored.
 inline constexpr std::size_t max_crash_bytes = std::size_t{16} << 10U;
 
-/// Maximum number of segments of which it is remembered that they do not crash backend servers:
-/// those under suspicion, and all others.
+/// Number of segments of which it is remembered that they do not crash backend servers: of those
+/// under suspicion at most, and of all others at least.
 inline constexpr std::size_t max_clearances = 4096;
 inline constexpr std::size_t max_sound_segments = 4096;
 
--- a/include/magnolia/schema.h
+++ b/include/magnolia/schema.h
@@ -1308,7 +1308,8 @@
 
 /// Segments of one prompt.
 struct prompt_outline {
-    /// IDs of the segments that other prompts may have too.
+    /// IDs of the segments that other prompts may have too; in crash reports also that of the whole
+    /// request.
     std::vector<std::string> shared{};
     /// ID of the last segment, which only repetitions of the request and its session have; empty if
     /// unknown.
--- a/src/backend_fleet.cpp
+++ b/src/backend_fleet.cpp
@@ -254,6 +254,11 @@
     return {id, found == backends_.end() ? 0 : found->second.info.started_ms};
 }
 
+bool backend_fleet::is_engine(const std::string& id) const {
+    const auto found = backends_.find(id);
+    return found != backends_.end() && found->second.forecast;
+}
+
 bool backend_fleet::is_staying(const std::string& id) const {
     const auto found = backends_.find(id);
     return found != backends_.end() && !found->second.info.is_leaving && !found->second.is_gone &&
--- a/src/backend_fleet.h
+++ b/src/backend_fleet.h
@@ -103,6 +103,8 @@
     void reset_health(std::string_view service);
     /// The process that the platform's list has under this id now.
     [[nodiscard]] backend_process process_of(const std::string& id) const;
+    /// Whether the backend server is an engine, which answers probes without taking a slot.
+    [[nodiscard]] bool is_engine(const std::string& id) const;
     /// Whether the backend server is listed and not leaving.
     [[nodiscard]] bool is_staying(const std::string& id) const;
     /// Number of backend servers, of all services, that take new requests.
--- a/src/forward_answer.cpp
+++ b/src/forward_answer.cpp
@@ -58,6 +58,9 @@
     const bool is_events = route_->is_stream && is_success(head.status) && answer_.is_signed &&
                            answer_.is_event_stream;
     form_ = is_events ? answer_form::events : answer_form::buffered;
+    if (!route_->is_stream && is_success(head.status) && answer_.is_signed) {
+        report_sound();
+    }
     if (!has_response_started_) {
         headers_ = end_to_end_headers(head.headers);
     }
@@ -77,6 +80,17 @@
     shared_.fleet.on_rest_asked(process_, rest, steady_now());
 }
 
+void forward_call::report_sound() {
+    // Prompts are told apart by their segments; the request as a whole matters under suspicion
+    // only.
+    const bool is_prompt_enough =
+        !head_.prompt.shared.empty() && !shared_.quarantine.needs_fingerprints();
+    const auto sound = is_prompt_enough ? head_.prompt.shared : segments();
+    if (shared_.quarantine.on_answer_began(sound, steady_now())) {
+        shared_.on_quarantine_evidence();
+    }
+}
+
 void forward_call::on_body(std::string_view text) {
     const auto now = steady_now();
     shared_.fleet.on_answer_bytes(backend_, now);
@@ -117,9 +131,8 @@
 
 void forward_call::on_events(std::string_view text) {
     const auto events = splitter_.append(text);
-    const bool is_first = answer_summary_.events == 0 && !events.empty();
-    if (is_first && shared_.quarantine.on_answer_began(head_.prompt.shared, steady_now())) {
-        shared_.on_quarantine_evidence();
+    if (answer_summary_.events == 0 && !events.empty()) {
+        report_sound();
     }
     answer_summary_.events += events.size();
     for (const auto& event : events) {
@@ -236,13 +249,12 @@
 
 void forward_call::report_loss() {
     const auto now = steady_now();
-    const bool is_at_risk =
-        relay_host_.empty() && answer_summary_.events == 0 && shared_.fleet.is_staying(backend_);
-    if (!is_at_risk) {
+    if (!relay_host_.empty() || !is_at_risk() || !shared_.fleet.is_staying(backend_)) {
         return;
     }
-    is_resend_barred_ = shared_.quarantine.is_suspect(head_.prompt.shared, process_);
-    if (shared_.quarantine.on_answer_lost(process_, head_.prompt, now)) {
+    const prompt_outline suspect{segments(), head_.prompt.own};
+    is_resend_barred_ = shared_.quarantine.is_suspect(suspect.shared, process_);
+    if (shared_.quarantine.on_answer_lost(process_, suspect, now)) {
         shared_.prober.probe_at_once(backend_, address_, now);
     }
     shared_.on_quarantine_evidence();
--- a/src/forward_call.cpp
+++ b/src/forward_call.cpp
@@ -290,9 +290,32 @@
     open_call(make_relay_request(request_, context), now);
 }
 
+const std::string& forward_call::fingerprint() {
+    if (fingerprint_.empty()) {
+        fingerprint_ = request_fingerprint(head_.key, request_);
+    }
+    return fingerprint_;
+}
+
+segment_list forward_call::segments() {
+    auto segments = head_.prompt.shared;
+    segments.push_back(whole_request_segment(fingerprint()));
+    return segments;
+}
+
+const quarantined_prompt* forward_call::find_block(time_point now) {
+    return shared_.quarantine.needs_fingerprints() ? shared_.quarantine.find_block(segments(), now)
+                                                   : nullptr;
+}
+
+bool forward_call::is_at_risk() const {
+    return form_ == answer_form::none ||
+           (form_ == answer_form::events && answer_summary_.events == 0);
+}
+
 bool forward_call::refuse_if_quarantined() {
     const auto now = steady_now();
-    const auto* verdict = shared_.quarantine.find_block(head_.prompt.shared, now);
+    const auto* verdict = find_block(now);
     if (verdict == nullptr) {
         return false;
     }
@@ -308,9 +331,8 @@
 
 void forward_call::enforce_quarantine() {
     const auto now = steady_now();
-    const bool may_crash = call_.value != 0 && answer_summary_.events == 0;
-    if (is_complete_ || !may_crash ||
-        shared_.quarantine.find_block(head_.prompt.shared, now) == nullptr) {
+    const bool may_crash = call_.value != 0 && is_at_risk();
+    if (is_complete_ || !may_crash || find_block(now) == nullptr) {
         return;
     }
     shared_.client.cancel(call_);
@@ -552,9 +574,8 @@
     if (result != attempt_result::done && result != attempt_result::cancelled) {
         log_of().info(head_.attempt, "answer attempt=" + std::to_string(sends_made_) +
                                          " backend=" + backend_ + " " + to_string(answer_summary_) +
-                                         " segments=" + join(head_.prompt.shared) +
-                                         " request=" + request_fingerprint(head_.key, request_) +
-                                         " cause=\"" + std::string{cause} + "\"");
+                                         " segments=" + join(head_.prompt.shared) + " request=" +
+                                         fingerprint() + " cause=\"" + std::string{cause} + "\"");
     }
 }
 
--- a/src/forward_call.h
+++ b/src/forward_call.h
@@ -178,6 +178,17 @@
     void update_demand(time_point now);
     /// Chooses backend servers and sends, waits, or refuses.
     void next_attempt();
+    /// Segments by which the quarantine knows the request: those of its prompt, and the request as
+    /// a whole.
+    [[nodiscard]] segment_list segments();
+    [[nodiscard]] const std::string& fingerprint();
+    /// The combination that blocks the request; null if it passes.
+    [[nodiscard]] const quarantined_prompt* find_block(time_point now);
+    /// Whether a crash of the backend server now would speak against the request: it may be running
+    /// and has not shown to be sound.
+    [[nodiscard]] bool is_at_risk() const;
+    /// The answer shows that the request does not crash backend servers.
+    void report_sound();
     /// Refuses the request if its prompt is blocked; returns whether it is.
     [[nodiscard]] bool refuse_if_quarantined();
     /// Tries again after the pause, or refuses with the failure if there is no time to wait.
@@ -214,7 +225,7 @@
     void on_relay_lost(run_evidence evidence, const http_failure& failure);
     /// The host that took the request has failed it.
     void on_relay_failure();
-    /// The answer broke off. Before its first event that is evidence against the prompt's segments.
+    /// The answer broke off, which is evidence against the request if it was at risk.
     void report_loss();
     /// The backend server or a helper refused; nothing has run.
     void on_refusal();
@@ -257,6 +268,8 @@
     http_responder responder_;
     std::optional<relay_context> relayed_;
     request_head head_;
+    /// Computed on first use; see request_fingerprint().
+    std::string fingerprint_;
     std::shared_ptr<const route_table> routes_;
     const route_info* route_ = nullptr;
     std::string workspace_;
--- a/src/liveness_prober.cpp
+++ b/src/liveness_prober.cpp
@@ -44,24 +44,35 @@
         log_of().info("probes a backend server that states a limit backend=" + backend +
                       " requests_per_s=" + std::to_string(*limit));
     }
+    const auto process = fleet_.process_of(backend);
+    if (!fleet_.is_engine(backend)) {
+        client_.check_connection(address, probe_timeout, [this, process](const auto* failure) {
+            probes_[process.id].is_in_flight = false;
+            if (failure != nullptr) {
+                on_probe_failed(process, *failure);
+            }
+        });
+        return;
+    }
     http_call_limits limits;
     limits.connect_timeout = probe_timeout;
     limits.inactivity_timeout = probe_timeout;
     limits.total_timeout = probe_timeout;
-    const auto process = fleet_.process_of(backend);
-    client_.call(
-        address, codec_.write_probe(), limits, [this, backend, process](const auto& answer) {
-            probes_[backend].is_in_flight = false;
-            const auto ended = steady_now();
-            if (answer) {
-                return fleet_.on_probe_answered(backend, ended);
-            }
-            log_of().info("backend server " + backend + " did not answer a liveness probe");
-            fleet_.on_probe_failed(backend, ended);
-            if (answer.error().is_refused) {
-                on_refused_(process);
-            }
-        });
+    client_.call(address, codec_.write_probe(), limits, [this, process](const auto& answer) {
+        probes_[process.id].is_in_flight = false;
+        if (answer) {
+            return fleet_.on_probe_answered(process.id, steady_now());
+        }
+        on_probe_failed(process, answer.error());
+    });
+}
+
+void liveness_prober::on_probe_failed(const backend_process& process, const http_failure& failure) {
+    log_of().info("backend server " + process.id + " did not answer a liveness probe");
+    fleet_.on_probe_failed(process.id, steady_now());
+    if (failure.is_refused) {
+        on_refused_(process);
+    }
 }
 
 } // namespace magnolia
--- a/src/liveness_prober.h
+++ b/src/liveness_prober.h
@@ -23,10 +23,12 @@
     /// result arrives at backend_fleet::on_probe_answered() or on_probe_failed().
     void probe(const std::string& backend, const endpoint& address, time_point now);
     /// Probes the backend server regardless of other probes, as it may have ended since; not one
-    /// that rests.
+    /// that rests. One that is no engine is only asked for a connection.
     void probe_at_once(const std::string& backend, const endpoint& address, time_point now);
 
 private:
+    void on_probe_failed(const backend_process& process, const http_failure& failure);
+
     struct probe_record {
         bool is_in_flight = false;
         time_point last_started{};
--- a/src/prompt_quarantine.cpp
+++ b/src/prompt_quarantine.cpp
@@ -1,7 +1,5 @@
 #include "prompt_quarantine.h"
 
-#include <magnolia/config.h>
-
 #include <xxhash.h>
 
 #include <algorithm>
@@ -39,6 +37,12 @@
 /// Backend servers and gateways that a verdict names.
 constexpr std::size_t max_named = 8;
 
+constexpr std::string_view whole_request_prefix = "request:";
+
+bool is_whole_request(std::string_view segment) {
+    return segment.starts_with(whole_request_prefix);
+}
+
 bool has_all(const segment_list& segments, const segment_list& wanted) {
     return std::ranges::includes(segments, wanted);
 }
@@ -144,6 +148,10 @@
 
 } // namespace
 
+std::string whole_request_segment(std::string_view fingerprint) {
+    return std::string{whole_request_prefix} + std::string{fingerprint};
+}
+
 prompt_quarantine::prompt_quarantine(std::string host, std::uint64_t seed,
                                      const quarantine_settings& settings)
     : host_{std::move(host)}, random_{seed}, settings_{settings} {}
@@ -205,9 +213,9 @@
 }
 
 bool prompt_quarantine::on_answer_began(const segment_list& segments, time_point now) {
-    remember_sound(segments, now);
     bool is_news = false;
     for (const auto& segment : segments) {
+        sound_times(segment).record(segment, now);
         if (is_tracked(segment)) {
             is_news = true;
             clear(segment, now);
@@ -217,29 +225,22 @@
     return is_news;
 }
 
-void prompt_quarantine::remember_sound(const segment_list& segments, time_point now) {
-    if (sound_.size() + segments.size() > config::max_sound_segments) {
-        std::erase_if(sound_,
-                      [now](const auto& item) { return now - item.second > soundness_lifetime; });
-    }
-    if (sound_.size() + segments.size() > config::max_sound_segments) {
-        sound_.clear();
-    }
-    std::ranges::for_each(segments, [&](const auto& segment) { sound_[segment] = now; });
+recent_times& prompt_quarantine::sound_times(const std::string& segment) {
+    return is_whole_request(segment) ? sound_requests_ : sound_prompts_;
 }
 
 void prompt_quarantine::report_sound_segments(const crash& record, time_point now) {
     for (const auto& prompt : record.prompts) {
         for (const auto& segment : prompt.shared) {
-            const auto sound = sound_.find(segment);
-            if (sound == sound_.end() || now - sound->second > soundness_lifetime) {
+            const auto sound = sound_times(segment).find(segment);
+            if (!sound || now - *sound > soundness_lifetime) {
                 continue;
             }
             const auto known = clearances_.find(segment);
             const bool is_known =
                 known != clearances_.end() && record.at - known->second.at <= soundness_lifetime;
             if (!is_known) {
-                clear(segment, sound->second);
+                clear(segment, *sound);
                 schedule_clearance(segment, now);
             }
         }
@@ -352,12 +353,18 @@
     });
 }
 
-std::size_t prompt_quarantine::weight_of(const std::vector<exhibit>& exhibits) const {
+std::size_t prompt_quarantine::weight_of(const segment_list& combination,
+                                         const std::vector<exhibit>& exhibits) const {
     const bool is_explained = std::ranges::all_of(
         exhibits, [this](const auto& item) { return explanation_of(*item.record) != nullptr; });
     if (is_explained) {
         return 0;
     }
+    if (std::ranges::any_of(combination, is_whole_request)) {
+        std::set<const crash*> crashes;
+        std::ranges::transform(exhibits, std::inserter(crashes, crashes.end()), &exhibit::record);
+        return crashes.size();
+    }
     std::vector<std::pair<time_point, std::string_view>> cases;
     std::ranges::transform(exhibits, std::back_inserter(cases), [](const auto& item) {
         return std::pair{item.record->at, std::string_view{item.prompt->own}};
@@ -426,7 +433,7 @@
         auto relevant = exhibits;
         std::erase_if(relevant,
                       [&](const auto& item) { return !has_all(item.prompt->shared, combination); });
-        const auto certainty = static_cast<double>(weight_of(relevant)) /
+        const auto certainty = static_cast<double>(weight_of(combination, relevant)) /
                                static_cast<double>(required_crashes(combination));
         if (certainty > best_certainty) {
             best_certainty = certainty;
--- a/src/prompt_quarantine.h
+++ b/src/prompt_quarantine.h
@@ -3,7 +3,9 @@
 #pragma once
 
 #include "forward_types.h"
+#include "recent_times.h"
 
+#include <magnolia/config.h>
 #include <magnolia/schema.h>
 
 #include <map>
@@ -11,14 +13,17 @@
 #include <random>
 #include <set>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace magnolia {
 
-/// Ids of segments.
+/// Ids of segments. The request as a whole counts as one more segment, which only its repetitions
+/// have; see whole_request_segment().
 using segment_list = std::vector<std::string>;
 
+/// Id of the segment that a request as a whole is; ids of prompt segments have no colon.
+[[nodiscard]] std::string whole_request_segment(std::string_view fingerprint);
+
 /// A combination of segments under which backend servers crashed.
 struct quarantined_prompt {
     /// Sorted and not empty. A request that has all of them is blocked.
@@ -59,7 +64,9 @@
 /// refuses connections, it has crashed. A segment that was at risk in `crashes` crashes, in as many
 /// different prompts, without an answer that began since is blocked, together with the segments
 /// that were at risk beside it each time: those cannot be told apart until an answer to one of them
-/// begins. A combination of segments to which answers had begun before takes twice as many.
+/// begins. A combination of segments to which answers had begun before takes twice as many. One
+/// that has a whole request needs no different prompts: it blocks the repetitions of that request
+/// only.
 class prompt_quarantine {
 public:
     /// @param host  name of this gateway, for its reports.
@@ -79,6 +86,10 @@
     bool on_answer_began(const segment_list& segments, time_point now);
 
     // Decisions.
+    /// Whether there is evidence or a verdict, for which the fingerprints of requests are needed.
+    [[nodiscard]] bool needs_fingerprints() const {
+        return !crashes_.empty() || !unconfirmed_.empty() || !verdicts_.empty();
+    }
     /// The combination that blocks requests with these segments; null if they pass.
     [[nodiscard]] const quarantined_prompt* find_block(const segment_list& segments,
                                                        time_point now) const;
@@ -166,9 +177,10 @@
     /// Blocks combinations with enough evidence, and those that crash again after their block.
     void judge(time_point now);
     void judge_repetitions(time_point now);
-    /// Number of crashes apart and of different prompts among the exhibits, whichever is less; 0 if
-    /// all crashes are explained.
-    [[nodiscard]] std::size_t weight_of(const std::vector<exhibit>& exhibits) const;
+    /// Number of crashes apart and of different prompts among the exhibits of the combination,
+    /// whichever is less; 0 if all crashes are explained. All crashes of a whole request count.
+    [[nodiscard]] std::size_t weight_of(const segment_list& combination,
+                                        const std::vector<exhibit>& exhibits) const;
     /// The largest combination with the segment that was at risk as a whole in each of the crashes.
     [[nodiscard]] segment_list most_specific(const std::string& segment,
                                              const std::vector<exhibit>& exhibits) const;
@@ -183,7 +195,7 @@
     void report_sound_segments(const crash& record, time_point now);
     /// Sends the time of the last answer later, unless another gateway does so first.
     void schedule_clearance(const std::string& segment, time_point now);
-    void remember_sound(const segment_list& segments, time_point now);
+    [[nodiscard]] recent_times& sound_times(const std::string& segment);
     /// Number of crashes that prove that the combination causes them.
     [[nodiscard]] std::size_t required_crashes(const segment_list& combination) const;
     /// Whether a clearance of the segment would change any belief.
@@ -198,8 +210,9 @@
     /// Ordered by arrival.
     std::vector<crash> crashes_;
     std::map<std::string, clearance, std::less<>> clearances_;
-    /// Last answer that began at this gateway, by segment.
-    std::unordered_map<std::string, time_point> sound_;
+    /// Last answer that began at this gateway, by segment of a prompt and by whole request.
+    recent_times sound_prompts_{config::max_sound_segments};
+    recent_times sound_requests_{config::max_sound_segments};
     std::vector<quarantined_prompt> verdicts_;
     /// Time to judge: reports on the same crash have arrived from the other gateways by then.
     time_point judge_due_ = time_point::max();
--- a/tests/prompt_quarantine_fleet_test.cpp
+++ b/tests/prompt_quarantine_fleet_test.cpp
@@ -21,9 +21,11 @@
 constexpr duration restart_time = 3s;
 /// Time of the probe that shows that an engine has crashed.
 constexpr duration probe_time = 10ms;
-/// Time after the fifth crash from which the users count requests.
+/// Time after the counted crash from which the users count requests.
 constexpr duration contact_time = 3s;
-constexpr std::size_t counted_crashes = 5;
+/// Crash from which the users count, of prompts with one segment and of one request.
+constexpr std::size_t counted_prompt_crashes = 5;
+constexpr std::size_t counted_request_crashes = 3;
 constexpr std::size_t max_late_requests = 3;
 /// Time with sound requests and without crashes.
 constexpr duration quiet_time = 10s;
@@ -45,6 +47,9 @@
     duration host_restart_interval{0};
     /// Restarted hosts read the verdicts that another host has stored.
     bool has_store = true;
+    /// One request crashes the servers of a plain service: it comes again and again, and requests
+    /// have no segments of prompts.
+    bool is_one_request = false;
 };
 
 /// Gateways of a deployment over a faulty network, engines, and requests of which some have a
@@ -92,9 +97,11 @@
 
     [[nodiscard]] time_point now() const { return now_; }
     [[nodiscard]] std::size_t caused_crashes() const { return caused_crashes_.size(); }
-    /// Requests with the segment that were sent later than the contact time after the fifth crash,
-    /// by hosts that had run for that time.
+    /// Crashing requests that were sent later than the contact time after the counted crash, by
+    /// hosts that had run for that time.
     [[nodiscard]] std::size_t late_requests() const {
+        const auto counted_crashes =
+            options_.is_one_request ? counted_request_crashes : counted_prompt_crashes;
         if (caused_crashes_.size() < counted_crashes) {
             return 0;
         }
@@ -155,7 +162,15 @@
     }
 
     /// A popular segment more often than a rare one.
-    std::string pick_segment() { return "s" + std::to_string(pick(pick(options_.segments) + 1)); }
+    std::string pick_segment() {
+        const auto name = "s" + std::to_string(pick(pick(options_.segments) + 1));
+        return options_.is_one_request ? whole_request_segment(name) : name;
+    }
+
+    segment_list crashing_segments() {
+        return options_.is_one_request ? segment_list{whole_request_segment(crashing_segment)}
+                                       : segment_list{pick_segment(), crashing_segment};
+    }
 
     void on_sound_arrival() {
         at(now_ + arrival_time(options_.sound_per_second), [this] { on_sound_arrival(); });
@@ -170,8 +185,7 @@
 
     void on_crashing_arrival() {
         at(now_ + arrival_time(options_.crashing_per_second), [this] { on_crashing_arrival(); });
-        const request arrived{
-            pick(options_.hosts), {pick_segment(), crashing_segment}, true, next_own()};
+        const request arrived{pick(options_.hosts), crashing_segments(), true, next_own()};
         send(arrived);
         // The caller repeats the request once, at another host.
         auto repeated = arrived;
@@ -179,7 +193,9 @@
         at(now_ + caller_retry_time, [this, repeated] { send(repeated); });
     }
 
-    std::string next_own() { return "own" + std::to_string(++prompts_); }
+    std::string next_own() {
+        return options_.is_one_request ? std::string{} : "own" + std::to_string(++prompts_);
+    }
 
     void send(request sent) {
         if (hosts_[sent.host].find_block(sent.segments, now_) != nullptr) {
@@ -237,6 +253,11 @@
             }
             if (!is_barred && lost.sends < 2) {
                 send(lost);
+            } else if (options_.is_one_request && !lost.is_crashing && lost.sends < 3) {
+                // Its caller repeats it, at another host.
+                auto repeated = lost;
+                repeated.host = pick(options_.hosts);
+                at(now_ + caller_retry_time, [this, repeated] { send(repeated); });
             }
         }
         at(now_ + restart_time, [this, index] { engines_[index].is_up = true; });
@@ -404,6 +425,59 @@
     EXPECT_LE(fleet.caused_crashes(), crashes + max_late_requests);
 }
 
+// Incident BUDGET: each host sent the one request that ended server after server.
+TEST_P(quarantine_fleet_test, all_hosts_block_a_request_after_few_crashes) {
+    quarantine_fleet fleet{{.engines = 3, .sound_per_second = 6, .is_one_request = true},
+                           GetParam()};
+    expect_bounds(fleet);
+}
+
+TEST_P(quarantine_fleet_test, a_burst_of_one_request_is_blocked_as_well) {
+    quarantine_fleet fleet{
+        {.engines = 3, .sound_per_second = 6, .crashing_per_second = 10, .is_one_request = true},
+        GetParam()};
+    expect_bounds(fleet);
+}
+
+TEST_P(quarantine_fleet_test, a_rare_request_is_blocked_as_well) {
+    quarantine_fleet fleet{
+        {.engines = 3, .sound_per_second = 6, .crashing_per_second = 0.1, .is_one_request = true},
+        GetParam()};
+    expect_bounds(fleet);
+}
+
+TEST_P(quarantine_fleet_test, many_hosts_block_one_request) {
+    quarantine_fleet fleet{{.hosts = 76,
+                            .engines = 12,
+                            .sound_per_second = 60,
+                            .crashing_per_second = 4,
+                            .segments = 300,
+                            .loss = 0.2,
+                            .is_one_request = true},
+                           GetParam()};
+    expect_bounds(fleet);
+}
+
+TEST_P(quarantine_fleet_test, hosts_that_restart_know_the_blocked_request) {
+    quarantine_fleet fleet{
+        {.engines = 3, .sound_per_second = 6, .host_restart_interval = 1s, .is_one_request = true},
+        GetParam()};
+    expect_bounds(fleet);
+}
+
+// Requests that come again, some of them often, and are under way in crash after crash.
+TEST_P(quarantine_fleet_test, crashes_of_plain_servers_block_no_repeated_request) {
+    quarantine_fleet fleet{{.engines = 3,
+                            .sound_per_second = 12,
+                            .crashing_per_second = 0.001,
+                            .segments = 30,
+                            .other_crashes_per_second = 0.5,
+                            .is_one_request = true},
+                           GetParam()};
+    fleet.run_until(start + 2min);
+    EXPECT_GE(fleet.sound_share(), 0.99);
+}
+
 INSTANTIATE_TEST_SUITE_P(seeds, quarantine_fleet_test, testing::Range<std::uint64_t>(1, 41));
 
 } // namespace
