Keep the limit that a backend server states for all hosts together

Cause: the limit was read and logged and nothing obeyed it.

Change: as many hosts as the limit has whole requests use the server, in equal parts, chosen by rendezvous hashing over the live hosts; each has a token bucket with a burst of one. Statements travel in the digests, at once when one changes; the latest about a process counts. No liveness probes to such servers.

Before: limited_backend.* failed (46, 37 requests; 11 allowed). After: passes, all callers served.

--- a/include/magnolia/schema.h
+++ b/include/magnolia/schema.h
@@ -1241,6 +1241,25 @@
 void to_json(nlohmann::json& out, const placed_work& value);
 void read(const nlohmann::json& in, schema_reader& reader, placed_work& value);
 
+/// Limit that a backend server states for all gateways together, or its end.
+struct stated_limit_entry {
+    /// ID of the backend server.
+    std::string backend{};
+    /// Start of its process. [ms since 1970]
+    std::int64_t started_ms{0};
+    /// Whether it states a limit.
+    bool is_limited{false};
+    /// The limit, in requests per second. [0..1000000]
+    double requests_per_s{0};
+    /// Time since the answer that stated it. [ms]
+    std::chrono::milliseconds age{0};
+
+    bool operator==(const stated_limit_entry&) const = default;
+};
+
+void to_json(nlohmann::json& out, const stated_limit_entry& value);
+void read(const nlohmann::json& in, schema_reader& reader, stated_limit_entry& value);
+
 /// Work that a gateway placed and work that ended; sent to every other gateway.
 struct placement_update {
     /// Name of the sender.
@@ -1278,6 +1297,8 @@
     std::vector<std::string> unreachable{};
     /// Requests in progress at the sender; set in digests only.
     std::uint32_t open_requests{0};
+    /// Limits that backend servers state; set in digests only.
+    std::vector<stated_limit_entry> limits{};
 
     bool operator==(const placement_update&) const = default;
 };
--- a/src/backend_fleet.cpp
+++ b/src/backend_fleet.cpp
@@ -1,5 +1,7 @@
 #include "backend_fleet.h"
 
+#include "limit_sharing.h"
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -17,6 +19,10 @@
 constexpr duration probe_validity = std::chrono::milliseconds{1000};
 /// Placements in one datagram of a snapshot; at about 100 bytes each well under the limit of 64 KB.
 constexpr std::size_t max_snapshot_placements = 200;
+/// Limits of backend servers that are told to the other gateways.
+constexpr std::size_t max_told_limits = 64;
+/// Time for which the others are told that a limit has ended.
+constexpr duration ended_limit_lifetime = std::chrono::seconds{10};
 /// Bounds the jobs tracked for each other gateway.
 constexpr std::size_t max_remote_jobs = 4096;
 
@@ -195,7 +201,8 @@
 
 bool backend_fleet::has_live(std::string_view service, time_point now) {
     return std::ranges::any_of(backends_ | std::views::values, [&](const auto& record) {
-        return record.info.service == service && is_usable(record, now) && !record.terms.rests(now);
+        return record.info.service == service && is_usable(record, now) &&
+               record.terms.is_open(now);
     });
 }
 
@@ -344,6 +351,7 @@
             continue;
         }
         job.backends.push_back(member.id);
+        record->terms.on_sent(now);
         const bool is_decoder = index == 0;
         if (is_decoder) {
             ++record->open_calls;
@@ -510,16 +518,63 @@
     return found != backends_.end() && found->second.terms.rests(now);
 }
 
-bool backend_fleet::set_stated_limit(const std::string& backend,
-                                     std::optional<double> requests_per_s) {
-    auto* record = find(backend);
-    if (record == nullptr || record->terms.limit() == requests_per_s) {
+bool backend_fleet::set_stated_limit(const backend_process& process,
+                                     std::optional<double> requests_per_s, time_point now) {
+    auto* record = find(process.id);
+    if (record == nullptr || record->info.started_ms != process.started_ms ||
+        !record->terms.set_limit(requests_per_s, now, now)) {
         return false;
     }
-    record->terms.set_limit(requests_per_s);
+    update_share(*record, now);
     return true;
 }
 
+void backend_fleet::update_share(backend_record& record, time_point now) const {
+    if (const auto limit = record.terms.limit()) {
+        record.terms.set_share(limit_share(*limit, record.info.id, host_, hosts_), now);
+    }
+}
+
+void backend_fleet::set_hosts(const std::string& own, std::vector<std::string> hosts,
+                              time_point now) {
+    if (hosts_ == hosts) {
+        return;
+    }
+    host_ = own;
+    hosts_ = std::move(hosts);
+    std::ranges::for_each(backends_ | std::views::values,
+                          [&](auto& record) { update_share(record, now); });
+}
+
+std::vector<stated_limit_entry> backend_fleet::stated_limits(time_point now) const {
+    std::vector<stated_limit_entry> limits;
+    for (const auto& [id, record] : backends_) {
+        const auto age = now - record.terms.limit_stated_at();
+        const auto limit = record.terms.limit();
+        if ((limit || age <= ended_limit_lifetime) && limits.size() < max_told_limits) {
+            limits.push_back({.backend = id,
+                              .started_ms = record.info.started_ms,
+                              .is_limited = limit.has_value(),
+                              .requests_per_s = limit.value_or(0),
+                              .age = std::chrono::duration_cast<milliseconds>(age)});
+        }
+    }
+    return limits;
+}
+
+void backend_fleet::apply_limits(const std::vector<stated_limit_entry>& limits, time_point now) {
+    for (const auto& told : limits) {
+        auto* record = find(told.backend);
+        if (record == nullptr || record->info.started_ms != told.started_ms) {
+            continue;
+        }
+        const auto limit = told.is_limited ? std::optional{told.requests_per_s} : std::nullopt;
+        if (record->terms.set_limit(limit, now - told.age, now)) {
+            update_share(*record, now);
+        }
+    }
+}
+
 std::optional<double> backend_fleet::stated_limit(const std::string& backend) const {
     const auto found = backends_.find(backend);
     return found == backends_.end() ? std::nullopt : found->second.terms.limit();
--- a/src/backend_fleet.h
+++ b/src/backend_fleet.h
@@ -125,10 +125,18 @@
     void on_rest_asked(const backend_process& process, duration span, time_point now);
     /// Whether the backend server asked for rest that has not ended.
     [[nodiscard]] bool is_resting(const std::string& backend, time_point now) const;
-    /// Records the limit that an answer of the backend server states, or that it states none;
-    /// returns whether that changed.
-    bool set_stated_limit(const std::string& backend, std::optional<double> requests_per_s);
+    /// Records the limit that an answer of the process states, or that it states none; returns
+    /// whether that changed.
+    bool set_stated_limit(const backend_process& process, std::optional<double> requests_per_s,
+                          time_point now);
     [[nodiscard]] std::optional<double> stated_limit(const std::string& backend) const;
+    /// Sets the hosts among which stated limits are divided.
+    /// @param own  name of this host, which is one of them.
+    void set_hosts(const std::string& own, std::vector<std::string> hosts, time_point now);
+    /// Limits that were stated, or that ended a short time ago, for the other gateways.
+    [[nodiscard]] std::vector<stated_limit_entry> stated_limits(time_point now) const;
+    /// Applies what another gateway was told; the latest statement counts.
+    void apply_limits(const std::vector<stated_limit_entry>& limits, time_point now);
     /// Bytes of any answer arrived from the backend server.
     void on_answer_bytes(const std::string& backend, time_point now);
     /// Results of liveness probes; see liveness_prober.h.
@@ -188,6 +196,8 @@
     /// Removes backend servers whose grace period is over.
     void remove_expired(time_point now);
     void apply_profile(backend_record& record);
+    /// Computes this host's share of the limit.
+    void update_share(backend_record& record, time_point now) const;
     /// Usable backend servers of the service, without `tried` and open circuits where possible.
     [[nodiscard]] std::vector<backend_record*>
     usable_backends(std::string_view service, const std::vector<std::string>& tried,
@@ -201,6 +211,9 @@
     void add_remote_job(const placed_work& work, std::uint64_t origin, time_point now);
 
     std::string zone_;
+    /// Name of this host, and names of all hosts; empty until they are known.
+    std::string host_;
+    std::vector<std::string> hosts_;
     std::uint64_t origin_;
     any_placement placement_;
     std::mt19937_64 random_;
--- a/src/forward_answer.cpp
+++ b/src/forward_answer.cpp
@@ -67,7 +67,7 @@
 }
 
 void forward_call::take_statements() {
-    if (shared_.fleet.set_stated_limit(backend_, answer_.requests_per_s)) {
+    if (shared_.fleet.set_stated_limit(process_, answer_.requests_per_s, steady_now())) {
         shared_.on_limit_changed(backend_, answer_.requests_per_s);
     }
     if (!answer_.asks_for_rest) {
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -295,6 +295,7 @@
                       log_.info("backend server states another limit backend=" + backend +
                                 " requests_per_s=" +
                                 (requests_per_s ? std::to_string(*requests_per_s) : "none"));
+                      send_digest(steady_now());
                   },
               .on_quarantine_evidence = [this] { quarantine_exchange_.schedule_flush(); }},
       quarantine_exchange_{io_,
@@ -513,6 +514,7 @@
     update->takes_relayed = is_ready() && relay_receiver_.takes_more();
     update->unreachable = reach_.unreachable();
     update->open_requests = static_cast<std::uint32_t>(active_requests());
+    update->limits = fleet_.stated_limits(now);
     gossip_.send(*update);
 }
 
@@ -522,6 +524,7 @@
         on_placement_update(*update);
         if (update->is_digest) {
             relays_.on_digest(*update, {sender.address().to_string(), sender.port()}, steady_now());
+            fleet_.apply_limits(update->limits, steady_now());
             quarantine_exchange_.on_digest(update->quarantine_hash, sender);
         }
     } else if (const auto* verdicts = std::get_if<quarantine_update>(&message)) {
@@ -594,6 +597,10 @@
         fetch_gateway_list();
     }
     gossip_.expire_silent_peers(now);
+    auto hosts = relays_.alive(now);
+    hosts.push_back(settings_.process.name);
+    std::ranges::sort(hosts);
+    fleet_.set_hosts(settings_.process.name, std::move(hosts), now);
     resync_if_behind(now);
     quarantine_exchange_.tick(now);
     check_settings_file(now);
--- a/src/liveness_prober.cpp
+++ b/src/liveness_prober.cpp
@@ -36,14 +36,11 @@
 
 void liveness_prober::probe_at_once(const std::string& backend, const endpoint& address,
                                     time_point now) {
-    if (fleet_.is_resting(backend, now)) {
+    // A probe would count against its limit.
+    if (fleet_.is_resting(backend, now) || fleet_.stated_limit(backend)) {
         return;
     }
     probes_[backend] = {true, now};
-    if (const auto limit = fleet_.stated_limit(backend)) {
-        log_of().info("probes a backend server that states a limit backend=" + backend +
-                      " requests_per_s=" + std::to_string(*limit));
-    }
     const auto process = fleet_.process_of(backend);
     if (!fleet_.is_engine(backend)) {
         client_.check_connection(address, probe_timeout, [this, process](const auto* failure) {
--- a/src/stated_terms.cpp
+++ b/src/stated_terms.cpp
@@ -1,6 +1,7 @@
 #include "stated_terms.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace magnolia {
 namespace {
@@ -24,6 +25,33 @@
     max_in_progress_ = 1;
 }
 
+bool stated_terms::set_limit(std::optional<double> requests_per_s, time_point stated_at,
+                             time_point now) {
+    const bool is_unlimited = !limit_ && !requests_per_s;
+    if (is_unlimited || stated_at <= limit_stated_at_) {
+        return false;
+    }
+    limit_stated_at_ = stated_at;
+    if (!limit_) {
+        // This gateway has sent requests just now.
+        bucket_ = token_bucket{0, 1, 0, now};
+    }
+    return std::exchange(limit_, requests_per_s) != requests_per_s;
+}
+
+void stated_terms::set_share(double requests_per_s, time_point now) {
+    bucket_.configure(requests_per_s, 1, now);
+    if (requests_per_s <= 0) {
+        bucket_.clear(now);
+    }
+}
+
+void stated_terms::on_sent(time_point now) {
+    if (limit_) {
+        bucket_.take_up_to(1, now);
+    }
+}
+
 void stated_terms::on_answered() {
     if (max_in_progress_ != unlimited) {
         max_in_progress_ *= 2;
--- a/src/stated_terms.h
+++ b/src/stated_terms.h
@@ -2,6 +2,8 @@
 /// request now. Does no I/O; the time is passed in.
 #pragma once
 
+#include "token_bucket.h"
+
 #include <magnolia/types.h>
 
 #include <cstdint>
@@ -22,17 +24,30 @@
     void ask_for_rest(duration span, time_point now, std::mt19937_64& random);
     /// It has sent a complete answer.
     void on_answered();
-    /// Requests per second that it takes from all gateways together; empty if it states no limit.
-    void set_limit(std::optional<double> requests_per_s) { limit_ = requests_per_s; }
+    /// An answer of this time states a limit, in requests per second of all gateways together, or
+    /// none. Ignored if it is older than what is known. Returns whether the limit changed.
+    bool set_limit(std::optional<double> requests_per_s, time_point stated_at, time_point now);
     [[nodiscard]] std::optional<double> limit() const { return limit_; }
+    /// Time of the last answer that stated a limit, or none after one; time_point{} if there was
+    /// none.
+    [[nodiscard]] time_point limit_stated_at() const { return limit_stated_at_; }
+    /// Requests per second that this gateway may send while there is a limit; 0 for none.
+    void set_share(double requests_per_s, time_point now);
+    /// A request is sent to it.
+    void on_sent(time_point now);
 
     [[nodiscard]] bool rests(time_point now) const { return now < rests_until_; }
+    /// Whether it takes requests of this gateway now or will soon.
+    [[nodiscard]] bool is_open(time_point now) const {
+        return !rests(now) && (!limit_ || bucket_.rate() > 0);
+    }
     /// End of the last rest; time_point{} if it never asked for one.
     [[nodiscard]] time_point rests_until() const { return rests_until_; }
     /// Whether it takes another request of this gateway.
     /// @param in_progress  requests of this gateway that it works on.
     [[nodiscard]] bool admits(std::uint32_t in_progress, time_point now) const {
-        return !rests(now) && in_progress < max_in_progress_;
+        return !rests(now) && in_progress < max_in_progress_ &&
+               (!limit_ || bucket_.level(now) >= 1);
     }
 
 private:
@@ -41,6 +56,9 @@
     time_point rests_until_{};
     std::uint32_t max_in_progress_ = unlimited;
     std::optional<double> limit_;
+    time_point limit_stated_at_{};
+    /// Requests that this gateway may send while there is a limit.
+    token_bucket bucket_;
 };
 
 } // namespace magnolia
