--- a/src/forward_answer.cpp
+++ b/src/forward_answer.cpp
@@ -349,6 +349,9 @@
     unlink();
     timer_.cancel();
     const auto now = steady_now();
+    if (is_success(status) && cause.empty()) {
+        shared_.answer_times[route_->name].record(now - request_.received);
+    }
     shared_.on_end({.attempt = head_.attempt,
                     .route = route_ == nullptr ? "-" : route_->name,
                     .service = service_,
--- a/src/forward_call.cpp
+++ b/src/forward_call.cpp
@@ -109,7 +109,7 @@
     if (const auto found = find_route(); !found) {
         return answer_failure(found.error());
     }
-    if (refuse_if_quarantined()) {
+    if (refuse_if_stopping() || refuse_if_quarantined()) {
         return;
     }
     shared_.calls.push_back(*this);
@@ -253,6 +253,22 @@
     }
 }
 
+bool forward_call::refuse_if_stopping() {
+    if (!shared_.aborts_at) {
+        return false;
+    }
+    const auto known = shared_.answer_times.find(route_->name);
+    const auto estimate =
+        known == shared_.answer_times.end() ? std::nullopt : known->second.upper_estimate();
+    const duration longest = std::min(head_.time_left.value_or(route_->timeout), route_->timeout);
+    const auto expected = std::min(estimate.value_or(route_->target_latency), longest);
+    if (steady_now() + expected <= *shared_.aborts_at) {
+        return false;
+    }
+    refuse_with_retry_after({error_code::stopping, "request would not end within the stop"});
+    return true;
+}
+
 bool forward_call::relay_if_unreachable(time_point now) {
     if (!shared_.reach.is_unreachable(service_)) {
         return false;
--- a/src/forward_call.h
+++ b/src/forward_call.h
@@ -6,6 +6,7 @@
 #include "attempt_policy.h"
 #include "backend_fleet.h"
 #include "dispatch_policy.h"
+#include "duration_estimator.h"
 #include "event_stream.h"
 #include "gateway_port.h"
 #include "host_relay.h"
@@ -122,6 +123,10 @@
     std::unordered_map<std::string, retry_budget> retry_budgets;
     /// By route.
     std::unordered_map<std::string, retry_detector> retry_detectors;
+    /// Times from arrival to the end of complete answers, by route.
+    std::unordered_map<std::string, duration_estimator> answer_times;
+    /// Set during a planned stop: time at which remaining requests are aborted.
+    std::optional<time_point> aborts_at;
     /// Called once for each attempt that was sent, when it has ended.
     std::function<void(const answer_summary&)> on_answer_end;
     /// Called once for each request, when it has ended.
@@ -189,6 +194,9 @@
     [[nodiscard]] bool is_at_risk() const;
     /// The answer shows that the request does not crash backend servers.
     void report_sound();
+    /// Refuses the request during a planned stop if it is not expected to end within it; returns
+    /// whether it did. On a route without complete answers it is expected to meet its target.
+    [[nodiscard]] bool refuse_if_stopping();
     /// Refuses the request if its prompt is blocked; returns whether it is.
     [[nodiscard]] bool refuse_if_quarantined();
     /// Tries again after the pause, or refuses with the failure if there is no time to wait.
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -287,6 +287,8 @@
               .make_retry_budget = [this] { return make_retry_budget(); },
               .retry_budgets = {},
               .retry_detectors = {},
+              .answer_times = {},
+              .aborts_at = {},
               .on_answer_end = [this](const answer_summary& answer) { metrics_.count(answer); },
               .on_end = [this](const call_summary& summary) { on_call_end(summary); },
               .on_jobs_changed = [this] { schedule_update(); },
@@ -752,6 +754,7 @@
     stop_began_at_ = steady_now();
     log_.info("planned stop begins, " + std::to_string(active_requests()) +
               " requests in progress");
+    shared_.aborts_at = stop_began_at_ + seconds_to_ms(settings_.stop_timeout_s) - abort_reserve;
     caller_server_.begin_drain();
     relay_receiver_.server().begin_drain();
     send_digest(stop_began_at_);
