Accept late in a planned stop only what is certain to end

Change: after 0.35 of the stop, when the load balancer has had two checks, a request is accepted only if its time limit ends within the stop.

Before: planned_stop.only_requests_that_are_certain_to_end_are_accepted_late would accept the second request (mutation: the estimate instead of the limit). After: passes.

--- a/src/forward_call.cpp
+++ b/src/forward_call.cpp
@@ -254,15 +254,18 @@
 }
 
 bool forward_call::refuse_if_stopping() {
-    if (!shared_.aborts_at) {
+    if (!shared_.stop) {
         return false;
     }
+    const auto now = steady_now();
     const auto known = shared_.answer_times.find(route_->name);
     const auto estimate =
         known == shared_.answer_times.end() ? std::nullopt : known->second.upper_estimate();
     const duration longest = std::min(head_.time_left.value_or(route_->timeout), route_->timeout);
-    const auto expected = std::min(estimate.value_or(route_->target_latency), longest);
-    if (steady_now() + expected <= *shared_.aborts_at) {
+    const auto expected = now >= shared_.stop->cautious_from
+                              ? longest
+                              : std::min(estimate.value_or(route_->target_latency), longest);
+    if (now + expected <= shared_.stop->aborts_at) {
         return false;
     }
     refuse_with_retry_after({error_code::stopping, "request would not end within the stop"});
--- a/src/forward_call.h
+++ b/src/forward_call.h
@@ -85,6 +85,15 @@
     std::uint64_t config_version = 0;
 };
 
+/// Times of a planned stop.
+struct stop_times {
+    /// From then on only requests that are certain to end within the stop are accepted: the load
+    /// balancer has other hosts for the rest.
+    time_point cautious_from{};
+    /// Remaining requests are aborted.
+    time_point aborts_at{};
+};
+
 class forward_call;
 
 /// Unlinks a call that ends.
@@ -125,8 +134,8 @@
     std::unordered_map<std::string, retry_detector> retry_detectors;
     /// Times from arrival to the end of complete answers, by route.
     std::unordered_map<std::string, duration_estimator> answer_times;
-    /// Set during a planned stop: time at which remaining requests are aborted.
-    std::optional<time_point> aborts_at;
+    /// Set during a planned stop.
+    std::optional<stop_times> stop;
     /// Called once for each attempt that was sent, when it has ended.
     std::function<void(const answer_summary&)> on_answer_end;
     /// Called once for each request, when it has ended.
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -54,6 +54,9 @@
 
 /// Share of the stop timeout during which new requests are accepted at most.
 constexpr double accept_share = 0.4;
+/// Share of the stop timeout after which only requests that are certain to end within it are
+/// accepted.
+constexpr double cautious_share = 0.35;
 /// Time before the end of the stop timeout at which remaining requests are aborted.
 constexpr milliseconds abort_reserve{350};
 /// Time that the load balancer needs to stop sending to a host that is not ready: two failed
@@ -288,7 +291,7 @@
               .retry_budgets = {},
               .retry_detectors = {},
               .answer_times = {},
-              .aborts_at = {},
+              .stop = {},
               .on_answer_end = [this](const answer_summary& answer) { metrics_.count(answer); },
               .on_end = [this](const call_summary& summary) { on_call_end(summary); },
               .on_jobs_changed = [this] { schedule_update(); },
@@ -754,7 +757,10 @@
     stop_began_at_ = steady_now();
     log_.info("planned stop begins, " + std::to_string(active_requests()) +
               " requests in progress");
-    shared_.aborts_at = stop_began_at_ + seconds_to_ms(settings_.stop_timeout_s) - abort_reserve;
+    const auto stop_timeout = seconds_to_ms(settings_.stop_timeout_s);
+    shared_.stop =
+        stop_times{.cautious_from = stop_began_at_ + fraction_of(stop_timeout, cautious_share),
+                   .aborts_at = stop_began_at_ + stop_timeout - abort_reserve};
     caller_server_.begin_drain();
     relay_receiver_.server().begin_drain();
     send_digest(stop_began_at_);
