--- /dev/null
+++ b/tests/relay_receiver_test.cpp
@@ -0,0 +1,97 @@
+#include "gateway_fixture.h"
+#include "relay_receiver.h"
+
+namespace magnolia {
+namespace {
+
+/// A gateway that takes requests from other hosts.
+class relay_receiver_test : public gateway_fixture {
+protected:
+    void SetUp() override {
+        ASSERT_TRUE(receiver_.listen(endpoint{}));
+        receiver_.set_limits({}, 1);
+    }
+
+    static http_request relayed(const relay_context& context) {
+        return make_relay_request(
+            {"GET",
+             "/safe/",
+             {{"Host", "shop.example"}, {"attempt", "a1"}, {"key", "k1"}, {"time-left", "60000"}},
+             {},
+             {}},
+            context);
+    }
+
+    tl::expected<http_response, http_failure> send(http_request request) {
+        std::optional<tl::expected<http_response, http_failure>> answer;
+        caller_.call({"127.0.0.1", receiver_.server().port()}, std::move(request), {},
+                     [&](auto received) { answer = std::move(received); });
+        run_until([&] { return answer.has_value(); });
+        return *answer;
+    }
+
+    static relay_context context() {
+        return {.sender = "g2", .time_left = milliseconds{900}, .config_version = 1};
+    }
+
+    bool is_peer_ = true;
+    http_client caller_{context_, 0};
+    relay_receiver receiver_{shared_, [this](const auto& /*address*/) { return is_peer_; }};
+};
+
+TEST_F(relay_receiver_test, the_time_left_at_the_other_host_is_the_deadline) {
+    add_backend("b1", "desk").add_handler(respond_with(200));
+    EXPECT_EQ(send(relayed(context()))->status, 200U);
+    const auto& request = backends_.front()->requests().front();
+    EXPECT_LE(std::stoi(std::string{find_header(request.headers, "time-left")}), 900);
+    EXPECT_TRUE(find_header(request.headers, "Magnolia-Relay").empty());
+}
+
+TEST_F(relay_receiver_test, a_request_of_a_newer_configuration_is_refused) {
+    add_backend("b1", "desk").add_handler(respond_with(200));
+    auto newer = context();
+    newer.config_version = 2;
+    const auto refused = send(relayed(newer));
+    EXPECT_EQ(refused->status, 503U);
+    EXPECT_EQ(read_relay_outcome(refused->headers), relay_outcome::not_run);
+    EXPECT_TRUE(backends_.front()->requests().empty());
+}
+
+TEST_F(relay_receiver_test, requests_beyond_the_limit_are_refused_at_once) {
+    std::optional<http_responder> open;
+    add_backend("b1", "desk").add_handler([&](const auto&, const http_responder& responder) {
+        open = responder;
+    });
+    std::optional<unsigned> first;
+    caller_.call({"127.0.0.1", receiver_.server().port()}, relayed(context()), {},
+                 [&](const auto& answer) { first = answer ? answer->status : 0U; });
+    run_until([&] { return open.has_value(); });
+    EXPECT_FALSE(receiver_.takes_more());
+    const auto refused = send(relayed(context()));
+    EXPECT_EQ(refused->status, 503U);
+    EXPECT_EQ(read_relay_outcome(refused->headers), relay_outcome::not_run);
+    open->send({200, {{"signature", "s"}, {"attempt", "a1"}}, "ok"});
+    run_until([&] { return first.has_value(); });
+    EXPECT_EQ(first, 200U);
+}
+
+TEST_F(relay_receiver_test, requests_without_a_context_and_of_unknown_hosts_are_not_served) {
+    add_backend("b1", "desk").add_handler(respond_with(200));
+    auto request = relayed(context());
+    static_cast<void>(take_relay_context(request.headers));
+    EXPECT_EQ(send(request)->status, 400U);
+    is_peer_ = false;
+    EXPECT_FALSE(send(relayed(context())));
+    EXPECT_TRUE(backends_.front()->requests().empty());
+}
+
+TEST_F(relay_receiver_test, an_unknown_key_is_refused) {
+    auto request = relayed(context());
+    std::ranges::replace(request.headers, http_header{"key", "k1"}, http_header{"key", "other"});
+    const auto refused = send(std::move(request));
+    EXPECT_EQ(refused->status, 401U);
+    EXPECT_EQ(read_relay_outcome(refused->headers), relay_outcome::not_run);
+}
+
+} // namespace
+} // namespace magnolia
