--- a/src/backend_fleet.h
+++ b/src/backend_fleet.h
@@ -202,7 +202,8 @@
     [[nodiscard]] std::vector<backend_record*>
     usable_backends(std::string_view service, const std::vector<std::string>& tried,
                     time_point now);
-    void add_job(backend_record& record, const engine_job& job, time_point now);
+    void add_job(backend_record& record, const placed_work& work, std::uint64_t origin,
+                 time_point now);
     /// Ids of the engines that are reserved for long prompts.
     [[nodiscard]] std::set<std::string>
     engines_reserved_for_long(std::string_view service, const std::vector<backend_record*>& engines,
--- /dev/null
+++ b/src/backend_fleet_gossip.cpp
@@ -0,0 +1,200 @@
+/// Second part of backend_fleet: what gateways tell each other of placements and of the limits that
+/// backend servers state.
+#include "backend_fleet.h"
+
+#include <algorithm>
+#include <ranges>
+
+namespace magnolia {
+namespace {
+
+/// Placements in one datagram of a snapshot; at about 100 bytes each well under the limit of 64 KB.
+constexpr std::size_t max_snapshot_placements = 200;
+/// Limits of backend servers that are told to the other gateways.
+constexpr std::size_t max_told_limits = 64;
+/// Time for which the others are told that a limit has ended.
+constexpr duration ended_limit_lifetime = std::chrono::seconds{10};
+/// Bounds the jobs tracked for each other gateway.
+constexpr std::size_t max_remote_jobs = 4096;
+
+milliseconds remaining_time(duration target, duration passed) {
+    return std::chrono::duration_cast<milliseconds>(std::max(target - passed, duration{0}));
+}
+
+std::uint32_t remaining_tokens(std::uint32_t tokens, double done) {
+    return done < tokens ? static_cast<std::uint32_t>(tokens - done) : 0;
+}
+
+/// The remaining part of a job, in the form of a job that is placed now. A target of zero means
+/// that it can no longer be missed.
+placed_work remaining_work(const engine_job& job, const std::string& backend, time_point now) {
+    const auto passed = now - job.placed_at;
+    return {.backend = backend,
+            .number = job.id.number,
+            .prefill_tokens = remaining_tokens(job.prefill.tokens, job.prefilled_tokens),
+            .first_attention_span = job.prefill.first_attention_span +
+                                    job.prefill.attention_span_increment * job.prefilled_tokens,
+            .attention_span_increment = job.prefill.attention_span_increment,
+            .memory_tokens = job.memory_tokens,
+            .context_tokens = job.context_tokens,
+            .answer_tokens = remaining_tokens(job.answer_tokens, job.decoded_tokens),
+            .is_helper = job.is_helper,
+            .has_helpers = job.has_helpers,
+            .target_latency =
+                job.is_late ? milliseconds{0} : remaining_time(job.target_latency, passed),
+            .target_pause = job.is_late
+                                ? milliseconds{0}
+                                : std::chrono::duration_cast<milliseconds>(job.target_pause),
+            .time_limit = remaining_time(job.time_limit, passed),
+            .value = job.value};
+}
+
+} // namespace
+
+std::optional<placement_update> backend_fleet::take_update(const std::string& sender,
+                                                           bool is_digest) {
+    const bool is_empty = pending_update_.placed.empty() &&
+                          pending_update_.answer_started.empty() && pending_update_.ended.empty();
+    if (is_empty && !is_digest) {
+        return std::nullopt;
+    }
+    auto update = std::exchange(pending_update_, {});
+    update.sender = sender;
+    update.origin = origin_;
+    update.is_digest = is_digest;
+    if (is_digest) {
+        const auto repeated = std::exchange(placed_since_digest_, update.placed);
+        for (const auto& work : repeated) {
+            const auto job = open_jobs_.find(work.number);
+            if (job == open_jobs_.end()) {
+                continue;
+            }
+            update.placed.push_back(work);
+            if (job->second.has_first_event) {
+                update.answer_started.push_back(work.number);
+            }
+        }
+        std::ranges::copy(open_jobs_ | std::views::keys, std::back_inserter(update.active));
+    } else {
+        std::ranges::copy(update.placed, std::back_inserter(placed_since_digest_));
+    }
+    return update;
+}
+
+std::vector<placement_update> backend_fleet::snapshot_updates(const std::string& sender,
+                                                              time_point now) {
+    std::vector<placement_update> updates;
+    for (const auto& [number, open] : open_jobs_) {
+        if (updates.empty() || updates.back().placed.size() >= max_snapshot_placements) {
+            updates.push_back({.sender = sender, .origin = origin_});
+        }
+        for (const auto& backend : open.backends) {
+            auto* record = find(backend);
+            if (record == nullptr || !record->forecast) {
+                continue;
+            }
+            record->forecast->advance(now);
+            if (const auto* job = record->forecast->find({origin_, number})) {
+                updates.back().placed.push_back(remaining_work(*job, backend, now));
+            }
+        }
+        if (open.has_first_event) {
+            updates.back().answer_started.push_back(number);
+        }
+    }
+    return updates;
+}
+
+void backend_fleet::add_remote_job(const placed_work& work, std::uint64_t origin, time_point now) {
+    auto* record = find(work.backend);
+    auto& backends = remote_jobs_[origin][work.number];
+    const bool is_duplicate = std::ranges::find(backends, work.backend) != backends.end();
+    if (record == nullptr || !record->forecast || is_duplicate) {
+        return;
+    }
+    add_job(*record, work, origin, now);
+    backends.push_back(work.backend);
+}
+
+void backend_fleet::apply_update(const placement_update& update, time_point now) {
+    if (update.origin == origin_) {
+        return;
+    }
+    auto& jobs = remote_jobs_[update.origin];
+    const auto end_job = [&](auto job) {
+        for (const auto& backend : job->second) {
+            if (auto* record = find(backend); record != nullptr && record->forecast) {
+                record->forecast->remove({update.origin, job->first}, now);
+            }
+        }
+        return jobs.erase(job);
+    };
+    for (const auto& work : update.placed) {
+        if (jobs.size() < max_remote_jobs) {
+            add_remote_job(work, update.origin, now);
+        }
+    }
+    for (const auto number : update.answer_started) {
+        const auto job = jobs.find(number);
+        if (job == jobs.end()) {
+            continue;
+        }
+        for (const auto& backend : job->second) {
+            if (auto* record = find(backend); record != nullptr && record->forecast) {
+                record->forecast->on_event({update.origin, number}, now);
+            }
+        }
+    }
+    for (const auto number : update.ended) {
+        if (const auto job = jobs.find(number); job != jobs.end()) {
+            end_job(job);
+        }
+    }
+    if (update.is_digest) {
+        for (auto job = jobs.begin(); job != jobs.end();) {
+            const bool is_open =
+                std::ranges::find(update.active, job->first) != update.active.end();
+            job = is_open ? std::next(job) : end_job(job);
+        }
+    }
+}
+
+void backend_fleet::remove_origin(std::uint64_t origin) {
+    for (auto& record : backends_ | std::views::values) {
+        if (record.forecast) {
+            record.forecast->remove_origin(origin);
+        }
+    }
+    remote_jobs_.erase(origin);
+}
+
+std::vector<stated_limit_entry> backend_fleet::stated_limits(time_point now) const {
+    std::vector<stated_limit_entry> limits;
+    for (const auto& [id, record] : backends_) {
+        const auto age = now - record.terms.limit_stated_at();
+        const auto limit = record.terms.limit();
+        if ((limit || age <= ended_limit_lifetime) && limits.size() < max_told_limits) {
+            limits.push_back({.backend = id,
+                              .started_ms = record.info.started_ms,
+                              .is_limited = limit.has_value(),
+                              .requests_per_s = limit.value_or(0),
+                              .age = std::chrono::duration_cast<milliseconds>(age)});
+        }
+    }
+    return limits;
+}
+
+void backend_fleet::apply_limits(const std::vector<stated_limit_entry>& limits, time_point now) {
+    for (const auto& told : limits) {
+        auto* record = find(told.backend);
+        if (record == nullptr || record->info.started_ms != told.started_ms) {
+            continue;
+        }
+        const auto limit = told.is_limited ? std::optional{told.requests_per_s} : std::nullopt;
+        if (record->terms.set_limit(limit, now - told.age, now)) {
+            update_share(*record, now);
+        }
+    }
+}
+
+} // namespace magnolia
--- a/src/forward_answer.cpp
+++ b/src/forward_answer.cpp
@@ -226,27 +226,6 @@
     complete(status_, {});
 }
 
-void forward_call::on_relay_lost(run_evidence evidence, const http_failure& failure) {
-    if (evidence == run_evidence::not_sent) {
-        tried_hosts_.push_back(relay_host_);
-        shared_.relays.on_refused(relay_host_, steady_now());
-    }
-    fail_attempt(evidence, attempt_result::lost, failure.failure);
-}
-
-void forward_call::on_relay_failure() {
-    const error failure{error_code::backend_refused,
-                        "status " + std::to_string(status_) + " of host " + relay_host_,
-                        answer_.retry_after};
-    if (relay_outcome_ == relay_outcome::in_doubt) {
-        return fail_attempt(run_evidence::in_doubt, attempt_result::failed, failure);
-    }
-    tried_hosts_.push_back(relay_host_);
-    shared_.relays.on_refused(relay_host_, steady_now());
-    // No backend server has the request, so that another host may take it.
-    fail_attempt(run_evidence::not_sent, attempt_result::refused, failure);
-}
-
 void forward_call::report_loss() {
     const auto now = steady_now();
     if (!relay_host_.empty() || !is_at_risk() || !shared_.fleet.is_staying(backend_)) {
--- a/src/forward_call.cpp
+++ b/src/forward_call.cpp
@@ -272,43 +272,6 @@
     return true;
 }
 
-bool forward_call::relay_if_unreachable(time_point now) {
-    if (!shared_.reach.is_unreachable(service_)) {
-        return false;
-    }
-    if (relayed_) {
-        refuse_with_retry_after({error_code::no_capacity, "service is unreachable from this host"});
-        return true;
-    }
-    const auto host = shared_.relays.choose(service_, tried_hosts_, now, shared_.random);
-    if (host) {
-        relay(*host);
-    }
-    return host.has_value();
-}
-
-void forward_call::relay(const relay_host& host) {
-    const auto now = steady_now();
-    sends_before_relay_ = sends_made_;
-    const relay_context context{.sender = shared_.host,
-                                .time_left = to_milliseconds(deadline_ - now),
-                                .sends_left = max_sends() - sends_made_,
-                                .config_version = routes_->version(),
-                                .is_resumed = last_event_.has_value(),
-                                .last_event = last_event_.value_or(0)};
-    job_ = {};
-    process_ = {};
-    predicted_ = {};
-    members_.clear();
-    begin_attempt(host.name, host.address, now);
-    relay_host_ = host.name;
-    sends_made_ = max_sends();
-    log_of().info(head_.attempt, "relay host=" + host.name + " service=" + service_ +
-                                     " sends_left=" + std::to_string(context.sends_left) +
-                                     " left_ms=" + std::to_string(context.time_left.count()));
-    open_call(make_relay_request(request_, context), now);
-}
-
 const std::string& forward_call::fingerprint() {
     if (fingerprint_.empty()) {
         fingerprint_ = request_fingerprint(head_.key, request_);
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -1,23 +1,11 @@
-#include "gateway.h"
-
-#include "forward_call.h"
-#include "gateway_metrics.h"
-#include "lag_detector.h"
-#include "object_watcher.h"
-#include "peer_gossip.h"
-#include "quarantine_exchange.h"
-#include "relay_receiver.h"
+#include "gateway_p.h"
 #include "watch_schedule.h"
 
 #include <boost/asio/post.hpp>
-#include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
 #include <xxhash.h>
 
 #include <csignal>
-#include <fstream>
-#include <iterator>
 #include <ranges>
 
 namespace magnolia {
@@ -27,9 +15,6 @@
 constexpr milliseconds digest_interval{500};
 /// Time between two reads of the list of gateways.
 constexpr milliseconds gateway_list_interval{10000};
-/// Time between two checks of the settings file. A change applies within the time allowed for a
-/// change of the configuration, which is at least 2 s.
-constexpr milliseconds settings_check_interval{1000};
 /// Kind of the objects under which gateways register their gossip addresses.
 constexpr auto gateway_kind = "gateways";
 
@@ -52,23 +37,6 @@
 /// those that live register again within 2 s.
 constexpr milliseconds removal_hold_after_restoration{2000};
 
-/// Share of the stop timeout during which new requests are accepted at most.
-constexpr double accept_share = 0.4;
-/// Share of the stop timeout after which only requests that are certain to end within it are
-/// accepted.
-constexpr double cautious_share = 0.35;
-/// Time before the end of the stop timeout at which remaining requests are aborted.
-constexpr milliseconds abort_reserve{350};
-/// Time that the load balancer needs to stop sending to a host that is not ready: two failed
-/// checks, one second apart.
-constexpr milliseconds balancer_removal_time{3200};
-constexpr milliseconds stop_poll_interval{50};
-/// Time for final responses to be sent before the process ends.
-constexpr milliseconds flush_time{150};
-
-/// Time to live of reservations, as a share of the age at which a reservation counts as leaked.
-constexpr double reservation_ttl_share = 0.7;
-
 /// At least this many gateways are assumed to share the retry budget, as a gateway that has just
 /// started does not have the list of its peers yet.
 constexpr std::size_t min_assumed_gateways = 8;
@@ -80,33 +48,6 @@
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_unavailable = 503;
 
-milliseconds fraction_of(milliseconds span, double share) {
-    return std::chrono::duration_cast<milliseconds>(span * share);
-}
-
-milliseconds seconds_to_ms(double seconds) {
-    return std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>{seconds});
-}
-
-/// A number that rises: version of the configuration, epoch of the store.
-struct told_number {
-    std::uint64_t value = 0;
-
-    [[nodiscard]] bool is_newer_than(const told_number& other) const { return value > other.value; }
-};
-
-/// List of backend servers at a host.
-struct told_list {
-    store_position last_change{};
-    std::uint64_t hash = 0;
-
-    /// The position alone is not sufficient: it increases with every change of an object of any
-    /// kind.
-    [[nodiscard]] bool is_newer_than(const told_list& other) const {
-        return last_change > other.last_change && hash != other.hash;
-    }
-};
-
 long ms_count(duration span) {
     return std::chrono::duration_cast<milliseconds>(span).count();
 }
@@ -133,126 +74,6 @@
 
 } // namespace
 
-/// Implementation of the gateway: connects the store, the other gateways and the server for
-/// callers. All members run on the thread of run().
-class gateway::state {
-public:
-    state(process& owner, const gateway_settings& settings, const gateway_codec& codec,
-          const store_codec& store);
-
-    result<void> run();
-
-private:
-    /// Activates the configuration if it is readable and newer than the active one. Another content
-    /// of the same version is newer, as the store reports objects in the order of their writes.
-    void apply_config(const stored_object& object);
-    /// Applies the limits of requests to both listeners.
-    void set_request_limits(const caller_limits& configured);
-    /// Requests in progress of callers and of other hosts.
-    [[nodiscard]] std::size_t active_requests() const;
-    /// The store was restored from a copy: reads everything again, and writes what only this
-    /// gateway knows.
-    void on_store_restored();
-    void apply_backend(const stored_object& object);
-    void apply_backend_list(const std::vector<stored_object>& objects);
-    /// Time for which removals of backend servers are delayed after an outage of the store.
-    [[nodiscard]] duration removal_delay() const;
-    /// Stores this gateway's gossip address for the other gateways.
-    void register_self();
-    void on_registration_failure(const error& failure);
-    /// Reads the gossip addresses of the other gateways.
-    void fetch_gateway_list();
-    /// Adds the addresses of registered gateways to those that gossip is sent to.
-    void add_peers(const std::vector<stored_object>& gateways);
-    void on_request(http_request request, const http_responder& responder);
-    /// Last moment at which the active configuration was confirmed to be the newest; time_point{}
-    /// if a peer has told a newer one.
-    [[nodiscard]] time_point routes_confirmed_at(time_point now) const;
-    [[nodiscard]] http_response readiness_response(const http_request& request) const;
-    [[nodiscard]] bool is_ready() const;
-    /// Sends the placements and ends of jobs since the previous update to all peers, in one
-    /// datagram for all changes of the current turn of the event loop.
-    void schedule_update();
-    /// Time since the store last confirmed to this gateway that its configuration is the newest.
-    [[nodiscard]] duration config_age(time_point now) const;
-    /// Sends the active jobs and the versions of configuration and backend list to all peers.
-    void send_digest(time_point now);
-    void on_placement_update(const placement_update& update);
-    void on_peer_message(const peer_message& message, const boost::asio::ip::udp::endpoint& sender);
-    /// Sends what a gateway that has just started cannot know.
-    void on_peer_discovered(const boost::asio::ip::udp::endpoint& peer);
-    /// Lists the objects again if peers have told newer ones for some time.
-    void resync_if_behind(time_point now);
-    /// Version of the active configuration; 0 if there is none.
-    [[nodiscard]] std::uint64_t config_version() const;
-    /// Longest wait of the next watch call, with jitter.
-    [[nodiscard]] milliseconds next_watch_wait();
-    /// Periodic work: registration, peers, settings file, gauges, digest.
-    void tick();
-    /// Retries per window that this gateway may make regardless of its number of requests.
-    [[nodiscard]] double budget_reserve() const;
-    [[nodiscard]] retry_budget make_retry_budget() const;
-    /// Counts and logs a finished request.
-    void on_call_end(const call_summary& summary);
-    /// Reloads the settings on SIGHUP.
-    void wait_for_hangup();
-    [[nodiscard]] milliseconds reservation_ttl() const;
-    /// Reloads the settings if the content of the file changed; no signal is needed.
-    void check_settings_file(time_point now);
-    /// Applies the settings that may change while the process runs. Names, zone, listen addresses
-    /// and placement policy need a restart.
-    void reload_settings();
-    /// Reports not ready and drains; requests are accepted until the load balancer has reacted.
-    void begin_stop();
-    /// Advances the planned stop; ends the I/O loop when no request remains or the time is over.
-    void poll_stop();
-
-    process& owner_;
-    gateway_settings settings_;
-    const gateway_codec& codec_;
-    logger log_{"gateway"};
-    boost::asio::io_context io_{1};
-    platform_client store_;
-    http_client backend_client_;
-    backend_fleet fleet_;
-    gateway_metrics metrics_;
-    reservation_manager reservations_;
-    prompt_quarantine quarantine_;
-    reach_prober reach_;
-    relay_directory relays_;
-    liveness_prober prober_;
-    peer_gossip gossip_;
-    shared_call_state shared_;
-    quarantine_exchange quarantine_exchange_;
-    http_server caller_server_;
-    relay_receiver relay_receiver_;
-    http_server readiness_server_;
-    object_watcher config_watcher_;
-    object_watcher backend_watcher_;
-    boost::asio::steady_timer tick_timer_;
-    boost::asio::steady_timer stop_timer_;
-    boost::asio::signal_set hangup_signal_;
-    bool is_update_scheduled_ = false;
-    lag_detector<told_number> epoch_lag_;
-    lag_detector<told_number> config_lag_;
-    lag_detector<told_list> backends_lag_;
-    /// Hash of the active configuration as it is in the store.
-    std::uint64_t config_content_ = 0;
-    /// Last moment at which the store confirmed the active configuration version to a peer.
-    time_point config_confirmed_by_peers_{};
-    /// Moment at which the store was found to be restored; time_point{} if it never was.
-    time_point store_restored_at_{};
-    /// Whether this gateway's address is in the store.
-    bool is_registered_ = false;
-    time_point next_gateway_list_{};
-    time_point next_settings_check_{};
-    /// Content of the settings file at the last check.
-    std::string settings_text_;
-    bool is_stopping_ = false;
-    bool was_ready_ = false;
-    time_point stop_began_at_{};
-};
-
 gateway::state::state(process& owner, const gateway_settings& settings, const gateway_codec& codec,
                       const store_codec& store)
     : owner_{owner}, settings_{settings}, codec_{codec},
@@ -692,108 +513,6 @@
                   (summary.cause.empty() ? "" : " cause=\"" + summary.cause + "\""));
 }
 
-// Start, reload of the settings, stop.
-
-void gateway::state::wait_for_hangup() {
-    hangup_signal_.async_wait([this](const auto& failure, int) {
-        if (!failure) {
-            reload_settings();
-            wait_for_hangup();
-        }
-    });
-}
-
-milliseconds gateway::state::reservation_ttl() const {
-    return std::min(fraction_of(settings_.late_reservation_ms, reservation_ttl_share),
-                    settings_.max_reservation_ms);
-}
-
-void gateway::state::check_settings_file(time_point now) {
-    if (owner_.settings_file().empty() || now < next_settings_check_) {
-        return;
-    }
-    next_settings_check_ = now + settings_check_interval;
-    std::ifstream file{owner_.settings_file()};
-    std::string text{std::istreambuf_iterator<char>{file}, {}};
-    if (!file || text.empty()) {
-        return log_.warn("settings file cannot be read or is empty; keeps the current settings");
-    }
-    if (text == settings_text_) {
-        return;
-    }
-    if (const auto previous = std::exchange(settings_text_, std::move(text)); !previous.empty()) {
-        reload_settings();
-    }
-}
-
-void gateway::state::reload_settings() {
-    const auto settings = load_settings<gateway_settings>(owner_.settings_file());
-    if (!settings) {
-        return log_.error("settings not reloaded, keeps the current ones: " +
-                          to_string(settings.error()));
-    }
-    settings_.retry = settings->retry;
-    settings_.quarantine = settings->quarantine;
-    quarantine_.set_settings(settings_.quarantine);
-    settings_.stop_timeout_s = settings->stop_timeout_s;
-    settings_.body_memory = settings->body_memory;
-    settings_.contact_ms = settings->contact_ms;
-    settings_.late_reservation_ms = settings->late_reservation_ms;
-    settings_.max_reservation_ms = settings->max_reservation_ms;
-    shared_.max_confirmation_age = settings_.contact_ms;
-    reservations_.set_ttl(reservation_ttl());
-    if (settings->process.platform != settings_.process.platform) {
-        settings_.process.platform = settings->process.platform;
-        log_.info("store address changed by the settings; connects to the new address");
-        store_.set_address(settings_.process.platform);
-    }
-    settings_.max_relayed = settings->max_relayed;
-    set_request_limits(shared_.routes ? shared_.routes->config().limits : caller_limits{});
-    log_.info("settings reloaded");
-}
-
-void gateway::state::begin_stop() {
-    is_stopping_ = true;
-    stop_began_at_ = steady_now();
-    log_.info("planned stop begins, " + std::to_string(active_requests()) +
-              " requests in progress");
-    const auto stop_timeout = seconds_to_ms(settings_.stop_timeout_s);
-    shared_.stop =
-        stop_times{.cautious_from = stop_began_at_ + fraction_of(stop_timeout, cautious_share),
-                   .aborts_at = stop_began_at_ + stop_timeout - abort_reserve};
-    caller_server_.begin_drain();
-    relay_receiver_.server().begin_drain();
-    send_digest(stop_began_at_);
-    poll_stop();
-}
-
-void gateway::state::poll_stop() {
-    const auto elapsed = steady_now() - stop_began_at_;
-    const auto stop_timeout = seconds_to_ms(settings_.stop_timeout_s);
-    const auto accept_time =
-        std::min(balancer_removal_time, fraction_of(stop_timeout, accept_share));
-    const bool is_idle = active_requests() == 0;
-    const bool is_timed_out = elapsed >= stop_timeout - abort_reserve;
-    if (is_timed_out || (elapsed >= accept_time && is_idle)) {
-        log_.info("planned stop ends, " + std::to_string(active_requests()) + " requests aborted");
-        caller_server_.close();
-        relay_receiver_.server().close();
-        stop_timer_.expires_after(flush_time);
-        stop_timer_.async_wait([this](const auto& /*failure*/) { io_.stop(); });
-        return;
-    }
-    if (elapsed >= accept_time) {
-        caller_server_.stop_accepting();
-        relay_receiver_.server().stop_accepting();
-    }
-    stop_timer_.expires_after(stop_poll_interval);
-    stop_timer_.async_wait([this](const auto& failure) {
-        if (!failure) {
-            poll_stop();
-        }
-    });
-}
-
 result<void> gateway::state::run() {
     for (auto& [server, address] : {std::pair{&caller_server_, settings_.listen},
                                     std::pair{&readiness_server_, settings_.readiness}}) {
--- /dev/null
+++ b/src/gateway_lifecycle.cpp
@@ -0,0 +1,135 @@
+/// Second part of the gateway: reload of the settings and planned stop.
+#include "gateway_p.h"
+
+#include <fstream>
+#include <iterator>
+
+namespace magnolia {
+namespace {
+
+/// Time between two checks of the settings file. A change applies within the time allowed for a
+/// change of the configuration, which is at least 2 s.
+constexpr milliseconds settings_check_interval{1000};
+/// Share of the stop timeout during which new requests are accepted at most.
+constexpr double accept_share = 0.4;
+/// Share of the stop timeout after which only requests that are certain to end within it are
+/// accepted.
+constexpr double cautious_share = 0.35;
+/// Time before the end of the stop timeout at which remaining requests are aborted.
+constexpr milliseconds abort_reserve{350};
+/// Time that the load balancer needs to stop sending to a host that is not ready: two failed
+/// checks, one second apart.
+constexpr milliseconds balancer_removal_time{3200};
+constexpr milliseconds stop_poll_interval{50};
+/// Time for final responses to be sent before the process ends.
+constexpr milliseconds flush_time{150};
+/// Time to live of reservations, as a share of the age at which a reservation counts as leaked.
+constexpr double reservation_ttl_share = 0.7;
+
+milliseconds fraction_of(milliseconds span, double share) {
+    return std::chrono::duration_cast<milliseconds>(span * share);
+}
+
+} // namespace
+
+void gateway::state::wait_for_hangup() {
+    hangup_signal_.async_wait([this](const auto& failure, int) {
+        if (!failure) {
+            reload_settings();
+            wait_for_hangup();
+        }
+    });
+}
+
+milliseconds gateway::state::reservation_ttl() const {
+    return std::min(fraction_of(settings_.late_reservation_ms, reservation_ttl_share),
+                    settings_.max_reservation_ms);
+}
+
+void gateway::state::check_settings_file(time_point now) {
+    if (owner_.settings_file().empty() || now < next_settings_check_) {
+        return;
+    }
+    next_settings_check_ = now + settings_check_interval;
+    std::ifstream file{owner_.settings_file()};
+    std::string text{std::istreambuf_iterator<char>{file}, {}};
+    if (!file || text.empty()) {
+        return log_.warn("settings file cannot be read or is empty; keeps the current settings");
+    }
+    if (text == settings_text_) {
+        return;
+    }
+    if (const auto previous = std::exchange(settings_text_, std::move(text)); !previous.empty()) {
+        reload_settings();
+    }
+}
+
+void gateway::state::reload_settings() {
+    const auto settings = load_settings<gateway_settings>(owner_.settings_file());
+    if (!settings) {
+        return log_.error("settings not reloaded, keeps the current ones: " +
+                          to_string(settings.error()));
+    }
+    settings_.retry = settings->retry;
+    settings_.quarantine = settings->quarantine;
+    quarantine_.set_settings(settings_.quarantine);
+    settings_.stop_timeout_s = settings->stop_timeout_s;
+    settings_.body_memory = settings->body_memory;
+    settings_.contact_ms = settings->contact_ms;
+    settings_.late_reservation_ms = settings->late_reservation_ms;
+    settings_.max_reservation_ms = settings->max_reservation_ms;
+    shared_.max_confirmation_age = settings_.contact_ms;
+    reservations_.set_ttl(reservation_ttl());
+    if (settings->process.platform != settings_.process.platform) {
+        settings_.process.platform = settings->process.platform;
+        log_.info("store address changed by the settings; connects to the new address");
+        store_.set_address(settings_.process.platform);
+    }
+    settings_.max_relayed = settings->max_relayed;
+    set_request_limits(shared_.routes ? shared_.routes->config().limits : caller_limits{});
+    log_.info("settings reloaded");
+}
+
+void gateway::state::begin_stop() {
+    is_stopping_ = true;
+    stop_began_at_ = steady_now();
+    log_.info("planned stop begins, " + std::to_string(active_requests()) +
+              " requests in progress");
+    const auto stop_timeout = seconds_to_ms(settings_.stop_timeout_s);
+    shared_.stop =
+        stop_times{.cautious_from = stop_began_at_ + fraction_of(stop_timeout, cautious_share),
+                   .aborts_at = stop_began_at_ + stop_timeout - abort_reserve};
+    caller_server_.begin_drain();
+    relay_receiver_.server().begin_drain();
+    send_digest(stop_began_at_);
+    poll_stop();
+}
+
+void gateway::state::poll_stop() {
+    const auto elapsed = steady_now() - stop_began_at_;
+    const auto stop_timeout = seconds_to_ms(settings_.stop_timeout_s);
+    const auto accept_time =
+        std::min(balancer_removal_time, fraction_of(stop_timeout, accept_share));
+    const bool is_idle = active_requests() == 0;
+    const bool is_timed_out = elapsed >= stop_timeout - abort_reserve;
+    if (is_timed_out || (elapsed >= accept_time && is_idle)) {
+        log_.info("planned stop ends, " + std::to_string(active_requests()) + " requests aborted");
+        caller_server_.close();
+        relay_receiver_.server().close();
+        stop_timer_.expires_after(flush_time);
+        stop_timer_.async_wait([this](const auto& /*failure*/) { io_.stop(); });
+        return;
+    }
+    if (elapsed >= accept_time) {
+        caller_server_.stop_accepting();
+        relay_receiver_.server().stop_accepting();
+    }
+    stop_timer_.expires_after(stop_poll_interval);
+    stop_timer_.async_wait([this](const auto& failure) {
+        if (!failure) {
+            poll_stop();
+        }
+    });
+}
+
+} // namespace magnolia
--- /dev/null
+++ b/src/gateway_p.h
@@ -0,0 +1,161 @@
+/// State of a gateway; included by its source files only.
+#pragma once
+
+#include "forward_call.h"
+#include "gateway.h"
+#include "gateway_metrics.h"
+#include "lag_detector.h"
+#include "object_watcher.h"
+#include "peer_gossip.h"
+#include "quarantine_exchange.h"
+#include "relay_receiver.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace magnolia {
+
+inline milliseconds seconds_to_ms(double seconds) {
+    return std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>{seconds});
+}
+
+/// A number that rises: version of the configuration, epoch of the store.
+struct told_number {
+    std::uint64_t value = 0;
+
+    [[nodiscard]] bool is_newer_than(const told_number& other) const { return value > other.value; }
+};
+
+/// List of backend servers at a host.
+struct told_list {
+    store_position last_change{};
+    std::uint64_t hash = 0;
+
+    /// The position alone is not sufficient: it increases with every change of an object of any
+    /// kind.
+    [[nodiscard]] bool is_newer_than(const told_list& other) const {
+        return last_change > other.last_change && hash != other.hash;
+    }
+};
+
+/// Implementation of the gateway: connects the store, the other gateways and the server for
+/// callers. All members run on the thread of run().
+class gateway::state {
+public:
+    state(process& owner, const gateway_settings& settings, const gateway_codec& codec,
+          const store_codec& store);
+
+    result<void> run();
+
+private:
+    /// Activates the configuration if it is readable and newer than the active one. Another content
+    /// of the same version is newer, as the store reports objects in the order of their writes.
+    void apply_config(const stored_object& object);
+    /// Applies the limits of requests to both listeners.
+    void set_request_limits(const caller_limits& configured);
+    /// Requests in progress of callers and of other hosts.
+    [[nodiscard]] std::size_t active_requests() const;
+    /// The store was restored from a copy: reads everything again, and writes what only this
+    /// gateway knows.
+    void on_store_restored();
+    void apply_backend(const stored_object& object);
+    void apply_backend_list(const std::vector<stored_object>& objects);
+    /// Time for which removals of backend servers are delayed after an outage of the store.
+    [[nodiscard]] duration removal_delay() const;
+    /// Stores this gateway's gossip address for the other gateways.
+    void register_self();
+    void on_registration_failure(const error& failure);
+    /// Reads the gossip addresses of the other gateways.
+    void fetch_gateway_list();
+    /// Adds the addresses of registered gateways to those that gossip is sent to.
+    void add_peers(const std::vector<stored_object>& gateways);
+    void on_request(http_request request, const http_responder& responder);
+    /// Last moment at which the active configuration was confirmed to be the newest; time_point{}
+    /// if a peer has told a newer one.
+    [[nodiscard]] time_point routes_confirmed_at(time_point now) const;
+    [[nodiscard]] http_response readiness_response(const http_request& request) const;
+    [[nodiscard]] bool is_ready() const;
+    /// Sends the placements and ends of jobs since the previous update to all peers, in one
+    /// datagram for all changes of the current turn of the event loop.
+    void schedule_update();
+    /// Time since the store last confirmed to this gateway that its configuration is the newest.
+    [[nodiscard]] duration config_age(time_point now) const;
+    /// Sends the active jobs and the versions of configuration and backend list to all peers.
+    void send_digest(time_point now);
+    void on_placement_update(const placement_update& update);
+    void on_peer_message(const peer_message& message, const boost::asio::ip::udp::endpoint& sender);
+    /// Sends what a gateway that has just started cannot know.
+    void on_peer_discovered(const boost::asio::ip::udp::endpoint& peer);
+    /// Lists the objects again if peers have told newer ones for some time.
+    void resync_if_behind(time_point now);
+    /// Version of the active configuration; 0 if there is none.
+    [[nodiscard]] std::uint64_t config_version() const;
+    /// Longest wait of the next watch call, with jitter.
+    [[nodiscard]] milliseconds next_watch_wait();
+    /// Periodic work: registration, peers, settings file, gauges, digest.
+    void tick();
+    /// Retries per window that this gateway may make regardless of its number of requests.
+    [[nodiscard]] double budget_reserve() const;
+    [[nodiscard]] retry_budget make_retry_budget() const;
+    /// Counts and logs a finished request.
+    void on_call_end(const call_summary& summary);
+    /// Reloads the settings on SIGHUP.
+    void wait_for_hangup();
+    [[nodiscard]] milliseconds reservation_ttl() const;
+    /// Reloads the settings if the content of the file changed; no signal is needed.
+    void check_settings_file(time_point now);
+    /// Applies the settings that may change while the process runs. Names, zone, listen addresses
+    /// and placement policy need a restart.
+    void reload_settings();
+    /// Reports not ready and drains; requests are accepted until the load balancer has reacted.
+    void begin_stop();
+    /// Advances the planned stop; ends the I/O loop when no request remains or the time is over.
+    void poll_stop();
+
+    process& owner_;
+    gateway_settings settings_;
+    const gateway_codec& codec_;
+    logger log_{"gateway"};
+    boost::asio::io_context io_{1};
+    platform_client store_;
+    http_client backend_client_;
+    backend_fleet fleet_;
+    gateway_metrics metrics_;
+    reservation_manager reservations_;
+    prompt_quarantine quarantine_;
+    reach_prober reach_;
+    relay_directory relays_;
+    liveness_prober prober_;
+    peer_gossip gossip_;
+    shared_call_state shared_;
+    quarantine_exchange quarantine_exchange_;
+    http_server caller_server_;
+    relay_receiver relay_receiver_;
+    http_server readiness_server_;
+    object_watcher config_watcher_;
+    object_watcher backend_watcher_;
+    boost::asio::steady_timer tick_timer_;
+    boost::asio::steady_timer stop_timer_;
+    boost::asio::signal_set hangup_signal_;
+    bool is_update_scheduled_ = false;
+    lag_detector<told_number> epoch_lag_;
+    lag_detector<told_number> config_lag_;
+    lag_detector<told_list> backends_lag_;
+    /// Hash of the active configuration as it is in the store.
+    std::uint64_t config_content_ = 0;
+    /// Last moment at which the store confirmed the active configuration version to a peer.
+    time_point config_confirmed_by_peers_{};
+    /// Moment at which the store was found to be restored; time_point{} if it never was.
+    time_point store_restored_at_{};
+    /// Whether this gateway's address is in the store.
+    bool is_registered_ = false;
+    time_point next_gateway_list_{};
+    time_point next_settings_check_{};
+    /// Content of the settings file at the last check.
+    std::string settings_text_;
+    bool is_stopping_ = false;
+    bool was_ready_ = false;
+    time_point stop_began_at_{};
+};
+
+} // namespace magnolia
