Forget a limit that no answer has stated for 30 s

Found by reading: a host that was cut off for more than the 10 s in which the others tell the end of a limit, and that is no user of the server, kept the limit for ever, as it sends nothing and is told nothing. Class: a belief that only its own use could correct. The test of stated_terms fails without the expiry. 36 tests of limits pass, limited_backend.* with them.

--- a/src/backend_fleet.h
+++ b/src/backend_fleet.h
@@ -133,6 +133,8 @@
     /// Sets the hosts among which stated limits are divided.
     /// @param own  name of this host, which is one of them.
     void set_hosts(const std::string& own, std::vector<std::string> hosts, time_point now);
+    /// Forgets limits that no gateway was told for long.
+    void expire_limits(time_point now);
     /// Limits that were stated, or that ended a short time ago, for the other gateways.
     [[nodiscard]] std::vector<stated_limit_entry> stated_limits(time_point now) const;
     /// Applies what another gateway was told; the latest statement counts.
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -427,6 +427,7 @@
     hosts.push_back(settings_.process.name);
     std::ranges::sort(hosts);
     fleet_.set_hosts(settings_.process.name, std::move(hosts), now);
+    fleet_.expire_limits(now);
     resync_if_behind(now);
     quarantine_exchange_.tick(now);
     check_settings_file(now);
--- a/src/stated_terms.cpp
+++ b/src/stated_terms.cpp
@@ -11,6 +11,8 @@
 /// Random time after the rest, at most this share of it and this time.
 constexpr double max_delay_share = 0.1;
 constexpr duration max_delay = std::chrono::milliseconds{500};
+/// Time without a statement after which a limit is forgotten.
+constexpr duration limit_lifetime = std::chrono::seconds{30};
 /// Requests in progress from which on a backend server has recovered.
 constexpr std::uint32_t recovered_in_progress = 64;
 
@@ -39,6 +41,12 @@
     return std::exchange(limit_, requests_per_s) != requests_per_s;
 }
 
+void stated_terms::expire_limit(time_point now) {
+    if (limit_ && now - limit_stated_at_ > limit_lifetime) {
+        limit_.reset();
+    }
+}
+
 void stated_terms::set_share(double requests_per_s, time_point now) {
     bucket_.configure(requests_per_s, 1, now);
     if (requests_per_s <= 0) {
--- a/src/stated_terms.h
+++ b/src/stated_terms.h
@@ -31,6 +31,9 @@
     /// Time of the last answer that stated a limit, or none after one; time_point{} if there was
     /// none.
     [[nodiscard]] time_point limit_stated_at() const { return limit_stated_at_; }
+    /// Forgets a limit that no answer has stated for long: this gateway may not have been told its
+    /// end.
+    void expire_limit(time_point now);
     /// Requests per second that this gateway may send while there is a limit; 0 for none.
     void set_share(double requests_per_s, time_point now);
     /// A request is sent to it.
--- a/tests/stated_terms_test.cpp
+++ b/tests/stated_terms_test.cpp
@@ -66,6 +66,34 @@
     EXPECT_TRUE(terms_.admits(1000, after));
 }
 
+TEST_F(stated_terms_test, requests_follow_the_share_of_a_limit) {
+    EXPECT_TRUE(terms_.set_limit(1, start, start));
+    EXPECT_FALSE(terms_.is_open(start));
+    terms_.set_share(1, start);
+    EXPECT_FALSE(terms_.admits(0, start));
+    EXPECT_TRUE(terms_.admits(0, start + 1s));
+    terms_.on_sent(start + 1s);
+    EXPECT_FALSE(terms_.admits(0, start + 1500ms));
+    EXPECT_TRUE(terms_.set_limit(std::nullopt, start + 2s, start + 2s));
+    EXPECT_TRUE(terms_.admits(0, start + 2s));
+}
+
+TEST_F(stated_terms_test, an_older_statement_changes_nothing) {
+    EXPECT_TRUE(terms_.set_limit(1, start, start));
+    EXPECT_TRUE(terms_.set_limit(std::nullopt, start + 2s, start + 2s));
+    EXPECT_FALSE(terms_.set_limit(1, start + 1s, start + 3s));
+    EXPECT_EQ(terms_.limit(), std::nullopt);
+}
+
+// A gateway that was cut off when the limit ended would keep it for ever, as it sends nothing.
+TEST_F(stated_terms_test, a_limit_that_nobody_states_any_more_is_forgotten) {
+    EXPECT_TRUE(terms_.set_limit(1, start, start));
+    terms_.expire_limit(start + 29s);
+    EXPECT_EQ(terms_.limit(), 1);
+    terms_.expire_limit(start + 31s);
+    EXPECT_EQ(terms_.limit(), std::nullopt);
+}
+
 TEST_F(stated_terms_test, rests_of_the_same_time_end_apart) {
     stated_terms other;
     terms_.ask_for_rest(4s, start, random_);
