--- a/include/magnolia/schema.h
+++ b/include/magnolia/schema.h
@@ -541,6 +541,19 @@
 void to_json(nlohmann::json& out, const quarantine_settings& value);
 void read(const nlohmann::json& in, schema_reader& reader, quarantine_settings& value);
 
+/// Requests to backend servers that are cold; the configuration names the rate that they bear.
+struct cold_settings {
+    /// Multiple of that rate that all gateways together may reach within a second. [1..100]
+    double overage{1};
+    /// Requests within a second in addition to it. [0..1000000 requests]
+    double slack{0};
+
+    bool operator==(const cold_settings&) const = default;
+};
+
+void to_json(nlohmann::json& out, const cold_settings& value);
+void read(const nlohmann::json& in, schema_reader& reader, cold_settings& value);
+
 /// Settings of magnolia-gateway.
 struct gateway_settings {
     /// Common settings; `platform` is the object API.
@@ -577,6 +590,12 @@
     /// some, before it reads everything from the store itself. For deployments of many hosts that
     /// start together. [0..60000 ms]
     std::chrono::milliseconds discovery_ms{0};
+    /// Time within which nothing more is sent to the backend servers of a zone that an operator
+    /// evacuates; 0 if operators of the deployment evacuate no zones: the store is not asked for
+    /// it. [0..600000 ms]
+    std::chrono::milliseconds evacuation_ms{0};
+    /// Requests to cold backend servers.
+    cold_settings cold{};
     /// Maximum number of requests in progress that other hosts have passed on to this one; 0 takes
     /// none. [0..100000 requests]
     std::uint32_t max_relayed{64};
--- a/src/forward_types.h
+++ b/src/forward_types.h
@@ -53,6 +53,8 @@
     milliseconds target_pause{0};
     /// Most backend servers that one request may be sent to, first attempt and retries.
     std::uint32_t max_attempts = 1;
+    /// Rank of its requests where capacity is short; 0 is the most urgent.
+    std::uint32_t urgency = 0;
     std::vector<weighted_service> services;
 };
 
@@ -80,11 +82,24 @@
     std::uint32_t mean_answer_tokens = 200;
 };
 
+/// What the backend servers of a service bear while they are cold: for a time after their start, or
+/// whenever they state so.
+struct cold_terms {
+    /// Time for which a backend server is cold after its start.
+    milliseconds cold_time{0};
+    /// Requests per second of all gateways together that a cold backend server bears.
+    double requests_per_s = 0;
+
+    bool operator==(const cold_terms&) const = default;
+};
+
 /// A service in the configuration: a group of interchangeable backend servers.
 struct routed_service {
     std::string name;
     /// Set if the backend servers are model engines.
     std::optional<engine_profile> engine;
+    /// Set if cold backend servers bear a limited rate only.
+    std::optional<cold_terms> cold{};
 };
 
 /// Size and time limits on the requests of callers.
@@ -99,6 +114,9 @@
 struct workspace_info {
     std::string name;
     std::vector<std::string> keys;
+    /// Rank of its requests where capacity is short, 0 is the most urgent; takes precedence over
+    /// that of the route.
+    std::optional<std::uint32_t> urgency;
 };
 
 /// One version of the operators' configuration.
@@ -122,6 +140,8 @@
     bool is_leaving = false;
     /// Start of the process, ms since the Unix epoch. Distinguishes starts that reuse an id.
     std::int64_t started_ms = 0;
+    /// Time for which it stays cold, as of its last report; see cold_terms.
+    milliseconds cold_left{0};
 
     bool operator==(const backend_info&) const = default;
 };
@@ -168,6 +188,8 @@
     /// Id of the intended backend server; another one that reuses its address refuses the request.
     std::string backend_id;
     std::string workspace;
+    /// Rank in the backend server's own queue, 0 is first; absent for its default.
+    std::optional<std::uint32_t> urgency;
     /// Backend servers that share the prefill.
     std::vector<helper_ref> helpers;
     /// Number of the last event that the caller has; the stream resumes after it.
@@ -192,6 +214,8 @@
     /// Requests per second that the backend server takes from all gateways together, if it states a
     /// limit.
     std::optional<double> requests_per_s;
+    /// Time for which the backend server stays cold, if it states one; see cold_terms.
+    std::optional<milliseconds> cold_left;
 };
 
 } // namespace magnolia
--- a/src/gateway_port.h
+++ b/src/gateway_port.h
@@ -53,6 +53,10 @@
     [[nodiscard]] virtual result<backend_info> read_backend(const std::string& id,
                                                             std::string_view value) const = 0;
 
+    /// Kind of the objects by which operators evacuate zones: while there is one with the name of a
+    /// zone, nothing is sent to the backend servers of that zone. Empty if there are none.
+    [[nodiscard]] virtual std::string evacuation_kind() const = 0;
+
     /// Builds a request that reserves memory on an engine for the time to live, or renews the
     /// reservation with this id.
     [[nodiscard]] virtual http_request write_reserve(std::string_view reservation_id,
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -25,6 +25,7 @@
     [[nodiscard]] object_id config_object() const override { return {"routes", "main"}; }
     [[nodiscard]] result<routing_config> read_config(std::string_view value) const override;
     [[nodiscard]] std::string backend_kind() const override { return "backends"; }
+    [[nodiscard]] std::string evacuation_kind() const override { return "evacuations"; }
     [[nodiscard]] result<backend_info> read_backend(const std::string& id,
                                                     std::string_view value) const override;
     [[nodiscard]] http_request write_reserve(std::string_view reservation_id, std::uint32_t tokens,
--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -14,11 +14,11 @@
 /// Streaming and unsafe routes, services with and without an engine, limits and a tenant.
 constexpr auto config_text = R"({"Version":7,"Routes":[
   {"Name":"r1","Host":"a.example","PathPrefix":"/x/","Kind":"streaming","TimeoutMs":10000,
-   "TargetLatencyMs":300,"Priority":1,"TrafficSplit":[{"Service":"s1","Weight":90},
+   "TargetLatencyMs":300,"Priority":3,"TrafficSplit":[{"Service":"s1","Weight":90},
    {"Service":"s2","Weight":10}],"Attempts":2,"Public":false,"Resumable":true,"TargetGapMs":250},
   {"Name":"r2","Host":"a.example","PathPrefix":"/y/","Kind":"unsafe","TimeoutMs":600,
    "Service":"s2","Attempts":1,"Public":true}],
- "Services":[{"Name":"s1","HealthPath":"/health","MaxConnections":434,"Engine":{"Slots":16,
+ "Services":[{"Name":"s1","HealthPath":"/health","MaxConnections":434,"ColdStartS":3.5,"ColdPerS":14.0,"Engine":{"Slots":16,
    "KvTokens":232000,"Stride":43,"step_ms":1.02,"per_seq_ms":0.00226,"context_per_k":0.00431,
    "read_per_s":206000.0,"pairs_per_m":0.138,"chunk":2048,"usual":{"prompt":12331,"answer":1303},
    "HopMs":0.075}},{"Name":"s2","MaxConnections":110}],
@@ -64,6 +64,11 @@
     EXPECT_DOUBLE_EQ(engine->prefill_tokens_per_ms, 206);
     EXPECT_EQ(engine->mean_answer_tokens, 1303U);
     EXPECT_FALSE(config->services[1].engine);
+    EXPECT_EQ(config->services[0].cold, (cold_terms{milliseconds{3500}, 14}));
+    EXPECT_FALSE(config->services[1].cold);
+    EXPECT_EQ(stream.urgency, 3U);
+    EXPECT_EQ(config->routes[1].urgency, 0U);
+    EXPECT_EQ(config->workspaces[0].urgency, 1U);
     EXPECT_EQ(config->workspaces[0].keys.size(), 2U);
 }
 
@@ -95,8 +100,8 @@
 // configuration with defaults in their place, which refused all requests or admitted too many.
 TEST(wire_codec, a_configuration_with_a_field_missing_or_of_another_type_is_rejected) {
     const wire_codec codec;
-    const std::set<std::string> unread{"Priority", "HealthPath", "MaxConnections", "Protocol",
-                                       "Tls",      "Sticky",     "HopMs",          "prompt"};
+    const std::set<std::string> unread{"HealthPath", "MaxConnections", "Protocol", "Tls",
+                                       "Sticky",     "HopMs",          "prompt"};
     const std::set<std::string> required{"Version", "Routes",      "Services",   "Name",
                                          "Host",    "Kind",        "PathPrefix", "TimeoutMs",
                                          "Service", "TrafficSplit"};
@@ -133,15 +138,23 @@
 /// values.
 TEST(wire_codec, objects_of_other_writers_are_no_backend_servers) {
     const wire_codec codec;
-    const json good{{"Service", "s1"},  {"Address", "10.128.0.9:8080"},
-                    {"Zone", "z"},      {"Slots", 16},
-                    {"State", "ready"}, {"born", 5}};
+    const json good{{"Service", "s1"},
+                    {"Address", "10.128.0.9:8080"},
+                    {"Zone", "z"},
+                    {"Slots", 16},
+                    {"State", "ready"},
+                    {"born", 5},
+                    {"ColdRemainingMs", 2500}};
     const auto backend = codec.read_backend("i-1", good.dump());
     ASSERT_TRUE(backend);
     EXPECT_EQ(backend->address.address, "10.128.0.9");
     EXPECT_EQ(backend->address.port, 8080);
     EXPECT_EQ(backend->started_ms, 5);
     EXPECT_FALSE(backend->is_leaving);
+    EXPECT_EQ(backend->cold_left, milliseconds{2500});
+    auto negative = good;
+    negative["ColdRemainingMs"] = -1;
+    EXPECT_FALSE(codec.read_backend("i-1", negative.dump()));
     auto draining = good;
     draining["State"] = "draining";
     EXPECT_TRUE(codec.read_backend("i-1", draining.dump())->is_leaving);
@@ -220,10 +233,13 @@
     parameters.workspace.clear();
     parameters.helpers.clear();
     parameters.resume_after = 15;
+    EXPECT_EQ(field("X-Request-Priority"), "");
+    parameters.urgency = 12;
     const auto public_request = wire_codec{}.write_request(sample_request(), parameters);
     EXPECT_EQ(find_header(public_request.headers, "X-Tenant"), "");
     EXPECT_EQ(find_header(public_request.headers, "X-Helpers"), "");
     EXPECT_EQ(find_header(public_request.headers, "Last-Event-Id"), "15");
+    EXPECT_EQ(find_header(public_request.headers, "X-Request-Priority"), "9");
 }
 
 /// Only an answer that proves that the call was not executed permits another attempt at a
@@ -255,6 +271,17 @@
     EXPECT_EQ(wire_codec{}.read_answer(200, {}).requests_per_s, std::nullopt);
 }
 
+TEST(wire_codec, reads_how_long_a_backend_server_stays_cold) {
+    const auto cold_left_of = [](std::string value) {
+        return wire_codec{}.read_answer(200, {{"X-Cold-Ms", std::move(value)}}).cold_left;
+    };
+    EXPECT_EQ(cold_left_of("1500"), milliseconds{1500});
+    EXPECT_EQ(cold_left_of("0"), milliseconds{0});
+    for (const auto* invalid : {"", "-1", "long", "inf", "nan"}) {
+        EXPECT_EQ(cold_left_of(invalid), std::nullopt) << invalid;
+    }
+}
+
 // Incident BUDGET: a request for rest was told to the caller only.
 TEST(wire_codec, reads_a_request_for_rest) {
     const platform::wire_codec codec;
