Mend the races of the tests of cut hosts: whole cuts, kept ports, timers that end with their frame

Change: the timer is waited for; a bound socket that never listens keeps the port; new connections are refused on all links before any is reset. The kind of failure of a get is printed.

--- a/fakes/delay_link.cpp
+++ b/fakes/delay_link.cpp
@@ -138,13 +138,20 @@
         : context_{context}, settings_{std::move(settings)} {}
 
     result<void> listen() {
-        try {
-            acceptor_ = tcp::acceptor{context_, to_tcp(settings_.listen)};
-        } catch (const boost::system::system_error&) {
+        io_error failure;
+        address_ = to_tcp(settings_.listen);
+        port_holder_.open(address_.protocol(), failure);
+        port_holder_.set_option(tcp::acceptor::reuse_address{true}, failure);
+        port_holder_.bind(address_, failure);
+        if (failure) {
             return fail(error_code::connection,
                         settings_.listen.address + ":" + std::to_string(settings_.listen.port));
         }
-        address_ = acceptor_.local_endpoint();
+        address_ = port_holder_.local_endpoint();
+        if (const auto opened = open_acceptor(); !opened) {
+            return opened;
+        }
+        acceptor_.listen();
         accept();
         return {};
     }
@@ -169,17 +176,13 @@
         if (is_refused) {
             return {};
         }
-        io_error failure;
-        acceptor_.open(address_.protocol(), failure);
-        acceptor_.set_option(tcp::acceptor::reuse_address{true}, failure);
-        acceptor_.bind(address_, failure);
-        if (failure) {
-            return fail(error_code::connection, failure.message());
+        if (const auto opened = open_acceptor(); !opened) {
+            return opened;
         }
         if (fault == link_fault::hang) {
             fill_backlog();
         } else {
-            acceptor_.listen(tcp::acceptor::max_listen_connections, failure);
+            acceptor_.listen();
             accept();
         }
         return {};
@@ -190,10 +193,23 @@
     void close() {
         io_error ignored;
         acceptor_.close(ignored);
+        port_holder_.close(ignored);
         close_connections();
     }
 
 private:
+    /// Opens the acceptor at the link's address without listening.
+    result<void> open_acceptor() {
+        io_error failure;
+        acceptor_.open(address_.protocol(), failure);
+        acceptor_.set_option(tcp::acceptor::reuse_address{true}, failure);
+        acceptor_.bind(address_, failure);
+        if (failure) {
+            return fail(error_code::connection, failure.message());
+        }
+        return {};
+    }
+
     void stop_listening() {
         io_error ignored;
         acceptor_.close(ignored);
@@ -269,6 +285,9 @@
 
     boost::asio::io_context& context_;
     delay_link_settings settings_;
+    /// Bound and never listening. It keeps the port from being given to another connection of the
+    /// machine while the link refuses connections.
+    tcp::acceptor port_holder_{context_};
     tcp::acceptor acceptor_{context_};
     /// Address that the link listens at, also while it does not.
     tcp::endpoint address_;
--- a/src/forward_types.h
+++ b/src/forward_types.h
@@ -116,7 +116,7 @@
     std::vector<std::string> keys;
     /// Rank of its requests where capacity is short, 0 is the most urgent; takes precedence over
     /// that of the route.
-    std::optional<std::uint32_t> urgency;
+    std::optional<std::uint32_t> urgency{};
 };
 
 /// One version of the operators' configuration.
--- a/tests/gateway_cluster.cpp
+++ b/tests/gateway_cluster.cpp
@@ -161,6 +161,8 @@
     load_result load;
     std::size_t pending = 0;
     boost::asio::steady_timer timer{context_};
+    // The handler of the timer refers to this frame, so that it must have run when that ends.
+    bool is_timer_set = false;
     std::function<void()> send = [&] {
         ++pending;
         const auto& settings = gateways_[load.sent++ % gateways_.size()]->settings();
@@ -174,14 +176,16 @@
                          load.served += answer && answer->status == 200 ? 1 : 0;
                      });
         timer.expires_after(interval);
+        is_timer_set = true;
         timer.async_wait([&](const auto& failure) {
+            is_timer_set = false;
             if (!failure && steady_now() < end) {
                 send();
             }
         });
     };
     send();
-    run_until([&] { return steady_now() >= end && pending == 0; });
+    run_until([&] { return steady_now() >= end && pending == 0 && !is_timer_set; });
     return load;
 }
 
--- a/tests/host_relay_cluster_test.cpp
+++ b/tests/host_relay_cluster_test.cpp
@@ -32,7 +32,9 @@
     EXPECT_LE(send_until(steady_now() + observed_time, milliseconds{20}).sent, 40U);
     const auto& host = gateways_.front()->settings();
     for (const auto* target : {"/safe/", "/unsafe/", "/stream/"}) {
-        EXPECT_EQ(get(host.listen.port, target)->status, 200U) << target;
+        const auto answer = get(host.listen.port, target);
+        ASSERT_TRUE(answer) << target << ": " << to_string(answer.error().failure);
+        EXPECT_EQ(answer->status, 200U) << target;
     }
 }
 
--- a/tests/linked_hosts.cpp
+++ b/tests/linked_hosts.cpp
@@ -76,11 +76,19 @@
 
 void linked_hosts::set_links(std::size_t host, fakes::link_fault fault,
                              const std::string& service) {
-    for (auto& [id, link] : hosts_.at(host).links) {
-        if (service.empty() || servers_.at(id).service == service) {
-            ASSERT_TRUE(link->set_fault(fault));
+    const auto set_all = [&](fakes::link_fault next) {
+        for (auto& [id, link] : hosts_.at(host).links) {
+            if (service.empty() || servers_.at(id).service == service) {
+                ASSERT_TRUE(link->set_fault(next));
+            }
         }
+    };
+    if (fault == fakes::link_fault::reset) {
+        // The gateway runs meanwhile: a request whose connection is reset must not find a link that
+        // is still whole, as one cut takes them all.
+        set_all(fakes::link_fault::refuse_new);
     }
+    set_all(fault);
 }
 
 std::size_t linked_hosts::unserved(duration span) {
