Read the store's objects elsewhere once a source has lost the store or is behind

Change: a fresh relayed answer ends that; lag counts in any case and the host reads from the one that told it; a relay says that it has lost the store, also to reads that wait; the choice is a pure module (read_source); deployments that are not divided read for themselves.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -20,10 +20,6 @@
 /// Age reported while no configuration has arrived: larger than any limit.
 constexpr duration unknown_age = std::chrono::hours{24};
 
-/// Time for which a host reads from the store after it was found to be behind: the host that it
-/// read from is behind too, or does not answer.
-constexpr milliseconds resync_from_store_time{2000};
-
 /// This gateway's share of the call rates that the platform allows.
 constexpr double store_reads_per_s = 30;
 constexpr double store_writes_per_s = 5;
@@ -265,33 +261,36 @@
 }
 
 void gateway::state::resync_if_behind(time_point now) {
-    const bool is_epoch_old =
-        epoch_lag_.needs_resync({store_.epoch()}, config_watcher_.is_disconnected(), now);
-    const bool is_config_old =
-        config_lag_.needs_resync({config_version()}, config_watcher_.is_disconnected(), now);
+    const bool is_epoch_old = epoch_lag_.needs_resync({store_.epoch()}, now);
+    const bool is_config_old = config_lag_.needs_resync({config_version()}, now);
     const told_list own_list{backend_watcher_.last_change(), fleet_.list_hash()};
-    const bool is_list_old =
-        backends_lag_.needs_resync(own_list, backend_watcher_.is_disconnected(), now);
+    const bool is_list_old = backends_lag_.needs_resync(own_list, now);
     if (is_epoch_old || is_config_old) {
         log_.info("peers have a newer configuration or epoch of the store than this gateway, lists "
                   "the configuration again");
-        reader_.use_store_until(now + resync_from_store_time);
+        leave_source(is_epoch_old ? epoch_lag_.teller() : config_lag_.teller());
         config_watcher_.start();
     }
     if (is_epoch_old || is_list_old) {
         log_.info("peers have a newer list of backend servers or epoch of the store than this "
                   "gateway, lists them again");
-        reader_.use_store_until(now + resync_from_store_time);
+        leave_source(is_epoch_old ? epoch_lag_.teller() : backends_lag_.teller());
         backend_watcher_.start();
     }
 }
 
+void gateway::state::leave_source(const std::string& teller) {
+    if (const auto address = gossip_.address_of(teller)) {
+        reader_.on_lag({teller, *address});
+    }
+}
+
 std::uint64_t gateway::state::config_version() const {
     return shared_.routes ? shared_.routes->version() : 0;
 }
 
 milliseconds gateway::state::next_watch_wait() {
-    return watch_wait(settings_.contact_ms, watch_role_, shared_.random);
+    return watch_wait(settings_.contact_ms, watch_role_, hosts_.live_count() + 1, shared_.random);
 }
 
 void gateway::state::tick() {
--- a/src/gateway_exchange.cpp
+++ b/src/gateway_exchange.cpp
@@ -19,6 +19,9 @@
 /// Hosts that are sent their first digest at once.
 constexpr std::size_t max_greetings = 8;
 
+/// Watchers of other zones that a host asks when those of its own have lost the store.
+constexpr std::size_t max_far_relays = 3;
+
 /// Kind of the objects under which gateways register their gossip addresses.
 constexpr auto gateway_kind = "gateways";
 /// Time between two reads of the list of gateways: while no other one is known, after the first
@@ -155,24 +158,37 @@
 }
 
 void gateway::state::update_relays() {
-    const auto watchers = store_watchers(hosts_.alive(), settings_.process.zone);
-    const auto own = std::ranges::find(watchers, settings_.process.name);
-    watch_role_ = watchers.empty() || own == watchers.begin() ? watch_role::first_watcher
-                  : own != watchers.end()                     ? watch_role::further_watcher
-                                                              : watch_role::reader;
-    std::vector<store_reader::relay> relays;
-    if (watch_role_ == watch_role::reader) {
-        for (const auto& host : watchers_by_preference(watchers, settings_.process.name)) {
+    const auto& hosts = hosts_.alive();
+    const auto& self = settings_.process.name;
+    if (!fleet_.topology().is_divided()) {
+        watch_role_ = watch_role::single;
+        return reader_.set_relays({}, {}, hosts.size());
+    }
+    const auto to_relays = [&](std::vector<std::string> names) {
+        std::vector<store_reader::relay> relays;
+        for (const auto& host : watchers_by_preference(std::move(names), self)) {
             if (const auto address = gossip_.address_of(host)) {
                 relays.push_back({host, *address});
             }
         }
+        return relays;
+    };
+    const auto watchers = store_watchers(hosts, settings_.process.zone);
+    const auto own = std::ranges::find(watchers, self);
+    watch_role_ = watchers.empty() || own == watchers.begin() ? watch_role::first_watcher
+                  : own != watchers.end()                     ? watch_role::further_watcher
+                                                              : watch_role::reader;
+    if (watch_role_ != watch_role::reader) {
+        return reader_.set_relays({}, {}, hosts.size());
     }
-    if (!is_watching_ && !relays.empty()) {
+    const auto near = to_relays(watchers);
+    if (!is_watching_ && !near.empty()) {
         // They close connections from addresses that they do not know.
         send_membership(hosts_.greet(watchers, steady_now()));
     }
-    reader_.set_relays(std::move(relays), hosts_.alive().size());
+    auto far = to_relays(foreign_watchers(hosts, settings_.process.zone));
+    far.resize(std::min(far.size(), max_far_relays));
+    reader_.set_relays(near, far, hosts.size());
 }
 
 void gateway::state::add_hosts(const std::vector<stored_object>& gateways) {
@@ -339,12 +355,12 @@
     }
     fleet_.apply_limits(digest.limits, now);
     quarantine_exchange_.on_digest(digest.quarantine_hash, sender);
-    epoch_lag_.on_digest({digest.store_epoch}, now);
+    epoch_lag_.on_digest({digest.store_epoch}, now, sender);
     // Versions are the operator's, so that they are comparable over epochs.
-    config_lag_.on_digest({digest.config_version}, now);
+    config_lag_.on_digest({digest.config_version}, now, sender);
     if (digest.store_epoch >= store_.epoch()) {
         backends_lag_.on_digest(
-            {{digest.store_epoch, digest.backends_revision}, digest.backends_hash}, now);
+            {{digest.store_epoch, digest.backends_revision}, digest.backends_hash}, now, sender);
     }
     if (digest.store_epoch == store_.epoch() && digest.config_version == config_version()) {
         config_confirmed_by_peers_ = std::max(config_confirmed_by_peers_, now - digest.config_age);
--- a/src/gateway_p.h
+++ b/src/gateway_p.h
@@ -109,6 +109,9 @@
     void on_peer_discovered(const std::string& peer);
     /// Lists the objects again if peers have told newer ones for some time.
     void resync_if_behind(time_point now);
+    /// Reads from elsewhere for a while.
+    /// @param teller  host that told a newer state.
+    void leave_source(const std::string& teller);
     /// Version of the active configuration; 0 if there is none.
     [[nodiscard]] std::uint64_t config_version() const;
     /// Longest wait of the next watch call, with jitter.
@@ -180,7 +183,7 @@
     time_point next_registration_{};
     time_point started_at_{};
     bool is_watching_ = false;
-    watch_role watch_role_ = watch_role::first_watcher;
+    watch_role watch_role_ = watch_role::single;
     time_point next_gateway_list_{};
     time_point next_digest_{};
     /// Revision of the directory of hosts that was applied.
--- a/src/lag_detector.h
+++ b/src/lag_detector.h
@@ -5,6 +5,8 @@
 #include <magnolia/types.h>
 
 #include <optional>
+#include <string>
+#include <string_view>
 
 namespace magnolia {
 
@@ -16,23 +18,26 @@
 class lag_detector {
 public:
     /// Another host has this state.
-    void on_digest(const State& told, time_point now) {
+    /// @param sender  name of the other host.
+    void on_digest(const State& told, time_point now, std::string_view sender = {}) {
         if (!is_fresh(now) || !newest_->is_newer_than(told)) {
             newest_ = told;
             told_at_ = now;
+            teller_ = sender;
         }
     }
 
+    /// Host that told the newest state last.
+    [[nodiscard]] const std::string& teller() const { return teller_; }
+
     /// Whether another host has recently told a state that is newer than this host's.
     [[nodiscard]] bool is_behind(const State& own, time_point now) const {
         return is_fresh(now) && newest_->is_newer_than(own);
     }
 
-    /// Whether to read the complete state again.
-    /// @param is_disconnected  this host's calls to the store fail: it already retries, and a
-    ///                         resync would fail as well.
-    [[nodiscard]] bool needs_resync(const State& own, bool is_disconnected, time_point now) {
-        if (!is_behind(own, now) || is_disconnected) {
+    /// Whether to read the complete state again, from another source if calls fail.
+    [[nodiscard]] bool needs_resync(const State& own, time_point now) {
+        if (!is_behind(own, now)) {
             behind_since_ = {};
             return false;
         }
@@ -61,6 +66,7 @@
     }
 
     std::optional<State> newest_;
+    std::string teller_;
     time_point told_at_{};
     time_point behind_since_{};
     time_point next_resync_at_{};
--- a/src/object_relay.cpp
+++ b/src/object_relay.cpp
@@ -50,6 +50,8 @@
     if (kind.empty() || from == sources_.end()) {
         return false;
     }
+    const bool reports_loss = !find_header(request.headers, report_loss_field).empty();
+    const bool is_over = reports_loss && from->watcher->is_disconnected();
     auto wait = list_wait;
     if (auto* watch = std::get_if<object_watch>(&*call)) {
         watch->after.epoch = epoch_of(request.headers);
@@ -57,10 +59,13 @@
     }
     if (is_closed_ || waiting_.size() >= max_waiting) {
         refuse(responder);
-    } else if (const auto reply = reply_to(*from, *call, false)) {
+    } else if (const auto reply = reply_to(*from, *call, is_over)) {
         send(*from, *reply, responder);
+    } else if (is_over) {
+        refuse(responder);
     } else {
-        waiting_.push_back({&*from, std::move(*call), responder, steady_now() + wait});
+        waiting_.push_back(
+            {&*from, std::move(*call), responder, steady_now() + wait, reports_loss});
     }
     return true;
 }
@@ -92,6 +97,9 @@
     auto response = encode_reply(reply, from.watcher->cache().position().epoch);
     response.headers.push_back(
         {std::string{relayed_age_field}, to_ms(std::max(now - from.confirmed_at(), duration{0}))});
+    if (from.watcher->is_disconnected()) {
+        response.headers.push_back({std::string{relayed_loss_field}, "1"});
+    }
     if (from.watcher->reconnected_at() != time_point{}) {
         response.headers.push_back(
             {std::string{relayed_reconnect_field}, to_ms(now - from.watcher->reconnected_at())});
@@ -106,7 +114,8 @@
 void object_relay::flush(time_point now) {
     const bool has_advanced = std::exchange(has_advanced_, false);
     std::erase_if(waiting_, [&](const waiting_read& item) {
-        const bool is_over = now >= item.deadline;
+        const bool is_over =
+            now >= item.deadline || (item.reports_loss && item.from->watcher->is_disconnected());
         if (!is_over && !has_advanced) {
             return item.responder.is_closed();
         }
--- a/src/object_relay.h
+++ b/src/object_relay.h
@@ -19,9 +19,9 @@
     bool handle(const http_request& request, const http_responder& responder);
     /// The watcher has a list or a change, for which reads wait.
     void on_advance() { has_advanced_ = true; }
-    /// Answers the reads that wait for what has come since the last call, and those whose time is
-    /// over. To be called a few times a second: changes often come in series, and each answer makes
-    /// a host read again.
+    /// Answers the reads that wait for what has come since the last call, those whose time is over,
+    /// and, once the store is lost, those that want to know. To be called a few times a second:
+    /// changes often come in series, and each answer makes a host read again.
     void flush(time_point now);
     /// Refuses all reads from now on: this host ends.
     void close();
@@ -38,6 +38,7 @@
         platform_call call;
         http_responder responder;
         time_point deadline{};
+        bool reports_loss = false;
     };
 
     /// Reply to the call as of now; absent if it has to wait.
--- a/src/object_watcher.cpp
+++ b/src/object_watcher.cpp
@@ -124,6 +124,7 @@
 }
 
 void object_watcher::on_failure(const error& failure) {
+    failed_at_ = steady_now();
     if (!is_disconnected_) {
         is_disconnected_ = true;
         log_of().warn("call to the store failed, keeps the last state and retries; " + kind_ +
@@ -137,10 +138,13 @@
     if (answer.since_reconnect) {
         reconnected_at_ = std::max(reconnected_at_, now - *answer.since_reconnect);
     }
-    if (is_disconnected_ && answer.is_from_store) {
+    if (answer.is_lost) {
+        on_failure({error_code::platform_down, "all sources have lost the store"});
+    } else if (is_disconnected_ && (answer.is_from_store || now - answer.age >= failed_at_)) {
         is_disconnected_ = false;
         reconnected_at_ = now;
-        log_of().info("store responds again for " + kind_);
+        log_of().info("store responds again for " + kind_ +
+                      (answer.is_from_store ? "" : ", to another host"));
     }
 }
 
--- a/src/object_watcher.h
+++ b/src/object_watcher.h
@@ -41,7 +41,7 @@
     [[nodiscard]] bool has_synced() const { return confirmed_at_ != time_point{}; }
     /// Position of the store at the last list or change received; {} if none.
     [[nodiscard]] store_position last_change() const { return last_change_; }
-    /// Whether a call failed since the last confirmation.
+    /// Whether nothing has been confirmed since the last call that failed, by whichever source.
     [[nodiscard]] bool is_disconnected() const { return is_disconnected_; }
     /// Moment of the first successful call after the last failure, of this host or of the one that
     /// it reads from; time_point{} if none failed.
@@ -77,6 +77,8 @@
     time_point confirmed_at_{};
     time_point reconnected_at_{};
     bool is_disconnected_ = false;
+    /// Moment of the last failed call.
+    time_point failed_at_{};
 };
 
 } // namespace magnolia
--- a/src/store_reader.cpp
+++ b/src/store_reader.cpp
@@ -3,8 +3,8 @@
 #include "log.h"
 #include "platform_wire.h"
 
-#include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace magnolia {
 namespace {
@@ -13,10 +13,6 @@
 
 /// A round trip within a zone, with a lost packet and a busy host.
 constexpr milliseconds connect_timeout{400};
-/// Time for which a relay that failed is not asked. Its hosts read from the other one meanwhile.
-constexpr milliseconds exclusion_time{2000};
-/// Time between two calls of all hosts together to a store that the relays have lost.
-constexpr milliseconds trial_interval{500};
 constexpr unsigned status_ok = 200;
 
 const logger& log_of() {
@@ -46,55 +42,53 @@
                            std::uint64_t seed, milliseconds timeout)
     : context_{context}, store_{store}, client_{context}, random_{seed}, timeout_{timeout} {}
 
-void store_reader::set_relays(std::vector<relay> relays, std::size_t host_count) {
-    host_count_ = std::max<std::size_t>(host_count, 1);
-    std::vector<relay_state> next;
-    for (auto& item : relays) {
-        const auto known = std::ranges::find(
-            relays_, item.host, [](const relay_state& state) { return state.target.host; });
-        const auto excluded = known == relays_.end() || known->target.address != item.address
-                                  ? time_point{}
-                                  : known->excluded_until;
-        next.push_back({std::move(item), excluded});
+void store_reader::set_relays(const std::vector<relay>& near, const std::vector<relay>& far,
+                              std::size_t host_count) {
+    addresses_.clear();
+    std::vector<std::string> names[2];
+    for (const auto& [relays, list] : {std::pair{&near, &names[0]}, std::pair{&far, &names[1]}}) {
+        for (const auto& item : *relays) {
+            addresses_[item.host] = item.address;
+            list->push_back(item.host);
+        }
     }
-    relays_ = std::move(next);
-    is_outdated_ = is_outdated_ && !relays_.empty();
+    sources_.set_relays(names[0], names[1], host_count);
 }
 
-bool store_reader::reads_from_store() const {
-    const auto now = steady_now();
-    return now < use_store_until_ || std::ranges::none_of(relays_, [now](const auto& state) {
-               return state.excluded_until <= now;
-           });
+void store_reader::on_lag(const relay& teller) {
+    teller_ = teller;
+    sources_.on_lag(teller.host, steady_now());
+    log_of().info("what this host reads from is behind; " + teller.host + " has told more; " +
+                  sources_.explain(steady_now()));
 }
 
-store_reader::relay_state* store_reader::choose(time_point now) {
-    if (reads_from_store() || is_trial_due(now)) {
-        return nullptr;
-    }
-    return &*std::ranges::find_if(relays_,
-                                  [now](const auto& state) { return state.excluded_until <= now; });
+bool store_reader::reads_from_store() const {
+    return sources_.is_store_next(steady_now());
 }
 
-bool store_reader::is_trial_due(time_point now) {
-    if (!is_outdated_ || now < next_trial_) {
-        return false;
-    }
-    std::uniform_real_distribution<double> share{0.5, 1.5};
-    next_trial_ = now + std::chrono::duration_cast<duration>(
-                            trial_interval * (share(random_) * static_cast<double>(host_count_)));
-    return true;
+double store_reader::draw() {
+    return std::uniform_real_distribution<double>{0, 1}(random_);
 }
 
 void store_reader::read(platform_call call, reply_handler done) {
-    const auto now = steady_now();
-    if (const auto* state = choose(now)) {
-        return ask(state->target, std::move(call), std::move(done));
+    const auto choice = sources_.choose(steady_now(), draw());
+    if (choice.is_store()) {
+        return ask_store(std::move(call), std::move(done));
     }
-    store_.execute(std::move(call), call_priority::configuration,
-                   [done = std::move(done)](const auto& reply) {
-                       done({.reply = reply, .since_reconnect = std::nullopt});
-                   });
+    const auto known = addresses_.find(choice.host);
+    const auto target = known != addresses_.end() ? relay{known->first, known->second} : teller_;
+    ask(target, choice.accepts_loss, std::move(call), std::move(done));
+}
+
+void store_reader::ask_store(platform_call call, reply_handler done) {
+    store_.execute(
+        std::move(call), call_priority::configuration,
+        [this, lifetime = std::weak_ptr{lifetime_}, done = std::move(done)](const auto& reply) {
+            if (!lifetime.expired()) {
+                sources_.on_store_answer(reply.has_value(), steady_now());
+                done({.reply = reply, .since_reconnect = std::nullopt});
+            }
+        });
 }
 
 void store_reader::call_after(milliseconds pause, std::function<void()> function) {
@@ -107,7 +101,8 @@
     });
 }
 
-void store_reader::ask(const relay& target, platform_call call, reply_handler done) {
+void store_reader::ask(const relay& target, bool accepts_loss, platform_call call,
+                       reply_handler done) {
     const auto* watch = std::get_if<object_watch>(&call);
     http_call_limits limits;
     limits.connect_timeout = connect_timeout;
@@ -119,8 +114,11 @@
         request.headers.push_back(
             {std::string{relayed_epoch_field}, std::to_string(watch->after.epoch)});
     }
+    if (!accepts_loss) {
+        request.headers.push_back({std::string{report_loss_field}, "1"});
+    }
     client_.call(target.address, std::move(request), limits,
-                 [this, lifetime = std::weak_ptr{lifetime_}, host = target.host,
+                 [this, lifetime = std::weak_ptr{lifetime_}, host = target.host, accepts_loss,
                   call = std::move(call), done = std::move(done)](const auto& answer) mutable {
                      if (lifetime.expired()) {
                          return;
@@ -128,14 +126,32 @@
                      auto reply =
                          answer ? decode(call, *answer)
                                 : fail(error_code::platform_down, answer.error().failure.subject);
-                     if (reply) {
-                         return done(*reply);
-                     }
-                     exclude(host, reply.error().subject);
-                     read(std::move(call), std::move(done));
+                     on_relayed(host, accepts_loss, std::move(call), std::move(reply), done);
                  });
 }
 
+void store_reader::on_relayed(const std::string& host, bool accepts_loss, platform_call call,
+                              result<sourced_reply> reply, const reply_handler& done) {
+    if (!reply) {
+        sources_.on_failure(host, steady_now());
+        log_change(host, "does not relay the store: " + reply.error().subject);
+        return read(std::move(call), done);
+    }
+    const bool is_worse =
+        sources_.on_answer(host, reply->age, reply->is_lost, steady_now(), draw());
+    const auto* changes = std::get_if<watch_page>(&*reply->reply);
+    const bool has_news = changes != nullptr && (changes->gap || !changes->changes.empty());
+    if (is_worse && !accepts_loss && !has_news) {
+        if (reply->is_lost) {
+            log_change(host, "has lost the store");
+        }
+        return read(std::move(call), done);
+    }
+    // News of a source that is worse are used, and the next call goes to another one.
+    reply->is_lost = reply->is_lost && accepts_loss;
+    done(*reply);
+}
+
 result<sourced_reply> store_reader::decode(const platform_call& call,
                                            const http_response& response) {
     const auto age = read_age(response.headers, relayed_age_field);
@@ -151,28 +167,16 @@
         return tl::unexpected{checked.error()};
     }
     set_epoch(*reply, *epoch);
-    if (!is_outdated_ && *age > max_age_) {
-        std::uniform_real_distribution<double> share{0, 1};
-        next_trial_ = steady_now() +
-                      std::chrono::duration_cast<duration>(
-                          trial_interval * (share(random_) * static_cast<double>(host_count_)));
-    }
-    is_outdated_ = *age > max_age_;
     return sourced_reply{.reply = std::move(*reply),
                          .age = *age,
                          .since_reconnect = read_age(response.headers, relayed_reconnect_field),
-                         .is_from_store = false};
+                         .is_from_store = false,
+                         .is_lost = !find_header(response.headers, relayed_loss_field).empty()};
 }
 
-void store_reader::exclude(const std::string& host, std::string_view reason) {
-    const auto found = std::ranges::find(
-        relays_, host, [](const relay_state& state) { return state.target.host; });
-    if (found == relays_.end()) {
-        return;
-    }
-    found->excluded_until = steady_now() + exclusion_time;
-    log_of().info("host " + host +
-                  " does not relay the store, reads elsewhere: " + std::string{reason});
+void store_reader::log_change(const std::string& host, std::string_view reason) const {
+    log_of().info("host " + host + " " + std::string{reason} + ", reads elsewhere; " +
+                  sources_.explain(steady_now()));
 }
 
 } // namespace magnolia
--- a/src/store_reader.h
+++ b/src/store_reader.h
@@ -5,9 +5,11 @@
 
 #include "http_client.h"
 #include "platform_client.h"
+#include "read_source.h"
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <map>
 #include <random>
 
 namespace magnolia {
@@ -21,6 +23,8 @@
     /// the reply is the store's own.
     std::optional<duration> since_reconnect;
     bool is_from_store = true;
+    /// The source has lost the store, and there is no better one.
+    bool is_lost = false;
 };
 
 /// Owned by the gateway, shared by its watchers. Not thread-safe: calls and handlers run on the
@@ -39,14 +43,13 @@
     store_reader(boost::asio::io_context& context, platform_client& store, std::uint64_t seed,
                  std::chrono::milliseconds timeout);
 
-    /// Sets the hosts to read from, in the order of preference; none to read from the store.
-    /// @param host_count  hosts of the deployment. While the relays have lost the store, all these
-    ///                    hosts together try it about twice a second.
-    void set_relays(std::vector<relay> relays, std::size_t host_count);
+    /// Sets the hosts to read from (read_source).
+    void set_relays(const std::vector<relay>& near, const std::vector<relay>& far,
+                    std::size_t host_count);
     /// Age of what a relay has from which the store may have more.
-    void set_max_age(duration age) { max_age_ = age; }
-    /// Reads from the store until this moment, although there are relays.
-    void use_store_until(time_point end) { use_store_until_ = end; }
+    void set_max_age(duration age) { sources_.set_max_age(age); }
+    /// Another host has told a newer state for some time. The next call goes to a better source.
+    void on_lag(const relay& teller);
     /// Whether the next call goes to the store.
     [[nodiscard]] bool reads_from_store() const;
 
@@ -56,39 +59,37 @@
     void read(platform_call call, reply_handler done);
 
 private:
-    struct relay_state {
-        relay target;
-        /// Not used before this moment.
-        time_point excluded_until{};
-    };
-
-    [[nodiscard]] relay_state* choose(time_point now);
-    /// Whether the relays have lost the store and it is this host's turn to try it.
-    [[nodiscard]] bool is_trial_due(time_point now);
-    void ask(const relay& target, platform_call call, reply_handler done);
+    [[nodiscard]] double draw();
+    void ask_store(platform_call call, reply_handler done);
+    void ask(const relay& target, bool accepts_loss, platform_call call, reply_handler done);
+    /// Uses the reply of a relay, or asks another source.
+    void on_relayed(const std::string& host, bool accepts_loss, platform_call call,
+                    result<sourced_reply> reply, const reply_handler& done);
     /// Decodes the response of a relay. Errors: platform_down if it has no reply or an older one.
     [[nodiscard]] result<sourced_reply> decode(const platform_call& call,
                                                const http_response& response);
-    void exclude(const std::string& host, std::string_view reason);
+    /// Logs why another source is asked.
+    void log_change(const std::string& host, std::string_view reason) const;
 
     boost::asio::io_context& context_;
     platform_client& store_;
     http_client client_;
     std::mt19937_64 random_;
     std::chrono::milliseconds timeout_;
-    std::vector<relay_state> relays_;
-    std::size_t host_count_ = 1;
-    duration max_age_ = duration::max();
-    time_point use_store_until_{};
-    /// The last reply of a relay was too old.
-    bool is_outdated_ = false;
-    time_point next_trial_{};
+    read_source sources_;
+    /// Addresses of the relays, by name.
+    std::map<std::string, endpoint, std::less<>> addresses_;
+    relay teller_;
     std::shared_ptr<bool> lifetime_ = std::make_shared<bool>(true);
 };
 
 /// Fields of the header of a relay's response.
 inline constexpr std::string_view relayed_age_field = "Magnolia-Age-Ms";
 inline constexpr std::string_view relayed_reconnect_field = "Magnolia-Reconnect-Age-Ms";
+/// The source has lost the store.
+inline constexpr std::string_view relayed_loss_field = "Magnolia-Store-Lost";
+/// Field of a request: answer at once if the store is lost, also while the request waits.
+inline constexpr std::string_view report_loss_field = "Magnolia-Report-Loss";
 /// Field of a request: epoch of the position that it names.
 inline constexpr std::string_view relayed_epoch_field = "Magnolia-Epoch";
 
--- a/src/store_watchers.cpp
+++ b/src/store_watchers.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <map>
 #include <ranges>
+#include <set>
 #include <tuple>
 
 namespace magnolia {
@@ -30,6 +31,20 @@
     return watchers;
 }
 
+std::vector<std::string> foreign_watchers(std::span<const member_info> hosts,
+                                          std::string_view own_zone) {
+    std::set<std::string_view> zones;
+    for (const auto& host : hosts) {
+        zones.insert(host.zone);
+    }
+    zones.erase(own_zone);
+    std::vector<std::string> watchers;
+    for (const auto zone : zones) {
+        std::ranges::move(store_watchers(hosts, zone), std::back_inserter(watchers));
+    }
+    return watchers;
+}
+
 std::vector<std::string> watchers_by_preference(std::vector<std::string> watchers,
                                                 std::string_view host) {
     return rendezvous_choose(host, watchers, watchers.size());
--- a/src/store_watchers.h
+++ b/src/store_watchers.h
@@ -16,7 +16,10 @@
 [[nodiscard]] std::vector<std::string> store_watchers(std::span<const member_info> hosts,
                                                       std::string_view zone);
 
-/// Watchers of all zones together.
+/// Hosts of the other zones that watch the store.
+[[nodiscard]] std::vector<std::string> foreign_watchers(std::span<const member_info> hosts,
+                                                        std::string_view own_zone);
+
 /// The watchers in the order in which this host asks them, so that they share the hosts evenly.
 [[nodiscard]] std::vector<std::string> watchers_by_preference(std::vector<std::string> watchers,
                                                               std::string_view host);
--- a/src/watch_schedule.cpp
+++ b/src/watch_schedule.cpp
@@ -15,8 +15,13 @@
 /// the same time.
 constexpr double min_share = 0.8;
 
+/// Time between the ends of any two watch calls of all single hosts together.
+constexpr milliseconds cluster_interval{180};
+constexpr int max_contact_times = 2;
+
 double share_of(watch_role role) {
     switch (role) {
+    case watch_role::single:
     case watch_role::first_watcher:
         return first_watcher_share;
     case watch_role::further_watcher:
@@ -37,9 +42,15 @@
     return fraction_of(contact_time, timeout_share);
 }
 
-milliseconds watch_wait(milliseconds contact_time, watch_role role, std::mt19937_64& random) {
+milliseconds watch_wait(milliseconds contact_time, watch_role role, std::size_t hosts,
+                        std::mt19937_64& random) {
     std::uniform_real_distribution<double> jitter{min_share, 1.0};
-    return fraction_of(contact_time, share_of(role) * jitter(random));
+    auto wait = fraction_of(contact_time, share_of(role));
+    if (role == watch_role::single) {
+        const auto shared = cluster_interval * static_cast<std::int64_t>(hosts);
+        wait = std::max(wait, std::min<milliseconds>(shared, contact_time * max_contact_times));
+    }
+    return fraction_of(wait, jitter(random));
 }
 
 } // namespace magnolia
--- a/src/watch_schedule.h
+++ b/src/watch_schedule.h
@@ -18,6 +18,8 @@
 
 /// How a host learns of changes.
 enum class watch_role : std::uint8_t {
+    /// Reads from the store for itself, as all hosts of a small deployment do.
+    single,
     /// First watcher of its zone: notices a dead connection by itself.
     first_watcher,
     /// Further watcher: one whose connection is dead learns of changes from the digests of others.
@@ -27,7 +29,8 @@
 };
 
 /// Longest wait of the next watch call, with jitter.
-[[nodiscard]] milliseconds watch_wait(milliseconds contact_time, watch_role role,
+/// @param hosts  hosts of the deployment; single ones wait the longer the more they are.
+[[nodiscard]] milliseconds watch_wait(milliseconds contact_time, watch_role role, std::size_t hosts,
                                       std::mt19937_64& random);
 
 } // namespace magnolia
