Send nothing to the backend servers of a zone that an operator evacuates

The kind is watched where the setting evacuation_ms is stated, passed on by relays and told in digests; is_usable and the moment before the first byte of a request ask it.

--- a/include/magnolia/schema.h
+++ b/include/magnolia/schema.h
@@ -1298,6 +1298,21 @@
 void to_json(nlohmann::json& out, const stated_limit_entry& value);
 void read(const nlohmann::json& in, schema_reader& reader, stated_limit_entry& value);
 
+/// The evacuated zones as of a position of the store.
+struct evacuation_state {
+    /// Epoch of the store, see store_position.
+    std::uint64_t epoch{0};
+    /// Revision of the store.
+    std::uint64_t revision{0};
+    /// Names of the zones.
+    std::vector<std::string> zones{};
+
+    bool operator==(const evacuation_state&) const = default;
+};
+
+void to_json(nlohmann::json& out, const evacuation_state& value);
+void read(const nlohmann::json& in, schema_reader& reader, evacuation_state& value);
+
 /// Work that a gateway placed and work that ended; sent to the gateways that place work on the same
 /// engines.
 struct placement_update {
@@ -1338,6 +1353,9 @@
     std::uint32_t open_requests{0};
     /// Limits that backend servers state; set in digests only.
     std::vector<stated_limit_entry> limits{};
+    /// Zones that are evacuated as far as the sender knows, at most one entry; none if it does not
+    /// know, set in digests only.
+    std::vector<evacuation_state> evacuations{};
 
     bool operator==(const placement_update&) const = default;
 };
--- a/src/backend_fleet.cpp
+++ b/src/backend_fleet.cpp
@@ -151,7 +151,8 @@
 
 bool backend_fleet::is_usable(const backend_record& record, time_point now) const {
     const bool is_listed = !record.removal_due || *record.removal_due > now;
-    return is_listed && !record.info.is_leaving && !record.is_gone;
+    return is_listed && !record.info.is_leaving && !record.is_gone &&
+           !evacuation_.is_evacuated(record.info.zone, now);
 }
 
 bool backend_fleet::has_live(std::string_view service, time_point now) {
@@ -162,16 +163,32 @@
 }
 
 bool backend_fleet::is_still_admitted(const chosen_backends& chosen, time_point now) const {
-    return std::ranges::none_of(chosen.members,
+    return is_allowed(chosen.members, now) &&
+           std::ranges::none_of(chosen.members,
                                 [&](const auto& member) { return is_resting(member.id, now); });
 }
 
+bool backend_fleet::is_allowed(std::span<const chosen_member> members, time_point now) const {
+    return std::ranges::none_of(
+        members, [&](const auto& member) { return evacuation_.is_evacuated(member.zone, now); });
+}
+
+bool backend_fleet::has_zone(std::string_view zone) const {
+    return std::ranges::any_of(backends_ | std::views::values,
+                               [zone](const auto& record) { return record.info.zone == zone; });
+}
+
+bool backend_fleet::is_evacuated(const std::string& backend, time_point now) const {
+    const auto found = backends_.find(backend);
+    return found != backends_.end() && evacuation_.is_evacuated(found->second.info.zone, now);
+}
+
 std::vector<chosen_member> backend_fleet::live_backends(std::string_view service,
                                                         time_point now) const {
     std::vector<chosen_member> live;
     for (const auto& [id, record] : backends_) {
         if (record.info.service == service && is_usable(record, now) && !record.terms.rests(now)) {
-            live.push_back({id, record.info.address, 0});
+            live.push_back({id, record.info.address, 0, record.info.zone});
         }
     }
     return live;
--- a/src/backend_fleet.h
+++ b/src/backend_fleet.h
@@ -8,6 +8,7 @@
 #include "placement.h"
 #include "placement_outbox.h"
 #include "stated_terms.h"
+#include "zone_evacuation.h"
 
 #include <magnolia/schema.h>
 
@@ -42,6 +43,8 @@
     endpoint address;
     /// KV memory to reserve there before the request is sent, tokens; 0 if none.
     std::uint32_t reserved_tokens = 0;
+    /// Its availability zone.
+    std::string zone{};
 };
 
 /// Result of choose(). Pass it to backend_fleet::start() before sending anything.
@@ -88,8 +91,18 @@
                                                  const placement_query& query,
                                                  const std::vector<std::string>& tried,
                                                  time_point now);
-    /// Whether none of the chosen backend servers has asked for rest since.
+    /// Whether none of the chosen backend servers has asked for rest, or is in a zone that was
+    /// evacuated, since.
     [[nodiscard]] bool is_still_admitted(const chosen_backends& chosen, time_point now) const;
+    /// Whether all chosen backend servers are in zones that are not evacuated.
+    [[nodiscard]] bool is_allowed(std::span<const chosen_member> members, time_point now) const;
+    /// Zones to which nothing is sent.
+    [[nodiscard]] zone_evacuation& evacuation() { return evacuation_; }
+    [[nodiscard]] const zone_evacuation& evacuation() const { return evacuation_; }
+    /// Whether the zone has a listed backend server.
+    [[nodiscard]] bool has_zone(std::string_view zone) const;
+    /// Whether the backend server is in an evacuated zone.
+    [[nodiscard]] bool is_evacuated(const std::string& backend, time_point now) const;
     /// Whether any backend server of the service takes new requests.
     [[nodiscard]] bool has_live(std::string_view service, time_point now);
     /// Backend servers of the service that take new requests and do not rest.
@@ -200,7 +213,7 @@
     using record_list = std::vector<backend_record*>;
 
     [[nodiscard]] backend_record* find(const std::string& id);
-    /// Whether it is listed and takes part in the service.
+    /// Whether it is listed, takes part in the service, and its zone is not evacuated.
     [[nodiscard]] bool is_usable(const backend_record& record, time_point now) const;
     /// First end of a rest of the service's backend servers; empty if none rests.
     [[nodiscard]] std::optional<time_point> first_rest_end(std::string_view service,
@@ -236,6 +249,7 @@
     void add_remote_job(const placed_work& work, std::uint64_t origin, time_point now);
 
     std::string zone_;
+    zone_evacuation evacuation_;
     /// Name of this host, and all hosts; empty until they are known.
     std::string host_;
     std::vector<located_name> hosts_;
--- a/src/backend_fleet_choice.cpp
+++ b/src/backend_fleet_choice.cpp
@@ -154,7 +154,7 @@
     chosen.net_value = choice->net_value;
     for (const auto& member : choice->members) {
         const auto& info = candidates[member.index]->info;
-        chosen.members.push_back({info.id, info.address, member.reserved_tokens});
+        chosen.members.push_back({info.id, info.address, member.reserved_tokens, info.zone});
     }
     return chosen;
 }
--- a/src/forward_answer.cpp
+++ b/src/forward_answer.cpp
@@ -177,6 +177,9 @@
 
 void forward_call::on_end(const http_failure* failure) {
     if (failure != nullptr) {
+        if (failure->is_withdrawn) {
+            return choose_anew();
+        }
         const auto evidence =
             failure->is_request_written ? run_evidence::in_doubt : run_evidence::not_sent;
         if (!relay_host_.empty()) {
--- a/src/forward_call.cpp
+++ b/src/forward_call.cpp
@@ -471,6 +471,12 @@
     limits.inactivity_timeout = to_milliseconds(deadline_ - now) + milliseconds{1};
     limits.correlation_header = shared_.codec.echo_header(head_);
     limits.may_reuse_connection = false;
+    if (relay_host_.empty()) {
+        // Opening the connection took time, in which the zone may have been evacuated.
+        limits.may_write = [self] {
+            return self->shared_.fleet.is_allowed(self->members_, steady_now());
+        };
+    }
     http_stream_handlers handlers;
     handlers.on_header = [self, number](const http_response_head& head) {
         if (self->attempt_number_ == number) {
@@ -490,6 +496,16 @@
     call_ = shared_.client.stream(address_, std::move(request), limits, std::move(handlers));
 }
 
+void forward_call::choose_anew() {
+    log_of().info(head_.attempt,
+                  "withdrawn before it was sent, chooses anew: zone evacuated backend=" + backend_ +
+                      " zone=" + members_.front().zone);
+    end_attempt(attempt_result::cancelled);
+    --sends_made_;
+    tried_backends_.pop_back();
+    next_attempt();
+}
+
 bool forward_call::spend_retry_budget() {
     const auto found = shared_.retry_budgets.find(service_);
     return found != shared_.retry_budgets.end() && found->second.try_spend(1, steady_now());
--- a/src/forward_call.h
+++ b/src/forward_call.h
@@ -228,6 +228,9 @@
     void relay(const relay_host& host);
     /// Resets the state of the answer and counts a send.
     void begin_attempt(const std::string& backend, const endpoint& address, time_point now);
+    /// Chooses other backend servers for a request that was withdrawn before a byte was written, as
+    /// the zone of those chosen is evacuated. It was not sent, and no retry is charged.
+    void choose_anew();
     /// Sends the request of the current attempt.
     void open_call(http_request request, time_point now);
     /// Most backend servers that the request may be sent to.
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -153,12 +153,25 @@
                        {[this](const auto& objects) { apply_backend_list(objects); },
                         [this](const auto& object) { apply_backend(object); },
                         [this] { object_relay_.on_advance(); }}},
+      evacuation_watcher_{reader_,
+                          codec.evacuation_kind(),
+                          [this] { return next_watch_wait(); },
+                          {[](const auto& /*objects*/) {}, [](const auto& /*object*/) {},
+                           [this] {
+                               apply_evacuations();
+                               object_relay_.on_advance();
+                           }}},
       tick_timer_{io_}, update_timer_{io_}, stop_timer_{io_}, hangup_signal_{io_, SIGHUP} {
     reader_.set_max_age(settings.contact_ms);
     object_relay_.add(config_watcher_, [this] {
         return std::max(config_watcher_.confirmed_at(), config_confirmed_by_peers_);
     });
     object_relay_.add(backend_watcher_, [this] { return backend_watcher_.confirmed_at(); });
+    if (watches_evacuations()) {
+        object_relay_.add(evacuation_watcher_,
+                          [this] { return evacuation_watcher_.confirmed_at(); });
+        fleet_.evacuation().set_hold(settings.evacuation_ms);
+    }
 }
 
 // Objects from the store.
@@ -209,6 +222,9 @@
     }
     config_watcher_.start();
     backend_watcher_.start();
+    if (watches_evacuations()) {
+        evacuation_watcher_.start();
+    }
     quarantine_exchange_.on_store_restored();
 }
 
@@ -284,6 +300,17 @@
         reader_.use_store_until(now + resync_from_store_time);
         backend_watcher_.start();
     }
+    if (!watches_evacuations()) {
+        return;
+    }
+    const bool are_evacuations_old = evacuations_lag_.needs_resync(
+        watched_evacuations(), evacuation_watcher_.is_disconnected(), now);
+    if (is_epoch_old || are_evacuations_old) {
+        log_.info("peers have newer evacuations of zones or epoch of the store than this gateway's "
+                  "watch, lists them again");
+        reader_.use_store_until(now + resync_from_store_time);
+        evacuation_watcher_.start();
+    }
 }
 
 std::uint64_t gateway::state::config_version() const {
@@ -322,7 +349,8 @@
                          .open_requests = active_requests(),
                          .relayed_requests = relay_receiver_.active_requests(),
                          .unreachable_services = reach_.unreachable().size(),
-                         .reservations = reservations_.size()});
+                         .reservations = reservations_.size(),
+                         .evacuated_zones = fleet_.evacuation().zones(now).size()});
     const bool became_ready = is_ready() && !std::exchange(was_ready_, is_ready());
     if (became_ready) {
         owner_.set_ready(true);
@@ -354,7 +382,7 @@
 
 bool gateway::state::is_ready() const {
     return !is_stopping_ && shared_.routes && backend_watcher_.has_synced() &&
-           quarantine_exchange_.is_loaded(steady_now());
+           may_know_evacuations() && quarantine_exchange_.is_loaded(steady_now());
 }
 
 http_response gateway::state::readiness_response(const http_request& request) const {
--- a/src/gateway_exchange.cpp
+++ b/src/gateway_exchange.cpp
@@ -149,8 +149,12 @@
 
 void gateway::state::start_watching() {
     if (!std::exchange(is_watching_, true)) {
+        watching_since_ = steady_now();
         config_watcher_.start();
         backend_watcher_.start();
+        if (watches_evacuations()) {
+            evacuation_watcher_.start();
+        }
     }
 }
 
@@ -271,6 +275,9 @@
     digest.unreachable = reach_.unreachable();
     digest.open_requests = static_cast<std::uint32_t>(active_requests());
     digest.limits = fleet_.stated_limits(now);
+    if (fleet_.evacuation().is_known()) {
+        digest.evacuations.push_back(fleet_.evacuation().state());
+    }
     gossip_.send(digest, fleet_.topology().hosts_of(fleet_.topology().own_cell()));
     if (const auto far = far_digest_targets(); !far.empty()) {
         // They are told of placements where those concern them.
@@ -342,6 +349,7 @@
     epoch_lag_.on_digest({digest.store_epoch}, now);
     // Versions are the operator's, so that they are comparable over epochs.
     config_lag_.on_digest({digest.config_version}, now);
+    on_evacuations_told(digest.evacuations, sender, now);
     if (digest.store_epoch >= store_.epoch()) {
         backends_lag_.on_digest(
             {{digest.store_epoch, digest.backends_revision}, digest.backends_hash}, now);
--- a/src/gateway_lifecycle.cpp
+++ b/src/gateway_lifecycle.cpp
@@ -84,6 +84,7 @@
     if (settings->process.platform != settings_.process.platform) {
         settings_.process.platform = settings->process.platform;
         log_.info("store address changed by the settings; connects to the new address");
+        fleet_.evacuation().on_other_store();
         store_.set_address(settings_.process.platform);
     }
     settings_.max_relayed = settings->max_relayed;
--- a/src/gateway_metrics.cpp
+++ b/src/gateway_metrics.cpp
@@ -53,7 +53,9 @@
       unreachable_services_{registry.make_gauge("magnolia_unreachable_services",
                                                 "Services that this host cannot connect to.")},
       reservations_{registry.make_gauge("magnolia_reservations",
-                                        "Requests that hold memory of several engines.")} {
+                                        "Requests that hold memory of several engines.")},
+      evacuated_zones_{registry.make_gauge("magnolia_evacuated_zones",
+                                           "Zones to whose backend servers nothing is sent.")} {
     for (std::size_t class_index = 0; class_index < first_byte_.size(); ++class_index) {
         first_byte_[class_index] = registry.make_histogram(
             "magnolia_first_byte_seconds", "Time from arrival to the first byte sent.",
@@ -120,6 +122,7 @@
     relayed_requests_.set(static_cast<double>(gauges.relayed_requests));
     unreachable_services_.set(static_cast<double>(gauges.unreachable_services));
     reservations_.set(static_cast<double>(gauges.reservations));
+    evacuated_zones_.set(static_cast<double>(gauges.evacuated_zones));
 }
 
 } // namespace magnolia
--- a/src/gateway_metrics.h
+++ b/src/gateway_metrics.h
@@ -25,6 +25,7 @@
     /// Services to whose backend servers this host cannot open connections.
     std::size_t unreachable_services = 0;
     std::size_t reservations = 0;
+    std::size_t evacuated_zones = 0;
 };
 
 /// Registers and updates the metrics of one gateway; owned by it. Not thread-safe.
@@ -61,6 +62,7 @@
     gauge relayed_requests_;
     gauge unreachable_services_;
     gauge reservations_;
+    gauge evacuated_zones_;
 };
 
 } // namespace magnolia
--- a/src/gateway_p.h
+++ b/src/gateway_p.h
@@ -61,6 +61,17 @@
     /// The store was restored from a copy: reads everything again, and writes what only this
     /// gateway knows.
     void on_store_restored();
+    /// Takes the evacuated zones that the watcher has.
+    void apply_evacuations();
+    /// Logs which zones were evacuated or taken back.
+    void report_evacuations(const zone_evacuation::changes& changes, std::string_view source);
+    /// Whether operators of the deployment evacuate zones.
+    [[nodiscard]] bool watches_evacuations() const { return settings_.evacuation_ms.count() > 0; }
+    /// The evacuations that this host's own watcher has, for the detection of its lag.
+    [[nodiscard]] told_list watched_evacuations() const;
+    /// Whether the evacuated zones are known, or were not told for so long that this host serves as
+    /// it knows.
+    [[nodiscard]] bool may_know_evacuations() const;
     void apply_backend(const stored_object& object);
     void apply_backend_list(const std::vector<stored_object>& objects);
     /// Time for which removals of backend servers are delayed after an outage of the store.
@@ -105,6 +116,9 @@
     [[nodiscard]] std::vector<std::string> far_digest_targets();
     void on_peer_message(const std::string& sender, const peer_message& message);
     void on_digest(const std::string& sender, const placement_update& digest);
+    /// Takes evacuations that a digest tells: also those that reach this host by a neighbour only.
+    void on_evacuations_told(std::span<const evacuation_state> told, const std::string& sender,
+                             time_point now);
     /// Sends what a gateway that has just started cannot know.
     void on_peer_discovered(const std::string& peer);
     /// Lists the objects again if peers have told newer ones for some time.
@@ -158,6 +172,7 @@
     http_server readiness_server_;
     object_watcher config_watcher_;
     object_watcher backend_watcher_;
+    object_watcher evacuation_watcher_;
     boost::asio::steady_timer tick_timer_;
     /// Sends updates that may wait.
     boost::asio::steady_timer update_timer_;
@@ -168,6 +183,7 @@
     lag_detector<told_number> epoch_lag_;
     lag_detector<told_number> config_lag_;
     lag_detector<told_list> backends_lag_;
+    lag_detector<told_list> evacuations_lag_;
     /// Hash of the active configuration as it is in the store.
     std::uint64_t config_content_ = 0;
     /// Last moment at which the store confirmed the active configuration version to a peer.
@@ -180,6 +196,7 @@
     time_point next_registration_{};
     time_point started_at_{};
     bool is_watching_ = false;
+    time_point watching_since_{};
     watch_role watch_role_ = watch_role::first_watcher;
     time_point next_gateway_list_{};
     time_point next_digest_{};
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -162,6 +162,7 @@
     asio::steady_timer wake_timer_;
     steady_clock::time_point deadline_ = steady_clock::time_point::max();
     bool is_cancelled_ = false;
+    bool is_withdrawn_ = false;
     bool is_paused_ = false;
     bool is_request_written_ = false;
     bool is_response_started_ = false;
@@ -340,8 +341,11 @@
                         is_request_written_,
                         is_response_started_,
                         failure == beast::error::timeout,
-                        failure == asio::error::connection_refused};
-    if (is_cancelled_) {
+                        failure == asio::error::connection_refused,
+                        is_withdrawn_};
+    if (is_withdrawn_) {
+        result.failure = {error_code::caller_gone, "withdrawn before it was written"};
+    } else if (is_cancelled_) {
         result.failure = {error_code::caller_gone, "cancelled"};
     } else if (failure == http::error::body_limit || failure == http::error::header_limit) {
         result.failure.code = error_code::too_large;
@@ -367,6 +371,10 @@
     const boost::intrusive_ptr<http_exchange> self{this};
     auto failure =
         is_cancelled_ ? system_error{asio::error::operation_aborted} : co_await connect();
+    if (!failure && !is_cancelled_ && limits_.may_write && !limits_.may_write()) {
+        is_withdrawn_ = true;
+        failure = asio::error::operation_aborted;
+    }
     if (!failure && !is_cancelled_) {
         is_writing_ = true;
         asio::co_spawn(
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -38,13 +38,16 @@
     http_header correlation_header{};
     /// Whether the call may use a pooled connection.
     bool may_reuse_connection = true;
+    /// Asked once there is a connection, right before the first byte is written; the call fails as
+    /// withdrawn if it returns false. None to write always.
+    std::function<bool()> may_write{};
 };
 
 /// Why a call ended without a complete response.
 struct http_failure {
     /// connection: the connection could not be opened, broke or timed out; too_large: the header or
     /// body exceeds its limit; bad_request: the response is not valid HTTP; caller_gone: the call
-    /// was cancelled.
+    /// was cancelled or withdrawn.
     error failure;
     /// Whether at least one byte of the request was passed to the operating system. If not, the
     /// peer cannot have executed the request.
@@ -55,6 +58,8 @@
     bool is_timeout = false;
     /// Whether the peer refused the connection: nothing listens at its address.
     bool is_refused = false;
+    /// Whether the caller withdrew the request: may_write returned false.
+    bool is_withdrawn = false;
 };
 
 /// Called once, with the complete response or the failure.
