Log and measure the predicted pause of a stream

Cause: two thirds of late streams were late by a pause, which no log line predicted. The send and end lines now hold predicted_pause_ms, a histogram the ratio; placement_experiment knows the mix with long reads.

--- a/bench/placement_experiment.cpp
+++ b/bench/placement_experiment.cpp
@@ -42,31 +42,68 @@
     double value = 0;
 };
 
-/// Share of the value that a late answer earns.
-constexpr double late_value_share = 0.25;
-/// Tokens per event.
-constexpr double event_tokens = 43;
-
-constexpr std::array<request_kind, 3> kinds{{
-    {"short", 4960, 0.9, 23'800, 31.6, 0.7, 34, milliseconds{300}, milliseconds{250},
-     milliseconds{10'000}, 1.3},
-    {"middle", 45'000, 0.5, 110'000, 19, 0.6, 1.86, milliseconds{1500}, milliseconds{600},
-     milliseconds{10'000}, 3.9},
-    {"long", 133'000, 0.55, 600'000, 15.8, 0.5, 1.56, milliseconds{3000}, milliseconds{1000},
-     milliseconds{15'000}, 15},
-}};
-
 /// Factors on the request rate of each kind, up to a time in seconds.
 struct load_phase {
     double end_s = 0;
     std::array<double, 3> rate_factors{};
 };
 
-constexpr std::array<load_phase, 5> phases{{{2.3, {1, 1, 1}},
-                                            {11.8, {0.3, 1.3, 2.6}},
-                                            {21.5, {2.5, 0.5, 0.05}},
-                                            {32.5, {0.33, 1.3, 2.8}},
-                                            {36, {1, 1, 1}}}};
+/// Requests and engines of one deployment.
+struct request_mix {
+    std::array<request_kind, 3> kinds{};
+    std::array<load_phase, 5> phases{};
+    engine_profile profile{};
+    std::size_t engines = 0;
+    /// Share of the value that a late answer earns.
+    double late_value_share = 0.25;
+};
+
+/// The quiet days of openbc-doors.
+request_mix usual_mix() {
+    return {{{{"short", 4960, 0.9, 23'800, 31.6, 0.7, 34, milliseconds{300}, milliseconds{250},
+               milliseconds{10'000}, 1.3},
+              {"middle", 45'000, 0.5, 110'000, 19, 0.6, 1.86, milliseconds{1500}, milliseconds{600},
+               milliseconds{10'000}, 3.9},
+              {"long", 133'000, 0.55, 600'000, 15.8, 0.5, 1.56, milliseconds{3000},
+               milliseconds{1000}, milliseconds{15'000}, 15}}},
+            {{{2.3, {1, 1, 1}},
+              {11.8, {0.3, 1.3, 2.6}},
+              {21.5, {2.5, 0.5, 0.05}},
+              {32.5, {0.33, 1.3, 2.8}},
+              {36, {1, 1, 1}}}},
+            production_engine_profile(),
+            16};
+}
+
+/// Long prompts of 300,000 tokens, each worth thirty, on larger engines.
+request_mix long_read_mix() {
+    engine_profile profile;
+    profile.slots = 12;
+    profile.memory_tokens = 382'500;
+    profile.steps_per_pass = 52;
+    profile.step_ms = 0.925;
+    profile.step_ms_per_request = 0.00483;
+    profile.step_ms_per_1k_context = 0.00254;
+    profile.prefill_tokens_per_ms = 256;
+    profile.prefill_ms_per_million_pairs = 0.0917;
+    profile.mean_answer_tokens = 1500;
+    return {{{{"short", 5000, 0.9, 23'800, 33, 0.7, 81.1, milliseconds{300}, milliseconds{200},
+               milliseconds{10'000}, 1.4},
+              {"middle", 45'000, 0.5, 110'000, 19.8, 0.6, 7.43, milliseconds{1500},
+               milliseconds{500}, milliseconds{10'000}, 2.6},
+              {"long", 300'000, 0.55, 1'000'000, 16.5, 0.5, 2.2, milliseconds{4000},
+               milliseconds{800}, milliseconds{15'000}, 30}}},
+            {{{1.8, {1, 1, 1}},
+              {11.3, {0.34, 1.3, 2.9}},
+              {21.5, {2.5, 0.5, 0.05}},
+              {32.5, {0.33, 1.3, 2.8}},
+              {36, {1, 1, 1}}}},
+            profile,
+            54};
+}
+
+/// Mix in use; set once, before the first day.
+request_mix mix = usual_mix();
 
 /// Parameters of one simulated day.
 struct options {
@@ -190,19 +227,19 @@
 constexpr time_point day_start{std::chrono::seconds{1000}};
 
 experiment::experiment(const options& options) : options_{options}, random_{options.seed} {
-    engines_.assign(options.engines, pass_engine{production_engine_profile()});
+    engines_.assign(options.engines, pass_engine{mix.profile});
     scheduled_pass_ends_.resize(options.engines);
     for (std::size_t index = 0; index < options.gateways; ++index) {
         fleets_.push_back(std::make_unique<backend_fleet>("z" + std::to_string(index % 3),
                                                           index + 1, options.policy));
-        fleets_.back()->set_services({{"llm", production_engine_profile()}});
+        fleets_.back()->set_services({{"llm", mix.profile}});
         for (std::size_t engine = 0; engine < options.engines; ++engine) {
             backend_info info;
             info.id = "e" + std::to_string(engine);
             info.service = "llm";
             info.address = {"127.0.0.1", static_cast<std::uint16_t>(1000 + engine)};
             info.zone = "z" + std::to_string(engine % 3);
-            info.slots = production_engine_profile().slots;
+            info.slots = mix.profile.slots;
             fleets_.back()->put(info);
         }
     }
@@ -219,9 +256,9 @@
         return value;
     };
     double from = 0;
-    for (const auto& item : phases) {
-        for (std::size_t kind = 0; kind < kinds.size(); ++kind) {
-            const auto& profile = kinds[kind];
+    for (const auto& item : mix.phases) {
+        for (std::size_t kind = 0; kind < mix.kinds.size(); ++kind) {
+            const auto& profile = mix.kinds[kind];
             std::exponential_distribution<double> gap{profile.requests_per_second *
                                                       item.rate_factors[kind] * options_.load};
             for (double when = from + gap(random_); when < item.end_s; when += gap(random_)) {
@@ -230,8 +267,9 @@
                 added.tokens = static_cast<std::uint32_t>(
                     draw(profile.mean_tokens, profile.spread, profile.max_tokens));
                 added.answer_tokens = static_cast<std::uint32_t>(
-                    event_tokens * std::max(1.0, draw(profile.mean_events, profile.event_spread,
-                                                      2.5 * profile.mean_events)));
+                    mix.profile.steps_per_pass *
+                    std::max(1.0, draw(profile.mean_events, profile.event_spread,
+                                       2.5 * profile.mean_events)));
                 added.predicted_tokens = static_cast<std::uint32_t>(
                     added.answer_tokens * std::lognormal_distribution<double>{0, 0.5}(random_));
                 added.arrived = day_start + std::chrono::duration_cast<duration>(seconds{when});
@@ -247,7 +285,7 @@
 }
 
 job_demand experiment::demand_of(const request& item) const {
-    const auto& kind = kinds[item.kind];
+    const auto& kind = mix.kinds[item.kind];
     job_demand demand;
     demand.prompt_tokens = item.tokens;
     demand.answer_tokens = item.predicted_tokens;
@@ -300,7 +338,7 @@
     if (item.last_try != item.arrived) {
         return give_up(index);
     }
-    const auto remaining = item.arrived + kinds[item.kind].time_limit - now_;
+    const auto remaining = item.arrived + mix.kinds[item.kind].time_limit - now_;
     std::uniform_real_distribution<double> spread{1.0, 1.6};
     const auto back =
         now_ + std::chrono::duration_cast<duration>(retry_delay(remaining) * spread(random_));
@@ -318,7 +356,7 @@
 /// Makes the caller give up if the first event does not arrive in time.
 void experiment::schedule_idle_timeout(std::size_t index) {
     const auto& item = requests_[index];
-    schedule(item.last_try + idle_timeout_of(kinds[item.kind]),
+    schedule(item.last_try + idle_timeout_of(mix.kinds[item.kind]),
              [this, index, last_try = item.last_try] {
                  const auto& later = requests_[index];
                  if (!later.has_first_event && later.last_try == last_try) {
@@ -397,7 +435,7 @@
     if (item.current_stage != request::stage::sent) {
         return;
     }
-    const auto& kind = kinds[item.kind];
+    const auto& kind = mix.kinds[item.kind];
     auto& fleet = *fleets_[item.gateway];
     if (!item.has_first_event) {
         item.has_first_event = true;
@@ -420,7 +458,7 @@
         }
     });
     if (is_last) {
-        item.earned = item.full_value * (item.is_late ? late_value_share : 1);
+        item.earned = item.full_value * (item.is_late ? mix.late_value_share : 1);
         end(index, attempt_result::done);
         item.current_stage = request::stage::done;
     }
@@ -462,7 +500,7 @@
 day_result experiment::run() {
     for (std::size_t index = 0; index < requests_.size(); ++index) {
         const auto& item = requests_[index];
-        const auto& kind = kinds[item.kind];
+        const auto& kind = mix.kinds[item.kind];
         schedule(item.arrived, [this, index] { attempt(index); });
         schedule(item.arrived + kind.time_limit, [this, index] { give_up(index); });
         schedule_idle_timeout(index);
@@ -476,7 +514,7 @@
     day_result result;
     for (const auto& item : requests_) {
         auto& sum = result.kinds[item.kind];
-        const auto& kind = kinds[item.kind];
+        const auto& kind = mix.kinds[item.kind];
         ++sum.count;
         sum.full_value += item.full_value;
         sum.earned += item.earned;
@@ -511,7 +549,7 @@
     pool.clear();
     day_result sum;
     for (const auto& day : results) {
-        for (std::size_t kind = 0; kind < kinds.size(); ++kind) {
+        for (std::size_t kind = 0; kind < mix.kinds.size(); ++kind) {
             sum.kinds[kind].full_value += day.kinds[kind].full_value;
             sum.kinds[kind].earned += day.kinds[kind].earned;
             sum.kinds[kind].count += day.kinds[kind].count;
@@ -532,14 +570,14 @@
     double full_value = 0;
     double earned = 0;
     std::string text;
-    for (std::size_t kind = 0; kind < kinds.size(); ++kind) {
+    for (std::size_t kind = 0; kind < mix.kinds.size(); ++kind) {
         const auto& sum = result.kinds[kind];
         full_value += sum.full_value;
         earned += sum.earned;
         const auto count = static_cast<double>(std::max<std::size_t>(sum.count, 1));
         std::array<char, 160> line{};
         std::snprintf(line.data(), line.size(),
-                      "  %s %.3f (first late %.3f, pause %.3f, lost %.3f)", kinds[kind].name,
+                      "  %s %.3f (first late %.3f, pause %.3f, lost %.3f)", mix.kinds[kind].name,
                       sum.earned / sum.full_value, static_cast<double>(sum.first_late) / count,
                       static_cast<double>(sum.pause_late) / count,
                       static_cast<double>(sum.lost) / count);
@@ -567,7 +605,8 @@
         "seed", "seed of the first day", cxxopts::value<std::uint64_t>()->default_value("1"))(
         "threads", "number of threads", cxxopts::value<std::size_t>()->default_value("4"))(
         "gateways", "gateways", cxxopts::value<std::size_t>()->default_value("6"))(
-        "engines", "engines", cxxopts::value<std::size_t>()->default_value("16"))(
+        "engines", "engines; as the mix by default", cxxopts::value<std::size_t>())(
+        "mix", "usual or long-reads", cxxopts::value<std::string>()->default_value("usual"))(
         "load", "factor on all request rates", cxxopts::value<double>()->default_value("1"))(
         "policy", "run only this policy", cxxopts::value<std::string>()->default_value(""))(
         "windows", "print the share of value earned in each two-second window")("help",
@@ -578,7 +617,8 @@
         return 0;
     }
     options base;
-    base.engines = given["engines"].as<std::size_t>();
+    mix = given["mix"].as<std::string>() == "long-reads" ? long_read_mix() : usual_mix();
+    base.engines = given.count("engines") > 0 ? given["engines"].as<std::size_t>() : mix.engines;
     base.gateways = given["gateways"].as<std::size_t>();
     base.load = given["load"].as<double>();
     base.seed = given["seed"].as<std::uint64_t>();
--- a/src/backend_fleet.h
+++ b/src/backend_fleet.h
@@ -116,6 +116,9 @@
     /// Records a request as placed on the chosen backend servers and queues the placement for the
     /// other gateways. Every job that is started must be ended with on_ended().
     job_id start(const chosen_backends& chosen, const job_demand& demand, time_point now);
+    /// Longest pause between events that an open job is predicted to see; zero without a forecast.
+    /// @param first_event  predicted time of its first event
+    [[nodiscard]] duration predict_pause(job_id id, time_point first_event, time_point now) const;
     /// An event of the answer arrived. The first one shows that all members finished the prefill.
     void on_event(job_id id, bool is_first, time_point now);
     /// The first event or a later one missed its target: further delay loses no more value.
--- a/src/backend_fleet_choice.cpp
+++ b/src/backend_fleet_choice.cpp
@@ -93,6 +93,17 @@
     return is_better ? wider : chosen;
 }
 
+duration backend_fleet::predict_pause(job_id id, time_point first_event, time_point now) const {
+    const auto job = open_jobs_.find(id.number);
+    if (job == open_jobs_.end() || job->second.backends.empty()) {
+        return duration{0};
+    }
+    const auto decoder = backends_.find(job->second.backends.front());
+    const bool has_forecast = decoder != backends_.end() && decoder->second.forecast;
+    return has_forecast ? decoder->second.forecast->predict_pause(id, first_event, now)
+                        : duration{0};
+}
+
 template <class Predicate>
 const backend_fleet::backend_record*
 backend_fleet::similar_near_engine(const record_list& engines, const std::string& id,
--- a/src/engine_forecast.cpp
+++ b/src/engine_forecast.cpp
@@ -271,6 +271,28 @@
     return effect;
 }
 
+duration engine_forecast::predict_pause(job_id id, time_point first_event, time_point now) const {
+    auto copy = *this;
+    copy.is_simulation_ = true;
+    copy.advance(std::max(first_event, now));
+    auto* job = copy.find_mutable(id);
+    if (job == nullptr) {
+        return duration{0};
+    }
+    // The first event of a split prompt depends on other engines too.
+    job->prefilled_tokens = job->prefill.tokens;
+    job->pass_prefill_tokens = 0;
+    if (job->first_event == time_point{}) {
+        job->first_event = job->last_event = copy.now_;
+    }
+    const auto horizon = copy.now_ + simulation_horizon;
+    while (!job->is_completed && copy.pass_end_ < horizon) {
+        copy.end_pass();
+        copy.begin_pass(copy.pass_end_);
+    }
+    return job->longest_pause;
+}
+
 void engine_forecast::add(engine_job job, time_point now) {
     evict_stale(now);
     advance(now);
--- a/src/engine_forecast.h
+++ b/src/engine_forecast.h
@@ -133,6 +133,10 @@
     /// Predicts the effect of adding a job at `now`, without adding it: simulates the engine with
     /// and without the job and compares the expected losses of the other jobs.
     [[nodiscard]] placement_effect simulate_job(const engine_job& job, time_point now);
+    /// Longest pause that a job of this engine is predicted to see from its first event until its
+    /// answer is complete, with the jobs of now; of at most 6 s. Zero for unknown ids.
+    /// @param first_event  predicted time of its first event
+    [[nodiscard]] duration predict_pause(job_id id, time_point first_event, time_point now) const;
     /// Adds a job. Also drops jobs without an event, predicted or observed, for 30 s.
     void add(engine_job job, time_point now);
     /// Removes a job; ignores unknown ids.
--- a/src/forward_answer.cpp
+++ b/src/forward_answer.cpp
@@ -346,6 +346,7 @@
                                       : first_byte_at_ - request_.received,
                     .predicted = predicted_,
                     .longest_pause = longest_pause_,
+                    .predicted_pause = predicted_pause_,
                     .answer = answer_summary_,
                     .config_version = routes_ ? routes_->version() : 0});
 }
--- a/src/forward_call.cpp
+++ b/src/forward_call.cpp
@@ -433,14 +433,16 @@
     process_ = shared_.fleet.process_of(first.id);
     avoided_backends_.push_back(first.id);
     predicted_ = chosen.first_event - now;
+    predicted_pause_ = shared_.fleet.predict_pause(job_, chosen.first_event, now);
     members_ = chosen.members;
     begin_attempt(first.id, first.address, now);
-    log_of().info(head_.attempt,
-                  "send attempt=" + std::to_string(sends_made_) + " route=" + route_->name +
-                      " tokens=" + std::to_string(head_.prompt_tokens) +
-                      " members=" + member_list(chosen) +
-                      " predicted_ms=" + std::to_string(to_milliseconds(predicted_).count()) +
-                      " left_ms=" + std::to_string(to_milliseconds(deadline_ - now).count()));
+    log_of().info(
+        head_.attempt,
+        "send attempt=" + std::to_string(sends_made_) + " route=" + route_->name +
+            " tokens=" + std::to_string(head_.prompt_tokens) + " members=" + member_list(chosen) +
+            " predicted_ms=" + std::to_string(to_milliseconds(predicted_).count()) +
+            " predicted_pause_ms=" + std::to_string(to_milliseconds(predicted_pause_).count()) +
+            " left_ms=" + std::to_string(to_milliseconds(deadline_ - now).count()));
     open_call(shared_.codec.write_request(request_, parameters_for(chosen)), now);
 }
 
--- a/src/forward_call.h
+++ b/src/forward_call.h
@@ -80,6 +80,8 @@
     duration predicted{0};
     /// Longest time between two events that were forwarded.
     duration longest_pause{0};
+    /// The same as predicted when the last attempt was sent; zero without a forecast.
+    duration predicted_pause{0};
     /// Answer of the last attempt.
     answer_summary answer;
     std::uint64_t config_version = 0;
@@ -341,6 +343,7 @@
     time_point last_progress_{};
     /// Predicted time to the first event of the attempt.
     duration predicted_{0};
+    duration predicted_pause_{0};
     std::vector<chosen_member> members_;
     /// Backend servers to which the request was sent, in order.
     std::vector<std::string> tried_backends_;
--- a/src/forward_relay.cpp
+++ b/src/forward_relay.cpp
@@ -40,6 +40,7 @@
     job_ = {};
     process_ = {};
     predicted_ = {};
+    predicted_pause_ = {};
     members_.clear();
     begin_attempt(host.name, host.address, now);
     relay_host_ = host.name;
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -387,6 +387,7 @@
                   " first_ms=" + std::to_string(ms_count(summary.first_byte)) +
                   " predicted_ms=" + std::to_string(ms_count(summary.predicted)) +
                   " pause_ms=" + std::to_string(ms_count(summary.longest_pause)) +
+                  " predicted_pause_ms=" + std::to_string(ms_count(summary.predicted_pause)) +
                   (summary.backends.empty() ? "" : " " + to_string(summary.answer)) +
                   " config=" + std::to_string(summary.config_version) +
                   " config_age_ms=" + std::to_string(ms_count(config_age(steady_now()))) +
--- a/src/gateway_metrics.cpp
+++ b/src/gateway_metrics.cpp
@@ -26,6 +26,8 @@
     return cause.empty() ? "answered" : cause.substr(0, cause.find(':'));
 }
 
+constexpr std::array<double, 9> ratio_buckets{0.25, 0.5, 0.8, 1, 1.25, 2, 4, 8, 16};
+
 } // namespace
 
 gateway_metrics::gateway_metrics(metrics_registry& registry)
@@ -34,6 +36,9 @@
                                             "Answers that ended inside an event.")},
       longest_pause_{registry.make_histogram("magnolia_longest_pause_seconds",
                                              "Longest pause between two events of a stream.")},
+      pause_ratio_{registry.make_histogram(
+          "magnolia_pause_to_prediction_ratio",
+          "Longest pause of a stream, divided by the predicted one.", {}, ratio_buckets)},
       resends_{registry.make_counter("magnolia_further_sends_total",
                                      "Sends of requests beyond the first.")},
       config_version_{registry.make_gauge("magnolia_config_version", "Configuration in force.")},
@@ -103,6 +108,10 @@
     }
     if (summary.longest_pause.count() > 0) {
         longest_pause_.observe(to_seconds(summary.longest_pause));
+        if (summary.predicted_pause.count() > 0) {
+            pause_ratio_.observe(to_seconds(summary.longest_pause) /
+                                 to_seconds(summary.predicted_pause));
+        }
     }
     if (summary.backends.size() > 1) {
         resends_.add(static_cast<double>(summary.backends.size() - 1));
--- a/src/gateway_metrics.h
+++ b/src/gateway_metrics.h
@@ -50,6 +50,8 @@
     /// Time to the first byte, by class of prompt length.
     std::array<histogram, 4> first_byte_;
     histogram longest_pause_;
+    /// Longest pause by its prediction.
+    histogram pause_ratio_;
     counter resends_;
     gauge config_version_;
     gauge config_age_;
--- a/tests/engine_forecast_test.cpp
+++ b/tests/engine_forecast_test.cpp
@@ -78,6 +78,16 @@
     EXPECT_NEAR(engine.simulate_job(make_job(9, 133'000), at(10)).imposed_loss, 0, 0.01);
 }
 
+TEST(engine_forecast, the_predicted_pause_counts_the_shares_that_are_still_to_be_prefilled) {
+    engine_forecast engine{production_engine_profile()};
+    add_stream(engine, 1, 0);
+    const auto alone = engine.predict_pause({1, 1}, at(0), at(10));
+    EXPECT_NEAR(std::chrono::duration<double, std::milli>{alone}.count(), 44, 5);
+    engine.add(make_job(2, 436'000, 6), at(20)); // Takes 2.5 s on this engine.
+    EXPECT_GT(engine.predict_pause({1, 1}, at(0), at(30)), milliseconds{1000});
+    EXPECT_EQ(engine.predict_pause({1, 99}, at(0), at(30)), duration{0});
+}
+
 TEST(engine_forecast, an_event_during_a_pass_does_not_complete_its_prefill) {
     engine_forecast engine{production_engine_profile()};
     add_stream(engine, 1, 0);
