Count a split prompt as writing once its own share is prefilled

Cause: predictions began a split prompt's answer only when it was observed, so further shares on its engine cost nothing until then. Change: simulate_job takes it to write from the end of its share.

--- a/src/engine_forecast.cpp
+++ b/src/engine_forecast.cpp
@@ -169,9 +169,10 @@
             continue;
         }
         job.prefilled_tokens += std::exchange(job.pass_prefill_tokens, 0.0);
-        // With helpers, decoding starts when the last of them ends, which is observed, not
-        // predicted.
-        if (!job.is_helper && is_prefilled(job) && !job.has_helpers) {
+        // With helpers, decoding starts when the last of them ends, which is observed. A prediction
+        // assumes that it starts with the own share: what is placed here meets the answer.
+        const bool starts_now = !job.has_helpers || is_simulation_;
+        if (!job.is_helper && is_prefilled(job) && job.first_event == time_point{} && starts_now) {
             job.first_event = pass_end_;
             job.last_event = pass_end_;
         }
@@ -254,6 +255,11 @@
         for (auto& item : copy->jobs_) {
             item.longest_pause = duration{0};
             item.answer_tokens = static_cast<std::uint32_t>(expected_answer_tokens(item));
+            const bool is_about_to_decode = item.has_helpers && !item.is_helper &&
+                                            is_prefilled(item) && item.first_event == time_point{};
+            if (is_about_to_decode) {
+                item.first_event = item.last_event = now_;
+            }
         }
     }
     with_job.jobs_.push_back(job);
--- a/tests/engine_forecast_test.cpp
+++ b/tests/engine_forecast_test.cpp
@@ -89,6 +89,16 @@
     EXPECT_EQ(engine.predict_pause({1, 99}, at(0), at(30)), duration{0});
 }
 
+TEST(engine_forecast, a_split_prompt_about_to_decode_is_harmed_by_further_shares) {
+    engine_forecast engine{production_engine_profile()};
+    auto split = make_job(1, 28'000, 2);
+    split.is_helper = false;
+    split.has_helpers = true;
+    split.target_latency = milliseconds{4000};
+    engine.add(split, at(0)); // Its own share takes about 110 ms; the other one is not over.
+    EXPECT_GT(engine.simulate_job(make_job(2, 436'000, 6), at(300)).imposed_loss, 0.5);
+}
+
 TEST(engine_forecast, an_event_during_a_pass_does_not_complete_its_prefill) {
     engine_forecast engine{production_engine_profile()};
     add_stream(engine, 1, 0);
