--- a/tests/store_relay_cluster_test.cpp
+++ b/tests/store_relay_cluster_test.cpp
@@ -4,10 +4,10 @@
 namespace magnolia {
 namespace {
 
-/// Hosts of one zone, two of which watch the store.
+/// Hosts of one zone, so many that two of them watch the store for the others.
 class store_relay_cluster : public gateway_cluster {
 protected:
-    static constexpr std::size_t host_count = 6;
+    static constexpr std::size_t host_count = 26;
 
     void start_hosts() {
         for (std::size_t host = 0; host < host_count; ++host) {
