Keep the rate of cold backend servers, and find the pace of returned ones

Cause: backend servers that start or recover are flooded or idle, and a service may state a rate that cold ones bear, which no code kept. Change: server_pace, one per process of a backend server: hosts share the stated rate as they share a stated limit; where nothing is stated the pace is learned from answers. Entries, answers and an appended field of digests tell which servers are cold.

--- a/include/magnolia/schema.h
+++ b/include/magnolia/schema.h
@@ -554,6 +554,18 @@
 void to_json(nlohmann::json& out, const cold_settings& value);
 void read(const nlohmann::json& in, schema_reader& reader, cold_settings& value);
 
+/// Pace of backend servers that have started or recovered, of services for which the configuration
+/// names no rate.
+struct pace_settings {
+    /// Whether it is found from how they answer; otherwise they are used at once like the others.
+    bool learned{true};
+
+    bool operator==(const pace_settings&) const = default;
+};
+
+void to_json(nlohmann::json& out, const pace_settings& value);
+void read(const nlohmann::json& in, schema_reader& reader, pace_settings& value);
+
 /// Settings of magnolia-gateway.
 struct gateway_settings {
     /// Common settings; `platform` is the object API.
@@ -596,6 +608,8 @@
     std::chrono::milliseconds evacuation_ms{0};
     /// Requests to cold backend servers.
     cold_settings cold{};
+    /// Pace of backend servers that have started or recovered.
+    pace_settings pace{};
     /// Maximum number of requests in progress that other hosts have passed on to this one; 0 takes
     /// none. [0..100000 requests]
     std::uint32_t max_relayed{64};
@@ -1298,6 +1312,21 @@
 void to_json(nlohmann::json& out, const stated_limit_entry& value);
 void read(const nlohmann::json& in, schema_reader& reader, stated_limit_entry& value);
 
+/// A backend server that stated in an answer to the sender that it is cold.
+struct cold_entry {
+    /// ID of the backend server.
+    std::string backend{};
+    /// Start of its process. [ms since 1970]
+    std::int64_t started_ms{0};
+    /// Time for which it stays cold. [ms]
+    std::chrono::milliseconds left{0};
+
+    bool operator==(const cold_entry&) const = default;
+};
+
+void to_json(nlohmann::json& out, const cold_entry& value);
+void read(const nlohmann::json& in, schema_reader& reader, cold_entry& value);
+
 /// Work that a gateway placed and work that ended; sent to the gateways that place work on the same
 /// engines.
 struct placement_update {
@@ -1338,6 +1367,8 @@
     std::uint32_t open_requests{0};
     /// Limits that backend servers state; set in digests only.
     std::vector<stated_limit_entry> limits{};
+    /// Backend servers that stated to the sender that they are cold; set in digests only.
+    std::vector<cold_entry> cold{};
 
     bool operator==(const placement_update&) const = default;
 };
--- a/src/backend_fleet.cpp
+++ b/src/backend_fleet.cpp
@@ -42,7 +42,11 @@
 
 void backend_fleet::set_services(const std::vector<routed_service>& services) {
     profiles_.clear();
+    cold_terms_.clear();
     for (const auto& service : services) {
+        if (service.cold) {
+            cold_terms_.emplace(service.name, *service.cold);
+        }
         if (service.engine) {
             profiles_.emplace(service.name, *service.engine);
         }
@@ -68,7 +72,10 @@
     std::set<std::string_view> listed;
     for (const auto& backend : backends) {
         listed.insert(backend.id);
-        put(backend);
+        put(backend, now);
+    }
+    if (!first_list_newest_ms_ && !backends.empty()) {
+        first_list_newest_ms_ = std::ranges::max(backends, {}, &backend_info::started_ms).started_ms;
     }
     for (auto& [id, record] : backends_) {
         if (!listed.contains(id) && !record.removal_due) {
@@ -79,7 +86,7 @@
     remove_expired(now);
 }
 
-void backend_fleet::put(const backend_info& backend) {
+void backend_fleet::put(const backend_info& backend, time_point now) {
     auto found = backends_.find(backend.id);
     const bool is_restarted =
         found != backends_.end() && (found->second.info.started_ms != backend.started_ms ||
@@ -93,9 +100,19 @@
         found = backends_.emplace(backend.id, backend_record{}).first;
     }
     auto& record = found->second;
+    const bool is_new = record.info.id.empty();
+    const auto known_cold_left = record.info.cold_left;
     record.info = backend;
     record.removal_due.reset();
     apply_profile(record);
+    if (is_new) {
+        on_process_started(record, now);
+    }
+    // The same time left again is an entry that was read twice.
+    if (backend.cold_left != known_cold_left) {
+        record.pace.on_cold_stated(backend.cold_left, now);
+        update_cold_share(record, now);
+    }
     on_list_changed();
 }
 
@@ -244,6 +261,9 @@
                             time_point now) {
     const job_id id{origin_, next_job_number_++};
     auto& job = open_jobs_[id.number];
+    job.started = now;
+    // Half of the time that the caller allows is tolerated beside the forecast.
+    job.first_event_by = std::max(chosen.first_event, now) + demand.target_latency / 2;
     const bool has_reservations = std::ranges::any_of(
         chosen.members, [](const auto& member) { return member.reserved_tokens > 0; });
     for (std::size_t index = 0; index < chosen.members.size(); ++index) {
@@ -254,6 +274,8 @@
         }
         job.backends.push_back(member.id);
         record->terms.on_sent(now);
+        record->pace.on_sent(now);
+        history_[record->info.service].last_sent = now;
         const bool is_decoder = index == 0;
         if (is_decoder) {
             ++record->open_calls;
@@ -313,6 +335,10 @@
         if (auto* record = find(backend); record != nullptr && record->forecast) {
             record->forecast->on_event(id, now);
             is_engine = true;
+            if (is_first && record->pace.is_ramping(now)) {
+                const bool is_good = now <= found->second.first_event_by;
+                on_pace_sign(*record, is_good, is_good ? "first event" : "late first event", now);
+            }
         }
         if (!is_first) {
             break; // Helpers finished their prefill before the first event.
@@ -340,7 +366,7 @@
     return "invalid";
 }
 
-void backend_fleet::on_late(job_id id) {
+void backend_fleet::on_late(job_id id, time_point now) {
     const auto found = open_jobs_.find(id.number);
     if (found == open_jobs_.end()) {
         return;
@@ -348,13 +374,20 @@
     for (const auto& backend : found->second.backends) {
         if (auto* record = find(backend); record != nullptr && record->forecast) {
             record->forecast->mark_late(id);
+            on_pace_sign(*record, false, "late event", now);
         }
     }
 }
 
 void backend_fleet::record_result(backend_record& record, attempt_result result, time_point now) {
+    if (result != attempt_result::done && result != attempt_result::cancelled) {
+        on_pace_sign(record, false, to_string(result), now);
+    }
     switch (result) {
     case attempt_result::done:
+        if (!record.circuit.is_closed()) {
+            begin_ramp(record, "answers after failures", now);
+        }
         record.circuit.on_success();
         record.terms.on_answered();
         record.failure_rate *= 1 - success_gain;
@@ -382,6 +415,9 @@
             if (is_first) {
                 record->open_calls -= std::min(record->open_calls, 1U);
                 record_result(*record, result, now);
+                if (result == attempt_result::done && !record->forecast) {
+                    judge_answer_time(*record, now - found->second.started, now);
+                }
             }
             if (record->forecast) {
                 record->forecast->remove(id, now);
@@ -440,8 +476,11 @@
     host_ = own;
     hosts_ = std::move(hosts);
     is_topology_current_ = false;
-    std::ranges::for_each(backends_ | std::views::values,
-                          [&](auto& record) { update_share(record, now); });
+    remember_hosts(now);
+    std::ranges::for_each(backends_ | std::views::values, [&](auto& record) {
+        update_share(record, now);
+        update_cold_share(record, now);
+    });
 }
 
 std::optional<double> backend_fleet::stated_limit(const std::string& backend) const {
@@ -451,13 +490,23 @@
 
 void backend_fleet::on_answer_bytes(const std::string& backend, time_point now) {
     if (auto* record = find(backend)) {
+        const bool was_silent =
+            record->last_probe_failure > std::max(record->last_answer, record->last_probe_success);
         record->last_answer = now;
+        if (was_silent) {
+            begin_ramp(*record, "answers after silence", now);
+        }
     }
 }
 
 void backend_fleet::on_probe_answered(const std::string& backend, time_point now) {
     if (auto* record = find(backend)) {
+        const bool was_silent =
+            record->last_probe_failure > std::max(record->last_answer, record->last_probe_success);
         record->last_probe_success = now;
+        if (was_silent) {
+            begin_ramp(*record, "answers after silence", now);
+        }
     }
 }
 
--- a/src/backend_fleet.h
+++ b/src/backend_fleet.h
@@ -7,6 +7,7 @@
 #include "engine_partition.h"
 #include "placement.h"
 #include "placement_outbox.h"
+#include "server_pace.h"
 #include "stated_terms.h"
 
 #include <magnolia/schema.h>
@@ -56,6 +57,21 @@
     double net_value = 0;
 };
 
+/// How backend servers are used that are cold, or that have started or recovered (server_pace.h).
+struct pace_policy {
+    /// See cold_settings and pace_settings.
+    double cold_overage = 1;
+    double cold_slack = 0;
+    bool is_learned = true;
+};
+
+/// A change of a backend server's pace, for the log.
+struct pace_change {
+    std::string backend;
+    /// What changed, and why.
+    std::string text;
+};
+
 /// Chooses backend servers for requests and keeps the state that the choice needs. Owned by the
 /// gateway and shared by its calls (forward_call). Not thread-safe: used from one thread.
 class backend_fleet {
@@ -71,7 +87,9 @@
     void replace_all(const std::vector<backend_info>& backends, duration grace, time_point now);
     /// Adds or updates a backend server. A changed start time, address or service means another
     /// process: its state starts anew.
-    void put(const backend_info& backend);
+    /// @param now  time_point{} if it is unknown: the process is then not taken for one that has
+    /// just started.
+    void put(const backend_info& backend, time_point now = {});
     /// Removes a backend server after `grace`, unless put() is called for it before.
     void remove(const std::string& id, duration grace, time_point now);
     /// Excludes a backend server until put() reports another start of it: an answer proved that
@@ -119,7 +137,7 @@
     /// An event of the answer arrived. The first one shows that all members finished the prefill.
     void on_event(job_id id, bool is_first, time_point now);
     /// The first event or a later one missed its target: further delay loses no more value.
-    void on_late(job_id id);
+    void on_late(job_id id, time_point now);
     /// Ends a job and counts the result for the health of the backend server that decoded.
     void on_ended(job_id id, attempt_result result, time_point now);
     /// An answer of this process asks for no requests of this gateway for this time.
@@ -135,6 +153,21 @@
     /// stated limits are divided among them.
     /// @param own  name of this host, which is one of them.
     void set_hosts(const std::string& own, std::vector<located_name> hosts, time_point now);
+    // Pace of backend servers that are cold, or that have started or recovered.
+    void set_pace_policy(const pace_policy& policy) { pace_policy_ = policy; }
+    /// An answer of the process states that it stays cold for this time. Returns whether it was not
+    /// known to be cold.
+    bool on_cold_stated(const backend_process& process, duration left, time_point now);
+    /// Whether its service names a rate for cold backend servers and it is one.
+    [[nodiscard]] bool is_cold(const std::string& backend, time_point now) const;
+    /// Cold backend servers of which this gateway knows from their answers, for the others.
+    [[nodiscard]] std::vector<cold_entry> stated_cold(time_point now) const;
+    /// Applies what another gateway was told.
+    void apply_cold(const std::vector<cold_entry>& told, time_point now);
+    /// Numbers of backend servers that are cold, and that have a learned pace.
+    [[nodiscard]] std::pair<std::size_t, std::size_t> paced_counts(time_point now) const;
+    /// Takes the changes since the last call.
+    [[nodiscard]] std::vector<pace_change> take_pace_changes();
     /// Which hosts share which engines.
     [[nodiscard]] const exchange_topology& topology();
     /// Forgets limits that no gateway was told for long.
@@ -180,6 +213,9 @@
         /// Moving average of failed attempts, 0 to 1.
         double failure_rate = 0;
         stated_terms terms;
+        server_pace pace;
+        /// End of the cold time that its answers to this gateway state.
+        time_point answered_cold_until{};
         time_point last_answer{};
         time_point last_probe_success{};
         time_point last_probe_failure{};
@@ -193,6 +229,9 @@
         /// Ids; the first one decodes.
         std::vector<std::string> backends;
         bool has_first_event = false;
+        time_point started{};
+        /// Time after which the first event counts as late for the pace.
+        time_point first_event_by{};
         /// Who was told of it.
         placement_outbox::audience_set audiences;
     };
@@ -210,6 +249,23 @@
     void apply_profile(backend_record& record);
     /// Computes this host's share of the limit.
     void update_share(backend_record& record, time_point now);
+    // Second part of the pace, in backend_fleet_pace.cpp.
+    [[nodiscard]] bool is_cold(const backend_record& record, time_point now) const;
+    /// Whether the rate of a cold backend server allows another request of this gateway.
+    [[nodiscard]] bool is_borne(const backend_record& record, time_point now) const;
+    /// A process of which the list was told is new.
+    void on_process_started(backend_record& record, time_point now);
+    void begin_ramp(backend_record& record, std::string_view cause, time_point now);
+    void update_cold_share(backend_record& record, time_point now);
+    void on_pace_sign(backend_record& record, bool is_good, std::string_view cause,
+                      time_point now);
+    /// Compares the time of an answer without a forecast with those of the service.
+    void judge_answer_time(backend_record& record, duration passed, time_point now);
+    /// Remembers hosts for a time after they are lost, see cold_hosts_.
+    void remember_hosts(time_point now);
+    void forget_lost_hosts(time_point now);
+    void note_pace(const backend_record& record, std::string text);
+
     /// Usable backend servers of the service, without `tried` and open circuits where possible.
     [[nodiscard]] record_list usable_backends(std::string_view service,
                                               const std::vector<std::string>& tried,
@@ -254,6 +310,23 @@
     std::map<std::uint64_t, open_job> open_jobs_;
     std::uint64_t next_job_number_ = 1;
     placement_outbox outbox_;
+    pace_policy pace_policy_;
+    /// What cold backend servers bear, by service.
+    std::map<std::string, cold_terms, std::less<>> cold_terms_;
+    /// Start of the latest process of the first complete list; empty before it.
+    std::optional<std::int64_t> first_list_newest_ms_;
+    /// By service: last request of this gateway, and moving average of the time of an answer
+    /// without a forecast, ms.
+    struct service_history {
+        time_point last_sent{};
+        double answer_ms = 0;
+    };
+    std::map<std::string, service_history, std::less<>> history_;
+    /// Hosts that may send to cold backend servers, with the time until which they count. Those
+    /// that are lost count for a while: on the other side of a cut they send on.
+    std::map<std::string, std::pair<std::string, time_point>> cold_hosts_;
+    time_point hosts_known_at_{};
+    std::vector<pace_change> pace_changes_;
     /// Cache of list_hash(); reset by changes of the list.
     mutable std::optional<std::uint64_t> list_hash_;
     /// Jobs of other gateways: origin -> job number -> ids of backend servers.
--- a/src/backend_fleet_choice.cpp
+++ b/src/backend_fleet_choice.cpp
@@ -37,15 +37,19 @@
     record_list usable;
     for (auto& record : backends_ | std::views::values) {
         if (record.info.service == service && is_usable(record, now) &&
-            record.terms.admits(record.open_calls, now)) {
+            record.terms.admits(record.open_calls, now) && is_borne(record, now)) {
             usable.push_back(&record);
         }
     }
     usable = preferred_or_all(usable, [&](const backend_record* record) {
         return std::ranges::find(tried, record->info.id) == tried.end();
     });
-    return preferred_or_all(
+    usable = preferred_or_all(
         usable, [now](const backend_record* record) { return record->circuit.allows(now); });
+    // A learned pace is a preference: where all others refuse or fail, its server is used.
+    return preferred_or_all(usable, [now](const backend_record* record) {
+        return record->pace.admits(record->open_calls, now);
+    });
 }
 
 std::optional<time_point> backend_fleet::first_rest_end(std::string_view service,
--- a/src/backend_fleet_gossip.cpp
+++ b/src/backend_fleet_gossip.cpp
@@ -189,6 +189,7 @@
 void backend_fleet::expire_limits(time_point now) {
     std::ranges::for_each(backends_ | std::views::values,
                           [now](auto& record) { record.terms.expire_limit(now); });
+    forget_lost_hosts(now);
 }
 
 void backend_fleet::apply_limits(const std::vector<stated_limit_entry>& limits, time_point now) {
--- a/src/forward_answer.cpp
+++ b/src/forward_answer.cpp
@@ -70,6 +70,10 @@
     if (shared_.fleet.set_stated_limit(process_, answer_.requests_per_s, steady_now())) {
         shared_.on_limit_changed(backend_, answer_.requests_per_s);
     }
+    if (answer_.cold_left &&
+        shared_.fleet.on_cold_stated(process_, *answer_.cold_left, steady_now())) {
+        shared_.on_cold_stated(backend_, *answer_.cold_left);
+    }
     if (!answer_.asks_for_rest) {
         return;
     }
@@ -165,7 +169,7 @@
         is_resuming_ = false;
     }
     if (is_late_) {
-        shared_.fleet.on_late(job_);
+        shared_.fleet.on_late(job_, steady_now());
     }
     last_event_at_ = now;
     start_response();
--- a/src/forward_call.h
+++ b/src/forward_call.h
@@ -145,6 +145,8 @@
     /// Called when a backend server states another limit than before.
     std::function<void(const std::string& backend, std::optional<double> requests_per_s)>
         on_limit_changed;
+    /// Called when a backend server states that it is cold, and was not known to be.
+    std::function<void(const std::string& backend, milliseconds left)> on_cold_stated;
     /// Called when the quarantine got new evidence.
     std::function<void()> on_quarantine_evidence;
     /// Calls in progress.
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -122,6 +122,12 @@
                                 (requests_per_s ? std::to_string(*requests_per_s) : "none"));
                       send_digest(steady_now());
                   },
+              .on_cold_stated =
+                  [this](const std::string& backend, milliseconds left) {
+                      log_.info("backend server states that it is cold backend=" + backend +
+                                " left_ms=" + std::to_string(left.count()));
+                      send_digest(steady_now());
+                  },
               .on_quarantine_evidence = [this] { quarantine_exchange_.schedule_flush(); }},
       quarantine_exchange_{
           io_,    quarantine_,           gossip_,      hosts_,
@@ -183,6 +189,9 @@
               std::to_string(config->workspaces.size()) + " workspaces, epoch=" +
               std::to_string(store_.epoch()) + " revision=" + std::to_string(object.version));
     set_request_limits(config->limits);
+    fleet_.set_pace_policy({.cold_overage = settings_.cold.overage,
+                            .cold_slack = settings_.cold.slack,
+                            .is_learned = settings_.pace.learned});
     fleet_.set_services(config->services);
     shared_.routes = std::make_shared<const route_table>(std::move(*config));
     forget_removed_routes(shared_);
@@ -239,7 +248,8 @@
     if (backend->is_leaving) {
         log_.info("backend server " + backend->id + " is leaving");
     }
-    fleet_.put(*backend);
+    fleet_.put(*backend, now);
+    log_pace_changes();
 }
 
 void gateway::state::apply_backend_list(const std::vector<stored_object>& objects) {
@@ -258,6 +268,13 @@
     log_.info("list of backend servers replaced, entries: " + std::to_string(backends.size()));
 }
 
+void gateway::state::log_pace_changes() {
+    for (const auto& change : fleet_.take_pace_changes()) {
+        log_.info("pace of a backend server changed backend=" + change.backend + " " +
+                  change.text);
+    }
+}
+
 duration gateway::state::config_age(time_point now) const {
     const bool is_current =
         config_watcher_.has_synced() && config_watcher_.last_change().epoch == store_.epoch();
@@ -305,6 +322,8 @@
     on_hosts_changed(now);
     drop_lost_processes(now);
     fleet_.expire_limits(now);
+    log_pace_changes();
+    const auto [cold_backends, ramping_backends] = fleet_.paced_counts(now);
     resync_if_behind(now);
     quarantine_exchange_.tick(now);
     check_settings_file(now);
@@ -316,6 +335,8 @@
                          .config_age = config_age(now),
                          .store_epoch = store_.epoch(),
                          .live_backends = fleet_.live_count(),
+                         .cold_backends = cold_backends,
+                         .ramping_backends = ramping_backends,
                          .live_gateways = hosts_.live_count() + 1,
                          .is_store_reachable = !config_watcher_.is_disconnected() &&
                                                !backend_watcher_.is_disconnected(),
--- a/src/gateway_exchange.cpp
+++ b/src/gateway_exchange.cpp
@@ -271,6 +271,7 @@
     digest.unreachable = reach_.unreachable();
     digest.open_requests = static_cast<std::uint32_t>(active_requests());
     digest.limits = fleet_.stated_limits(now);
+    digest.cold = fleet_.stated_cold(now);
     gossip_.send(digest, fleet_.topology().hosts_of(fleet_.topology().own_cell()));
     if (const auto far = far_digest_targets(); !far.empty()) {
         // They are told of placements where those concern them.
@@ -338,6 +339,7 @@
         relays_.on_digest(digest, *address, now);
     }
     fleet_.apply_limits(digest.limits, now);
+    fleet_.apply_cold(digest.cold, now);
     quarantine_exchange_.on_digest(digest.quarantine_hash, sender);
     epoch_lag_.on_digest({digest.store_epoch}, now);
     // Versions are the operator's, so that they are comparable over epochs.
--- a/src/gateway_metrics.cpp
+++ b/src/gateway_metrics.cpp
@@ -43,6 +43,12 @@
           "magnolia_store_epoch", "Epoch of the store; rises when it is restored from a copy")},
       live_backends_{
           registry.make_gauge("magnolia_live_backends", "Backend servers that take new work.")},
+      cold_backends_{registry.make_gauge(
+          "magnolia_cold_backends",
+          "Backend servers that are cold, of services that state a rate for them.")},
+      ramping_backends_{registry.make_gauge(
+          "magnolia_ramping_backends",
+          "Backend servers that have started or recovered and whose pace is being found.")},
       live_gateways_{registry.make_gauge("magnolia_live_gateways",
                                          "Gateways that are heard, this one included.")},
       store_reachable_{
@@ -114,6 +120,8 @@
     config_age_.set(to_seconds(gauges.config_age));
     store_epoch_.set(static_cast<double>(gauges.store_epoch));
     live_backends_.set(static_cast<double>(gauges.live_backends));
+    cold_backends_.set(static_cast<double>(gauges.cold_backends));
+    ramping_backends_.set(static_cast<double>(gauges.ramping_backends));
     live_gateways_.set(static_cast<double>(gauges.live_gateways));
     store_reachable_.set(gauges.is_store_reachable ? 1 : 0);
     open_requests_.set(static_cast<double>(gauges.open_requests));
--- a/src/gateway_metrics.h
+++ b/src/gateway_metrics.h
@@ -17,6 +17,9 @@
     /// See store_position.
     std::uint64_t store_epoch = 0;
     std::size_t live_backends = 0;
+    /// Backend servers with a stated and with a learned pace; see server_pace.h.
+    std::size_t cold_backends = 0;
+    std::size_t ramping_backends = 0;
     std::size_t live_gateways = 0;
     bool is_store_reachable = false;
     std::size_t open_requests = 0;
@@ -55,6 +58,8 @@
     gauge config_age_;
     gauge store_epoch_;
     gauge live_backends_;
+    gauge cold_backends_;
+    gauge ramping_backends_;
     gauge live_gateways_;
     gauge store_reachable_;
     gauge open_requests_;
--- a/src/gateway_p.h
+++ b/src/gateway_p.h
@@ -97,6 +97,7 @@
     void schedule_update();
     void send_updates();
     /// Time since the store last confirmed to this gateway that its configuration is the newest.
+    void log_pace_changes();
     [[nodiscard]] duration config_age(time_point now) const;
     /// Sends the active jobs, the versions of configuration and backend list, and what this host
     /// knows of backend servers, to the hosts of the own cell and to a few random other ones.
--- a/src/limit_sharing.h
+++ b/src/limit_sharing.h
@@ -17,4 +17,17 @@
 [[nodiscard]] double limit_share(double limit, std::string_view backend, std::string_view host,
                                  std::span<const std::string> hosts);
 
+/// Rate that all hosts together may send to a backend server, kept within each second.
+struct bounded_rate {
+    double requests_per_s = 0;
+    /// Most requests in any second.
+    double most_in_a_second = 0;
+};
+
+/// As limit_share(), for a rate that has to hold in any second. Each user may send one request at
+/// once besides its part, so that there are fewer users the nearer the bound is to the rate; half of
+/// the distance is left to hosts with another list.
+[[nodiscard]] double bounded_share(const bounded_rate& rate, std::string_view backend,
+                                   std::string_view host, std::span<const std::string> hosts);
+
 } // namespace magnolia
--- a/src/liveness_prober.cpp
+++ b/src/liveness_prober.cpp
@@ -37,7 +37,8 @@
 void liveness_prober::probe_at_once(const std::string& backend, const endpoint& address,
                                     time_point now) {
     // A probe would count against its limit.
-    if (fleet_.is_resting(backend, now) || fleet_.stated_limit(backend)) {
+    if (fleet_.is_resting(backend, now) || fleet_.stated_limit(backend) ||
+        fleet_.is_cold(backend, now)) {
         return;
     }
     probes_[backend] = {true, now};
--- a/tests/gateway_fixture.cpp
+++ b/tests/gateway_fixture.cpp
@@ -306,6 +306,7 @@
               .on_end = [this](const call_summary& summary) { summaries_.push_back(summary); },
               .on_jobs_changed = [] {},
               .on_limit_changed = [](const auto&, auto) {},
+              .on_cold_stated = [](const auto&, auto) {},
               .on_quarantine_evidence = [] {}},
       gateway_server_{
           context_, {}, [this](http_request request, http_responder responder) {
