Tell engines the urgency of a request where urgencies differ

Engines admit by the urgency that a request carries, and all requests carried none, so that an urgent prompt stood behind less urgent ones.

--- a/src/forward_call.cpp
+++ b/src/forward_call.cpp
@@ -140,12 +140,14 @@
     if (route_ == nullptr) {
         return refuse_unknown(error_code::not_found, "route");
     }
+    urgency_ = route_->urgency;
     if (route_->needs_key && !routes_->config().workspaces.empty()) {
         const auto* workspace = routes_->find_workspace(head_.key);
         if (workspace == nullptr) {
             return refuse_unknown(error_code::unauthorized, "key");
         }
         workspace_ = workspace->name;
+        urgency_ = effective_urgency(*route_, workspace);
     }
     route_services_ = route_table::weighted_service_order(*route_, shared_.random);
     if (route_services_.empty()) {
@@ -408,11 +410,19 @@
     shared_.on_jobs_changed();
 }
 
+bool forward_call::has_order() const {
+    const auto* scale = routes_->find_urgencies(service_);
+    return scale != nullptr && scale->size() > 1;
+}
+
 attempt_parameters forward_call::parameters_for(const chosen_backends& chosen) const {
     attempt_parameters parameters;
     parameters.time_left = to_milliseconds(deadline_ - steady_now());
     parameters.backend_id = chosen.members.front().id;
     parameters.workspace = workspace_;
+    if (has_order()) {
+        parameters.urgency = urgency_;
+    }
     parameters.resume_after = last_event_;
     for (const auto& member : chosen.members) {
         const bool is_first = &member == &chosen.members.front();
@@ -438,6 +448,7 @@
     log_of().info(head_.attempt,
                   "send attempt=" + std::to_string(sends_made_) + " route=" + route_->name +
                       " tokens=" + std::to_string(head_.prompt_tokens) +
+                      (has_order() ? " urgency=" + std::to_string(urgency_) : "") +
                       " members=" + member_list(chosen) +
                       " predicted_ms=" + std::to_string(to_milliseconds(predicted_).count()) +
                       " left_ms=" + std::to_string(to_milliseconds(deadline_ - now).count()));
--- a/src/forward_call.h
+++ b/src/forward_call.h
@@ -234,6 +234,8 @@
     [[nodiscard]] std::uint32_t max_sends() const;
     /// Registers the placement with the fleet and the other gateways.
     void start_job(const chosen_backends& chosen);
+    /// Whether the configuration orders the requests for the engines of the service by urgency.
+    [[nodiscard]] bool has_order() const;
     [[nodiscard]] attempt_parameters parameters_for(const chosen_backends& chosen) const;
 
     void on_header(const http_response_head& head);
@@ -297,6 +299,8 @@
     std::shared_ptr<const route_table> routes_;
     const route_info* route_ = nullptr;
     std::string workspace_;
+    /// See effective_urgency().
+    std::uint32_t urgency_ = 0;
     std::vector<std::string> route_services_;
     std::string service_;
     job_demand demand_;
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -180,8 +180,9 @@
     config_content_ = content;
     log_.info("configuration " + std::to_string(config->version) + " active, " +
               std::to_string(config->routes.size()) + " routes, " +
-              std::to_string(config->workspaces.size()) + " workspaces, epoch=" +
-              std::to_string(store_.epoch()) + " revision=" + std::to_string(object.version));
+              std::to_string(config->workspaces.size()) + " workspaces" +
+              describe_urgencies(*config) + ", epoch=" + std::to_string(store_.epoch()) +
+              " revision=" + std::to_string(object.version));
     set_request_limits(config->limits);
     fleet_.set_services(config->services);
     shared_.routes = std::make_shared<const route_table>(std::move(*config));
--- a/src/route_table.cpp
+++ b/src/route_table.cpp
@@ -31,6 +31,7 @@
     for (const auto& service : config_.services) {
         services_.emplace(service.name, &service);
     }
+    urgencies_ = urgency_scales(config_);
 }
 
 const route_info* route_table::find_route(std::string_view host, std::string_view path) const {
@@ -53,6 +54,11 @@
     return found == services_.end() ? nullptr : found->second;
 }
 
+const urgency_scale* route_table::find_urgencies(std::string_view service) const {
+    const auto found = urgencies_.find(service);
+    return found == urgencies_.end() ? nullptr : &found->second;
+}
+
 std::vector<std::string> route_table::weighted_service_order(const route_info& route,
                                                              std::mt19937_64& random) {
     std::vector<std::string> order;
--- a/src/route_table.h
+++ b/src/route_table.h
@@ -1,7 +1,7 @@
 /// Lookup of routes, workspaces and services in one version of the configuration.
 #pragma once
 
-#include "forward_types.h"
+#include "request_order.h"
 
 #include <map>
 #include <random>
@@ -26,6 +26,8 @@
     [[nodiscard]] const workspace_info* find_workspace(std::string_view key) const;
     /// Null if the configuration has no such service.
     [[nodiscard]] const routed_service* find_service(std::string_view name) const;
+    /// Urgencies of the requests for the engines of the service; null if it has no engines.
+    [[nodiscard]] const urgency_scale* find_urgencies(std::string_view service) const;
     /// Services of the route in a random order weighted by their shares; services of weight 0 are
     /// left out. A request uses the first one in this order that has a live backend server.
     [[nodiscard]] static std::vector<std::string> weighted_service_order(const route_info& route,
@@ -38,6 +40,7 @@
     /// By API key.
     std::unordered_map<std::string, const workspace_info*> workspaces_;
     std::unordered_map<std::string, const routed_service*> services_;
+    std::map<std::string, urgency_scale, std::less<>> urgencies_;
 };
 
 } // namespace magnolia
--- a/tests/forward_call_test.cpp
+++ b/tests/forward_call_test.cpp
@@ -23,6 +23,25 @@
     EXPECT_LE(std::stoi(std::string{find_header(seen.headers, "time-left")}), 5000);
 }
 
+// Where the configuration states no urgencies that differ, engines keep their own order.
+TEST_F(gateway_fixture, an_engine_is_told_the_urgency_only_where_urgencies_differ) {
+    auto& backend = add_backend("b1", "llm");
+    backend.add_handler(stream_events({1}, true));
+    EXPECT_EQ(send_request({"POST", "/stream/", {}, "x", {}})->status, 200U);
+    auto config = default_config();
+    config.routes[0].urgency = 3;
+    shared_.routes = std::make_shared<const route_table>(config);
+    EXPECT_EQ(send_request({"POST", "/stream/", {}, "x", {}})->status, 200U);
+    config.workspaces[0].urgency = 0;
+    config.workspaces.push_back({.name = "other", .keys = {"k3"}, .urgency = 2});
+    shared_.routes = std::make_shared<const route_table>(config);
+    EXPECT_EQ(send_request({"POST", "/stream/", {}, "x", {}})->status, 200U);
+    ASSERT_EQ(backend.requests().size(), 3U);
+    EXPECT_EQ(find_header(backend.requests()[0].headers, "urgency"), "");
+    EXPECT_EQ(find_header(backend.requests()[1].headers, "urgency"), "3");
+    EXPECT_EQ(find_header(backend.requests()[2].headers, "urgency"), "0");
+}
+
 // A gateway with an outdated configuration must not reject a route or key that may be new; it
 // answers 503 instead, so that the caller tries again.
 TEST_F(gateway_fixture, unknown_routes_and_keys_are_refused_only_with_a_confirmed_configuration) {
--- a/tests/gateway_fixture.cpp
+++ b/tests/gateway_fixture.cpp
@@ -57,6 +57,9 @@
     out.headers.push_back({"time-left", std::to_string(parameters.time_left.count())});
     out.headers.push_back({"backend", parameters.backend_id});
     out.headers.push_back({"workspace", parameters.workspace});
+    if (parameters.urgency) {
+        out.headers.push_back({"urgency", std::to_string(*parameters.urgency)});
+    }
     if (parameters.resume_after) {
         out.headers.push_back({"resume", std::to_string(*parameters.resume_after)});
     }
