--- /dev/null
+++ b/tests/stated_limit_fleet_test.cpp
@@ -0,0 +1,274 @@
+#include "backend_fleet.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <random>
+
+namespace magnolia {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr time_point start{100s};
+constexpr std::size_t zone_count = 4;
+constexpr std::size_t engines_per_zone = 14;
+/// The engine that states a limit.
+const std::string limited_engine = "z0e3";
+
+std::string zone_name(std::size_t index) {
+    return "z" + std::to_string(index % zone_count);
+}
+
+placement_query short_prompt() {
+    placement_query query;
+    query.demand.prompt_tokens = 5000;
+    query.demand.answer_tokens = 1000;
+    query.demand.target_latency = 1s;
+    query.demand.target_pause = 250ms;
+    query.demand.time_limit = 10s;
+    query.demand.value = 1.5;
+    query.time_left = 10s;
+    return query;
+}
+
+/// All hosts of a deployment, each with its own view of it, before engines of which one states a
+/// limit and the others take nothing.
+class limited_engine_fleet : public testing::TestWithParam<std::size_t> {
+protected:
+    static constexpr duration step = 20ms;
+    static constexpr duration max_told_delay = 500ms;
+    /// The bound of the users holds from this time after the first statement.
+    static constexpr duration contact_time = 3s;
+    static constexpr duration window = 4s;
+
+    struct host {
+        located_name place;
+        std::unique_ptr<backend_fleet> fleet;
+        /// Time at which it is told the limit.
+        time_point told_at{};
+        std::function<void(host&, time_point)> change;
+        time_point change_at{};
+        bool is_down = false;
+    };
+
+    [[nodiscard]] static std::vector<located_name> host_names(std::size_t count) {
+        std::vector<located_name> names;
+        for (std::size_t index = 0; index < count; ++index) {
+            names.push_back({"h" + std::to_string(index), zone_name(index)});
+        }
+        return names;
+    }
+
+    [[nodiscard]] static backend_info engine(const std::string& zone, std::size_t index) {
+        backend_info info;
+        info.id = zone + "e" + std::to_string(index);
+        info.service = "llm";
+        info.address = {"127.0.0.1", 1};
+        info.zone = zone;
+        info.slots = 16;
+        info.is_leaving = info.id != limited_engine;
+        return info;
+    }
+
+    /// Starts anew with this limit.
+    void reset(double limit) {
+        limit_ = limit;
+        now_ = start;
+        arrivals_.clear();
+        senders_.clear();
+        hosts_.clear();
+        engine_profile profile;
+        profile.memory_tokens = 232'000;
+        profile.steps_per_pass = 43;
+        profile.slots = 16;
+        profile.prefill_tokens_per_ms = 206;
+        profile.prefill_tokens_per_step = 2048;
+        names_ = host_names(GetParam());
+        for (const auto& name : names_) {
+            auto fleet = std::make_unique<backend_fleet>(name.zone, hosts_.size() + 1,
+                                                         placement_policy::pause_aware);
+            fleet->set_services({{"llm", profile}});
+            for (std::size_t zone = 0; zone < zone_count; ++zone) {
+                for (std::size_t index = 0; index < engines_per_zone; ++index) {
+                    fleet->put(engine(zone_name(zone), index));
+                }
+            }
+            fleet->set_hosts(name.name, names_, start);
+            auto& created = hosts_.emplace_back();
+            created.place = name;
+            created.fleet = std::move(fleet);
+            created.told_at = start + random_time(max_told_delay);
+        }
+    }
+
+    /// Changes what the hosts know, each at a time of its own from now on.
+    void change_at_hosts(duration max_delay, const std::function<void(host&, time_point)>& change) {
+        for (auto& host : hosts_) {
+            host.change_at = now_ + random_time(max_delay);
+            host.change = change;
+        }
+    }
+
+    duration random_time(duration longest) {
+        return duration{std::uniform_int_distribution<duration::rep>{0, longest.count()}(random_)};
+    }
+
+    /// Every host sends the limited engine as many requests as it may.
+    void send_until(time_point end) {
+        for (; now_ < end; now_ += step) {
+            for (auto& host : hosts_) {
+                if (host.is_down) {
+                    continue;
+                }
+                if (host.change && host.change_at <= now_) {
+                    std::exchange(host.change, nullptr)(host, now_);
+                }
+                if (host.told_at <= now_) {
+                    host.fleet->set_stated_limit({limited_engine, 0}, limit_, now_);
+                    host.told_at = time_point::max();
+                }
+                send_from(host);
+            }
+        }
+    }
+
+    void send_from(host& host) {
+        if (!host.fleet->stated_limit(limited_engine)) {
+            return;
+        }
+        while (const auto chosen = host.fleet->choose("llm", short_prompt(), {}, now_)) {
+            const auto job = host.fleet->start(*chosen, short_prompt().demand, now_);
+            host.fleet->on_ended(job, attempt_result::done, now_);
+            arrivals_.push_back(now_);
+            senders_[host.place.zone].insert(host.place.name);
+        }
+    }
+
+    /// Most requests that the engine got in a window after the contact time.
+    [[nodiscard]] std::size_t most_requests() const {
+        std::size_t most = 0;
+        auto first = std::ranges::lower_bound(arrivals_, start + contact_time);
+        for (auto last = first; last != arrivals_.end(); ++last) {
+            while (*first <= *last - window) {
+                ++first;
+            }
+            most = std::max(most, static_cast<std::size_t>(last - first) + 1);
+        }
+        return most;
+    }
+
+    /// For failures: the limit, and how many hosts of each zone have sent.
+    [[nodiscard]] std::string trace() const {
+        std::string text = "limit " + std::to_string(limit_) + ", senders";
+        for (const auto& [zone, names] : senders_) {
+            text += " " + zone + "=" + std::to_string(names.size());
+        }
+        return text;
+    }
+
+    [[nodiscard]] std::size_t max_requests() const {
+        return static_cast<std::size_t>(limit_ * 1.5 * 4) + 5;
+    }
+
+    [[nodiscard]] double rate(time_point from, time_point to) const {
+        const auto count =
+            std::ranges::count_if(arrivals_, [&](const auto at) { return at >= from && at < to; });
+        return static_cast<double>(count) / std::chrono::duration<double>{to - from}.count();
+    }
+
+    std::mt19937_64 random_{GetParam()};
+    double limit_ = 0;
+    std::vector<located_name> names_;
+    std::vector<host> hosts_;
+    time_point now_ = start;
+    /// Requests at the limited engine, in order.
+    std::vector<time_point> arrivals_;
+    /// Hosts that have sent any of them, by zone.
+    std::map<std::string, std::set<std::string>> senders_;
+};
+
+// Incident LIMIT: hosts outside the engine's zone counted themselves among its users, each over a
+// set of its own, and the parts of all hosts were many times the limit.
+TEST_P(limited_engine_fleet, a_limit_holds_over_the_hosts_of_all_zones) {
+    for (const double limit : {1, 2, 5, 20}) {
+        reset(limit);
+        send_until(start + 14s);
+        EXPECT_LE(most_requests(), max_requests()) << trace();
+        EXPECT_GE(rate(start + contact_time, now_), 0.8 * limit) << trace();
+    }
+}
+
+// The division of the engines among the hosts depends on their list, of which hosts learn at
+// different times.
+TEST_P(limited_engine_fleet, a_limit_holds_while_the_list_of_engines_changes) {
+    for (const double limit : {1, 5, 20}) {
+        reset(limit);
+        send_until(start + 6s);
+        change_at_hosts(2s, [](auto& host, time_point now) {
+            for (std::size_t index = 6; index < engines_per_zone; ++index) {
+                host.fleet->remove(engine("z1", index).id, 0s, now);
+            }
+        });
+        send_until(start + 14s);
+        EXPECT_LE(most_requests(), max_requests()) << trace();
+        change_at_hosts(2s, [](auto& host, time_point) {
+            for (std::size_t index = 6; index < engines_per_zone; ++index) {
+                host.fleet->put(engine("z1", index));
+            }
+        });
+        send_until(start + 22s);
+        EXPECT_LE(most_requests(), max_requests()) << trace();
+        EXPECT_GE(rate(start + 18s, now_), 0.8 * limit) << trace();
+    }
+}
+
+// Two hosts of three end, and the others notice at different times; later they are back.
+TEST_P(limited_engine_fleet, a_limit_holds_while_hosts_end_and_start) {
+    for (const double limit : {1, 5, 20}) {
+        reset(limit);
+        send_until(start + 6s);
+        std::vector<located_name> left;
+        for (std::size_t index = 0; index < hosts_.size(); ++index) {
+            hosts_[index].is_down = index % 3 != 0;
+            if (!hosts_[index].is_down) {
+                left.push_back(names_[index]);
+            }
+        }
+        change_at_hosts(2500ms, [left](auto& host, time_point now) {
+            host.fleet->set_hosts(host.place.name, left, now);
+        });
+        send_until(start + 14s);
+        EXPECT_LE(most_requests(), max_requests()) << trace();
+        std::ranges::for_each(hosts_, [](auto& host) { host.is_down = false; });
+        change_at_hosts(2500ms, [this](auto& host, time_point now) {
+            host.fleet->set_hosts(host.place.name, names_, now);
+        });
+        send_until(start + 22s);
+        EXPECT_LE(most_requests(), max_requests()) << trace();
+        EXPECT_GE(rate(start + 18s, now_), 0.8 * limit) << trace();
+    }
+}
+
+// A server in greater need names a lower limit.
+TEST_P(limited_engine_fleet, a_lower_limit_holds_soon_after_it_is_stated) {
+    reset(20);
+    send_until(start + 6s);
+    limit_ = 1;
+    arrivals_.clear();
+    std::ranges::for_each(
+        hosts_, [this](auto& host) { host.told_at = now_ + random_time(max_told_delay); });
+    const auto stated_at = now_;
+    send_until(now_ + 10s);
+    std::erase_if(arrivals_, [&](const auto at) { return at < stated_at + contact_time; });
+    EXPECT_LE(most_requests(), max_requests()) << trace();
+    EXPECT_GE(rate(stated_at + contact_time, now_), 0.8);
+}
+
+INSTANTIATE_TEST_SUITE_P(hosts, limited_engine_fleet, testing::Values(4, 9, 28, 83, 296),
+                         [](const auto& sized) { return std::to_string(sized.param); });
+
+} // namespace
+} // namespace magnolia
