--- a/src/backend_fleet.cpp
+++ b/src/backend_fleet.cpp
@@ -1,7 +1,5 @@
 #include "backend_fleet.h"
 
-#include "limit_sharing.h"
-
 #include <xxhash.h>
 
 #include <algorithm>
@@ -422,33 +420,6 @@
     return found != backends_.end() && found->second.terms.rests(now);
 }
 
-bool backend_fleet::set_stated_limit(const backend_process& process,
-                                     std::optional<double> requests_per_s, time_point now) {
-    auto* record = find(process.id);
-    if (record == nullptr || record->info.started_ms != process.started_ms ||
-        !record->terms.set_limit(requests_per_s, now, now)) {
-        return false;
-    }
-    update_share(*record, now);
-    return true;
-}
-
-void backend_fleet::update_share(backend_record& record, time_point now) {
-    const auto limit = record.terms.limit();
-    if (!limit) {
-        return;
-    }
-    std::vector<std::string> users;
-    if (record.forecast && topology().is_divided()) {
-        // Hosts of other domains send it nothing, so that a part of theirs would be lost.
-        users = topology().hosts_of(topology().audience_of(record.info.id, true));
-        users.push_back(host_);
-    } else {
-        std::ranges::transform(hosts_, std::back_inserter(users), &located_name::name);
-    }
-    record.terms.set_share(limit_share(*limit, record.info.id, host_, users), now);
-}
-
 void backend_fleet::set_hosts(const std::string& own, std::vector<located_name> hosts,
                               time_point now) {
     if (hosts_ == hosts) {
@@ -461,11 +432,6 @@
                           [&](auto& record) { update_share(record, now); });
 }
 
-std::optional<double> backend_fleet::stated_limit(const std::string& backend) const {
-    const auto found = backends_.find(backend);
-    return found == backends_.end() ? std::nullopt : found->second.terms.limit();
-}
-
 void backend_fleet::on_answer_bytes(const std::string& backend, time_point now) {
     if (auto* record = find(backend)) {
         record->last_answer = now;
--- a/src/backend_fleet.h
+++ b/src/backend_fleet.h
@@ -59,6 +59,19 @@
     double net_value = 0;
 };
 
+/// How a limit that a backend server states is divided among the hosts, as this host sees it.
+struct limit_division {
+    std::string backend;
+    /// Requests per second of all hosts together; none if the limit has ended.
+    std::optional<double> requests_per_s{};
+    /// Requests per second of this host.
+    double share = 0;
+    /// Hosts among which the limit is divided.
+    std::size_t hosts = 0;
+
+    bool operator==(const limit_division&) const = default;
+};
+
 /// Chooses backend servers for requests and keeps the state that the choice needs. Owned by the
 /// gateway and shared by its calls (forward_call). Not thread-safe: used from one thread.
 class backend_fleet {
@@ -159,6 +172,13 @@
     [[nodiscard]] std::vector<stated_limit_entry> stated_limits(time_point now) const;
     /// Applies what another gateway was told; the latest statement counts.
     void apply_limits(const std::vector<stated_limit_entry>& limits, time_point now);
+    /// Takes the divisions that have changed since the last call, the latest one of each backend
+    /// server.
+    [[nodiscard]] std::vector<limit_division> take_division_changes();
+    /// Requests per second that this host may send to all backend servers with a limit.
+    [[nodiscard]] double limited_share() const;
+    /// Number of backend servers with a limit.
+    [[nodiscard]] std::size_t limited_count() const;
     /// Bytes of any answer arrived from the backend server.
     void on_answer_bytes(const std::string& backend, time_point now);
     /// Results of liveness probes; see liveness_prober.h.
@@ -196,6 +216,9 @@
         /// Moving average of failed attempts, 0 to 1.
         double failure_rate = 0;
         stated_terms terms;
+        /// As last computed, and as take_division_changes() last returned it.
+        limit_division division{};
+        limit_division reported_division{};
         time_point last_answer{};
         time_point last_probe_success{};
         time_point last_probe_failure{};
--- a/src/backend_fleet_gossip.cpp
+++ b/src/backend_fleet_gossip.cpp
@@ -1,5 +1,4 @@
-/// Second part of backend_fleet: what gateways tell each other of placements and of the limits that
-/// backend servers state.
+/// Third part of backend_fleet: what gateways tell each other of placements.
 #include "backend_fleet.h"
 
 #include <algorithm>
@@ -10,10 +9,6 @@
 
 /// Placements in one datagram of a snapshot; at about 80 bytes each under the usual MTU.
 constexpr std::size_t max_snapshot_placements = 16;
-/// Limits of backend servers that are told to the other gateways.
-constexpr std::size_t max_told_limits = 64;
-/// Time for which the others are told that a limit has ended.
-constexpr duration ended_limit_lifetime = std::chrono::seconds{10};
 /// Bounds the jobs tracked for each other gateway.
 constexpr std::size_t max_remote_jobs = 4096;
 
@@ -170,38 +165,4 @@
     remote_jobs_.erase(origin);
 }
 
-std::vector<stated_limit_entry> backend_fleet::stated_limits(time_point now) const {
-    std::vector<stated_limit_entry> limits;
-    for (const auto& [id, record] : backends_) {
-        const auto age = now - record.terms.limit_stated_at();
-        const auto limit = record.terms.limit();
-        if ((limit || age <= ended_limit_lifetime) && limits.size() < max_told_limits) {
-            limits.push_back({.backend = id,
-                              .started_ms = record.info.started_ms,
-                              .is_limited = limit.has_value(),
-                              .requests_per_s = limit.value_or(0),
-                              .age = std::chrono::duration_cast<milliseconds>(age)});
-        }
-    }
-    return limits;
-}
-
-void backend_fleet::expire_limits(time_point now) {
-    std::ranges::for_each(backends_ | std::views::values,
-                          [now](auto& record) { record.terms.expire_limit(now); });
-}
-
-void backend_fleet::apply_limits(const std::vector<stated_limit_entry>& limits, time_point now) {
-    for (const auto& told : limits) {
-        auto* record = find(told.backend);
-        if (record == nullptr || record->info.started_ms != told.started_ms) {
-            continue;
-        }
-        const auto limit = told.is_limited ? std::optional{told.requests_per_s} : std::nullopt;
-        if (record->terms.set_limit(limit, now - told.age, now)) {
-            update_share(*record, now);
-        }
-    }
-}
-
 } // namespace magnolia
--- /dev/null
+++ b/src/backend_fleet_limits.cpp
@@ -0,0 +1,117 @@
+/// Fourth part of backend_fleet: the limits that backend servers state for all hosts together.
+#include "backend_fleet.h"
+#include "limit_sharing.h"
+
+#include <algorithm>
+#include <numeric>
+#include <ranges>
+
+namespace magnolia {
+namespace {
+
+/// Limits of backend servers that are told to the other gateways.
+constexpr std::size_t max_told_limits = 64;
+/// Time for which the others are told that a limit has ended.
+constexpr duration ended_limit_lifetime = std::chrono::seconds{10};
+
+} // namespace
+
+bool backend_fleet::set_stated_limit(const backend_process& process,
+                                     std::optional<double> requests_per_s, time_point now) {
+    auto* record = find(process.id);
+    if (record == nullptr || record->info.started_ms != process.started_ms ||
+        !record->terms.set_limit(requests_per_s, now, now)) {
+        return false;
+    }
+    update_share(*record, now);
+    return true;
+}
+
+void backend_fleet::update_share(backend_record& record, time_point now) {
+    const auto limit = record.terms.limit();
+    if (!limit) {
+        record.division = {.backend = record.info.id};
+        return;
+    }
+    std::vector<std::string> users;
+    if (record.forecast && topology().is_divided()) {
+        // Hosts of other domains send it nothing, so that a part of theirs would be lost.
+        users = topology().hosts_of(topology().audience_of(record.info.id, true));
+        users.push_back(host_);
+    } else {
+        std::ranges::transform(hosts_, std::back_inserter(users), &located_name::name);
+    }
+    const auto share = limit_share(*limit, record.info.id, host_, users);
+    record.terms.set_share(share, now);
+    record.division = {record.info.id, limit, share, users.size()};
+}
+
+std::optional<double> backend_fleet::stated_limit(const std::string& backend) const {
+    const auto found = backends_.find(backend);
+    return found == backends_.end() ? std::nullopt : found->second.terms.limit();
+}
+
+std::vector<stated_limit_entry> backend_fleet::stated_limits(time_point now) const {
+    std::vector<stated_limit_entry> limits;
+    for (const auto& [id, record] : backends_) {
+        const auto age = now - record.terms.limit_stated_at();
+        const auto limit = record.terms.limit();
+        if ((limit || age <= ended_limit_lifetime) && limits.size() < max_told_limits) {
+            limits.push_back({.backend = id,
+                              .started_ms = record.info.started_ms,
+                              .is_limited = limit.has_value(),
+                              .requests_per_s = limit.value_or(0),
+                              .age = std::chrono::duration_cast<milliseconds>(age)});
+        }
+    }
+    return limits;
+}
+
+void backend_fleet::expire_limits(time_point now) {
+    for (auto& record : backends_ | std::views::values) {
+        if (record.terms.expire_limit(now)) {
+            update_share(record, now);
+        }
+    }
+}
+
+void backend_fleet::apply_limits(const std::vector<stated_limit_entry>& limits, time_point now) {
+    for (const auto& told : limits) {
+        auto* record = find(told.backend);
+        if (record == nullptr || record->info.started_ms != told.started_ms) {
+            continue;
+        }
+        const auto limit = told.is_limited ? std::optional{told.requests_per_s} : std::nullopt;
+        if (record->terms.set_limit(limit, now - told.age, now)) {
+            update_share(*record, now);
+        }
+    }
+}
+
+std::vector<limit_division> backend_fleet::take_division_changes() {
+    std::vector<limit_division> changes;
+    for (auto& record : backends_ | std::views::values) {
+        if (record.division != record.reported_division) {
+            record.reported_division = record.division;
+            changes.push_back(record.division);
+        }
+    }
+    return changes;
+}
+
+double backend_fleet::limited_share() const {
+    const auto shares = backends_ | std::views::values |
+                        std::views::transform([](const auto& record) {
+                            return record.terms.limit() ? record.division.share : 0;
+                        }) |
+                        std::views::common;
+    return std::accumulate(shares.begin(), shares.end(), 0.0);
+}
+
+std::size_t backend_fleet::limited_count() const {
+    return static_cast<std::size_t>(
+        std::ranges::count_if(backends_ | std::views::values,
+                              [](const auto& record) { return record.terms.limit().has_value(); }));
+}
+
+} // namespace magnolia
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -116,6 +116,7 @@
                       log_.info("backend server states another limit backend=" + backend +
                                 " requests_per_s=" +
                                 (requests_per_s ? std::to_string(*requests_per_s) : "none"));
+                      log_limit_divisions();
                       send_digest(steady_now());
                   },
               .on_quarantine_evidence = [this] { quarantine_exchange_.schedule_flush(); }},
@@ -330,6 +331,7 @@
     on_hosts_changed(now);
     drop_lost_processes(now);
     fleet_.expire_limits(now);
+    log_limit_divisions();
     resync_if_behind(now);
     quarantine_exchange_.tick(now);
     check_settings_file(now);
@@ -348,7 +350,9 @@
                          .relayed_requests = relay_receiver_.active_requests(),
                          .unreachable_services = reach_.unreachable().size(),
                          .reservations = reservations_.size(),
-                         .evacuated_zones = fleet_.evacuation().zones(now).size()});
+                         .evacuated_zones = fleet_.evacuation().zones(now).size(),
+                         .limited_backends = fleet_.limited_count(),
+                         .limited_share = fleet_.limited_share()});
     const bool became_ready = is_ready() && !std::exchange(was_ready_, is_ready());
     if (became_ready) {
         owner_.set_ready(true);
@@ -388,6 +392,16 @@
     return {is_known && is_ready() ? status_ok : status_unavailable, {}, {}};
 }
 
+void gateway::state::log_limit_divisions() {
+    for (const auto& division : fleet_.take_division_changes()) {
+        const auto limit =
+            division.requests_per_s ? std::to_string(*division.requests_per_s) : "none";
+        log_.info("share of a stated limit backend=" + division.backend +
+                  " requests_per_s=" + limit + " share=" + std::to_string(division.share) +
+                  " hosts=" + std::to_string(division.hosts));
+    }
+}
+
 double gateway::state::budget_reserve() const {
     const auto gateways = std::max(min_assumed_gateways, hosts_.known_count() + 1);
     return settings_.retry.slack * budget_slack_share / static_cast<double>(gateways);
--- a/src/gateway_metrics.cpp
+++ b/src/gateway_metrics.cpp
@@ -60,7 +60,12 @@
       reservations_{registry.make_gauge("magnolia_reservations",
                                         "Requests that hold memory of several engines.")},
       evacuated_zones_{registry.make_gauge("magnolia_evacuated_zones",
-                                           "Zones to whose backend servers nothing is sent.")} {
+                                           "Zones to whose backend servers nothing is sent.")},
+      limited_backends_{
+          registry.make_gauge("magnolia_limited_backends", "Backend servers that state a limit.")},
+      limited_share_{registry.make_gauge(
+          "magnolia_limited_share_per_second",
+          "Requests per second that this host may send to backend servers with a limit.")} {
     for (std::size_t class_index = 0; class_index < first_byte_.size(); ++class_index) {
         first_byte_[class_index] = registry.make_histogram(
             "magnolia_first_byte_seconds", "Time from arrival to the first byte sent.",
@@ -132,6 +137,8 @@
     unreachable_services_.set(static_cast<double>(gauges.unreachable_services));
     reservations_.set(static_cast<double>(gauges.reservations));
     evacuated_zones_.set(static_cast<double>(gauges.evacuated_zones));
+    limited_backends_.set(static_cast<double>(gauges.limited_backends));
+    limited_share_.set(gauges.limited_share);
 }
 
 } // namespace magnolia
--- a/src/gateway_metrics.h
+++ b/src/gateway_metrics.h
@@ -26,6 +26,10 @@
     std::size_t unreachable_services = 0;
     std::size_t reservations = 0;
     std::size_t evacuated_zones = 0;
+    /// Backend servers that state a limit.
+    std::size_t limited_backends = 0;
+    /// Requests per second that this host may send to them.
+    double limited_share = 0;
 };
 
 /// Registers and updates the metrics of one gateway; owned by it. Not thread-safe.
@@ -65,6 +69,8 @@
     gauge unreachable_services_;
     gauge reservations_;
     gauge evacuated_zones_;
+    gauge limited_backends_;
+    gauge limited_share_;
 };
 
 } // namespace magnolia
--- a/src/gateway_p.h
+++ b/src/gateway_p.h
@@ -133,6 +133,8 @@
     /// Periodic work: registration, peers, settings file, gauges, digest.
     void tick();
     /// Retries per window that this gateway may make regardless of its number of requests.
+    /// Logs this host's shares of stated limits that have changed.
+    void log_limit_divisions();
     [[nodiscard]] double budget_reserve() const;
     [[nodiscard]] retry_budget make_retry_budget() const;
     /// Counts and logs a finished request.
--- a/tests/divided_fleet_test.cpp
+++ b/tests/divided_fleet_test.cpp
@@ -199,6 +199,23 @@
     EXPECT_EQ(admitted, limit);
 }
 
+// Incident LIMIT: no log told among how many hosts a limit was divided, nor the share of a host
+// that had learned of it from another one.
+TEST_F(divided_fleet, changes_of_the_share_of_a_limit_are_reported_once) {
+    EXPECT_TRUE(fleet_.take_division_changes().empty());
+    fleet_.apply_limits(
+        {{.backend = "z0e3", .started_ms = 0, .is_limited = true, .requests_per_s = 40}}, start);
+    const auto changes = fleet_.take_division_changes();
+    ASSERT_EQ(changes.size(), 1U);
+    EXPECT_EQ(changes.front(), (limit_division{"z0e3", 40, 1, hosts_per_zone}));
+    EXPECT_TRUE(fleet_.take_division_changes().empty());
+    EXPECT_EQ(fleet_.limited_count(), 1U);
+    EXPECT_EQ(fleet_.limited_share(), 1);
+    fleet_.expire_limits(start + std::chrono::seconds{60});
+    EXPECT_EQ(fleet_.take_division_changes(), std::vector{limit_division{.backend = "z0e3"}});
+    EXPECT_EQ(fleet_.limited_count(), 0U);
+}
+
 TEST(estimated_engine, it_has_the_short_prompts_of_another_engine_and_its_own_long_ones) {
     engine_profile profile;
     profile.memory_tokens = 232'000;
--- a/tests/gateway_metrics_test.cpp
+++ b/tests/gateway_metrics_test.cpp
@@ -46,5 +46,15 @@
     }
 }
 
+// Incident LIMIT: what a host may send to servers with a limit could not be summed over the hosts.
+TEST(gateway_metrics, the_share_of_stated_limits_is_shown) {
+    metrics_registry registry;
+    const gateway_metrics metrics{registry};
+    metrics.set_gauges({.limited_backends = 2, .limited_share = 1.5});
+    const auto text = registry.text();
+    EXPECT_NE(text.find("magnolia_limited_backends 2\n"), std::string::npos) << text;
+    EXPECT_NE(text.find("magnolia_limited_share_per_second 1.5\n"), std::string::npos) << text;
+}
+
 } // namespace
 } // namespace magnolia
