Divide the limit of an engine over the same hosts everywhere

What callers and servers saw: a server that had named a limit got up to 324 requests in 4 s where 125 are allowed, at 28 hosts and more.

Cause: each host added itself to the hosts of the engine's domain before it divided the limit. Right for hosts of that domain; every host outside it computed a set of its own, of which it was one, and many of them counted themselves among the users. Hosts outside send to the engine when those of their own domain take nothing.

Evidence: limited_engine_fleet, 28, 83 and 296 hosts, limits of 1, 2, 5 and 20: before, 10 of 20 tests failed (senders of all four zones in the failure's text); after, all 20 pass, and at least 0.8 of the limit is used.

Why this works: the users of a zone's engines are a function of the lists of hosts and engines alone (exchange_topology::users_of_zone), without the computing host. A zone without hosts, whose engines every host divided for itself alone, is divided among all.

--- a/src/backend_fleet_limits.cpp
+++ b/src/backend_fleet_limits.cpp
@@ -34,10 +34,9 @@
         return;
     }
     std::vector<std::string> users;
-    if (record.forecast && topology().is_divided()) {
-        // Hosts of other domains send it nothing, so that a part of theirs would be lost.
-        users = topology().hosts_of(topology().audience_of(record.info.id, true));
-        users.push_back(host_);
+    if (record.forecast) {
+        // Hosts of other domains have none: their parts would be lost while theirs have engines.
+        users = topology().users_of_zone(record.info.zone);
     } else {
         std::ranges::transform(hosts_, std::back_inserter(users), &located_name::name);
     }
--- a/src/exchange_topology.cpp
+++ b/src/exchange_topology.cpp
@@ -74,7 +74,7 @@
     is_divided_ = hosts.size() > limits_.max_undivided_hosts;
     const auto engines_by_zone = group(engines, true);
     // While no engine is known, hosts tell each other of themselves only.
-    const bool by_zone =
+    is_by_zone_ =
         is_divided_ &&
         (engines.empty() ||
          std::ranges::all_of(group(hosts, true) | std::views::keys, [&](const std::string& zone) {
@@ -82,11 +82,11 @@
              return found != engines_by_zone.end() &&
                     found->second.size() >= limits_.min_domain_engines;
          }));
-    own_domain_ = by_zone ? zone_ : std::string{};
+    own_domain_ = is_by_zone_ ? zone_ : std::string{};
     domains_.clear();
     domain_of_engine_.clear();
-    const auto domain_engines = group(engines, by_zone);
-    const auto domain_hosts = group(hosts, by_zone);
+    const auto domain_engines = group(engines, is_by_zone_);
+    const auto domain_hosts = group(hosts, is_by_zone_);
     for (const auto& name : domain_hosts | std::views::keys) {
         domains_[name];
     }
@@ -151,6 +151,20 @@
     return hosts;
 }
 
+std::vector<std::string> exchange_topology::users_of_zone(std::string_view zone) const {
+    const auto* in = find(is_by_zone_ ? zone : std::string_view{});
+    std::vector<std::string> users;
+    if (in != nullptr && !in->cell_of_host.empty()) {
+        std::ranges::copy(in->cell_of_host | std::views::keys, std::back_inserter(users));
+        return users;
+    }
+    // A zone without hosts: those of all other zones use its engines.
+    for (const auto& other : domains_ | std::views::values) {
+        std::ranges::copy(other.cell_of_host | std::views::keys, std::back_inserter(users));
+    }
+    return users;
+}
+
 bool exchange_topology::contains(const audience_id& audience, std::string_view host) const {
     const auto* in = find(audience.domain);
     if (in == nullptr) {
--- a/src/exchange_topology.h
+++ b/src/exchange_topology.h
@@ -77,6 +77,9 @@
     [[nodiscard]] audience_id own_cell() const { return {own_domain_, own_cell_}; }
     /// Audience of this host's domain.
     [[nodiscard]] audience_id own_domain() const { return {own_domain_, audience_id::all_cells}; }
+    /// Names of all hosts, this one included if it belongs to them, that use the engines of an
+    /// availability zone. Every host computes the same names from the same lists, wherever it is.
+    [[nodiscard]] std::vector<std::string> users_of_zone(std::string_view zone) const;
     /// Whether the host belongs to the audience.
     [[nodiscard]] bool contains(const audience_id& audience, std::string_view host) const;
     /// Draws some hosts outside the own cell, of the own domain and of others. What they are told
@@ -102,6 +105,8 @@
     std::string zone_;
     topology_limits limits_;
     bool is_divided_ = false;
+    /// Whether each zone is a domain.
+    bool is_by_zone_ = false;
     std::string own_domain_;
     std::size_t own_cell_ = audience_id::all_cells;
     /// By zone; one with an empty name if the whole deployment is one.
