Report no change of the share for servers that never stated a limit

The test of the reports failed: the first call returned an empty division for each server, so that a host would have logged a line for each.

--- a/src/backend_fleet_limits.cpp
+++ b/src/backend_fleet_limits.cpp
@@ -90,7 +90,9 @@
 std::vector<limit_division> backend_fleet::take_division_changes() {
     std::vector<limit_division> changes;
     for (auto& record : backends_ | std::views::values) {
-        if (record.division != record.reported_division) {
+        const bool is_limited =
+            record.division.requests_per_s || record.reported_division.requests_per_s;
+        if (is_limited && record.division != record.reported_division) {
             record.reported_division = record.division;
             changes.push_back(record.division);
         }
--- a/tests/stated_limit_fleet_test.cpp
+++ b/tests/stated_limit_fleet_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <array>
 #include <functional>
 #include <memory>
 #include <random>
@@ -43,6 +44,12 @@
     /// The bound of the users holds from this time after the first statement.
     static constexpr duration contact_time = 3s;
     static constexpr duration window = 4s;
+    /// Time after which every host knows of a change.
+    static constexpr duration max_lag = 2s;
+    /// Longest time between two changes.
+    static constexpr duration max_pause = 5s;
+    /// Time for which hosts use an entry that is no longer listed.
+    static constexpr duration entry_grace = 60s;
 
     struct host {
         located_name place;
@@ -116,6 +123,41 @@
         return duration{std::uniform_int_distribution<duration::rep>{0, longest.count()}(random_)};
     }
 
+    /// Hosts, or the engines of a zone, end or are back, or the entry of the limited engine lapses
+    /// for a moment.
+    void start_random_change() {
+        switch (random_() % 4) {
+        case 0:
+        case 1: {
+            const auto share = 2 + random_() % 4;
+            std::vector<located_name> left;
+            for (auto& host : hosts_) {
+                host.is_down = random_() % share == 0;
+                if (!host.is_down) {
+                    left.push_back(host.place);
+                }
+            }
+            return change_at_hosts(max_lag, [left](auto& host, time_point now) {
+                host.fleet->set_hosts(host.place.name, left, now);
+            });
+        }
+        case 2: {
+            const auto zone = zone_name(1 + random_() % (zone_count - 1));
+            const auto count = random_() % (engines_per_zone + 1);
+            return change_at_hosts(max_lag, [zone, count](auto& host, time_point now) {
+                for (std::size_t index = 0; index < engines_per_zone; ++index) {
+                    const auto info = engine(zone, index);
+                    index < count ? host.fleet->put(info) : host.fleet->remove(info.id, 0s, now);
+                }
+            });
+        }
+        default:
+            return change_at_hosts(max_lag, [](auto& host, time_point now) {
+                host.fleet->remove(limited_engine, entry_grace, now);
+            });
+        }
+    }
+
     /// Every host sends the limited engine as many requests as it may.
     void send_until(time_point end) {
         for (; now_ < end; now_ += step) {
@@ -267,6 +309,21 @@
     EXPECT_GE(rate(stated_at + contact_time, now_), 0.8);
 }
 
+// Hosts, zones' engines and the engine's own entry come and go, and hosts notice at different
+// times.
+TEST_P(limited_engine_fleet, a_limit_holds_in_a_series_of_changes) {
+    for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+        random_.seed(seed);
+        reset(std::array{1, 5, 20}[seed % 3]);
+        for (int change = 0; change < 8; ++change) {
+            send_until(now_ + random_time(max_pause));
+            start_random_change();
+        }
+        send_until(now_ + max_lag);
+        EXPECT_LE(most_requests(), max_requests()) << trace() << " seed " << seed;
+    }
+}
+
 INSTANTIATE_TEST_SUITE_P(hosts, limited_engine_fleet, testing::Values(4, 9, 28, 83, 296),
                          [](const auto& sized) { return std::to_string(sized.param); });
 
