Compute shares of stated limits anew when the list of engines changes

What servers saw: after a zone had lost engines, hosts that learned of a limit before and after the change kept shares of different divisions while the limit lasted, 136 to 152 requests in 4 s at a limit of 20 (125 allowed), 36 at 5 (35 allowed).

Cause: shares were computed when a limit or the hosts changed; which hosts share an engine depends on the engines of all zones too.

Evidence: limited_engine_fleet.shares_follow_a_change_of_the_list_of_engines failed at 28, 83 and 296 hosts before, passes now at all five sizes.

Why this works: each change of the list marks the shares as outdated, and the next choice of a server, or the next tick, computes them from the list that the choice itself uses.

--- a/src/backend_fleet.cpp
+++ b/src/backend_fleet.cpp
@@ -108,6 +108,7 @@
 void backend_fleet::on_list_changed() {
     list_hash_.reset();
     is_topology_current_ = false;
+    are_shares_current_ = false;
 }
 
 const exchange_topology& backend_fleet::topology() {
@@ -428,8 +429,8 @@
     host_ = own;
     hosts_ = std::move(hosts);
     is_topology_current_ = false;
-    std::ranges::for_each(backends_ | std::views::values,
-                          [&](auto& record) { update_share(record, now); });
+    are_shares_current_ = false;
+    refresh_shares(now);
 }
 
 void backend_fleet::on_answer_bytes(const std::string& backend, time_point now) {
--- a/src/backend_fleet.h
+++ b/src/backend_fleet.h
@@ -249,6 +249,8 @@
     void apply_profile(backend_record& record);
     /// Computes this host's share of the limit.
     void update_share(backend_record& record, time_point now);
+    /// Computes all shares anew if the hosts or the engines have changed since.
+    void refresh_shares(time_point now);
     /// Usable backend servers of the service, without `tried` and open circuits where possible.
     [[nodiscard]] record_list usable_backends(std::string_view service,
                                               const std::vector<std::string>& tried,
@@ -281,6 +283,7 @@
     std::vector<located_name> hosts_;
     exchange_topology topology_;
     bool is_topology_current_ = false;
+    bool are_shares_current_ = false;
     std::uint64_t origin_;
     any_placement placement_;
     std::mt19937_64 random_;
--- a/src/backend_fleet_choice.cpp
+++ b/src/backend_fleet_choice.cpp
@@ -34,6 +34,7 @@
                                                           const std::vector<std::string>& tried,
                                                           time_point now) {
     remove_expired(now);
+    refresh_shares(now);
     record_list usable;
     for (auto& record : backends_ | std::views::values) {
         if (record.info.service == service && is_usable(record, now) &&
--- a/src/backend_fleet_limits.cpp
+++ b/src/backend_fleet_limits.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <numeric>
 #include <ranges>
+#include <utility>
 
 namespace magnolia {
 namespace {
@@ -45,6 +46,13 @@
     record.division = {record.info.id, limit, share, users.size()};
 }
 
+void backend_fleet::refresh_shares(time_point now) {
+    if (!std::exchange(are_shares_current_, true)) {
+        std::ranges::for_each(backends_ | std::views::values,
+                              [&](auto& record) { update_share(record, now); });
+    }
+}
+
 std::optional<double> backend_fleet::stated_limit(const std::string& backend) const {
     const auto found = backends_.find(backend);
     return found == backends_.end() ? std::nullopt : found->second.terms.limit();
@@ -72,6 +80,7 @@
             update_share(record, now);
         }
     }
+    refresh_shares(now);
 }
 
 void backend_fleet::apply_limits(const std::vector<stated_limit_entry>& limits, time_point now) {
--- a/tests/stated_limit_fleet_test.cpp
+++ b/tests/stated_limit_fleet_test.cpp
@@ -267,6 +267,26 @@
     }
 }
 
+// A zone loses its engines, and hosts of other zones learn of the limit only after that: their shares
+// were of another division than those of the engine's zone, for as long as the limit was in force.
+TEST_P(limited_engine_fleet, shares_follow_a_change_of_the_list_of_engines) {
+    for (const double limit : {1, 5, 20}) {
+        reset(limit);
+        for (auto& host : hosts_) {
+            host.told_at = now_ + (host.place.zone == "z0" ? 0s : 1s);
+        }
+        send_until(start + 500ms);
+        change_at_hosts(0s, [](auto& host, time_point now) {
+            for (std::size_t index = 6; index < engines_per_zone; ++index) {
+                host.fleet->remove(engine("z1", index).id, 0s, now);
+            }
+        });
+        send_until(start + 10s);
+        EXPECT_LE(most_requests(), max_requests()) << trace();
+        EXPECT_GE(rate(start + contact_time, now_), 0.8 * limit) << trace();
+    }
+}
+
 // Two hosts of three end, and the others notice at different times; later they are back.
 TEST_P(limited_engine_fleet, a_limit_holds_while_hosts_end_and_start) {
     for (const double limit : {1, 5, 20}) {
