Keep the last limit of a server whose statement cannot be read

What servers saw: a limit written as "1/s", "-1" or "nan" passed for the end of the limit, and all hosts sent to the server as before.

Cause: the codec told a field that it cannot read like one that is absent.

Evidence: gateway_fixture.an_unreadable_limit_leaves_the_last_one_in_force fails with the fix disabled and passes with it.

--- a/src/forward_answer.cpp
+++ b/src/forward_answer.cpp
@@ -67,7 +67,10 @@
 }
 
 void forward_call::take_statements() {
-    if (shared_.fleet.set_stated_limit(process_, answer_.requests_per_s, steady_now())) {
+    if (answer_.is_limit_unreadable) {
+        log_of().info(head_.attempt,
+                      "stated limit is not readable, the last one stays backend=" + backend_);
+    } else if (shared_.fleet.set_stated_limit(process_, answer_.requests_per_s, steady_now())) {
         shared_.on_limit_changed(backend_, answer_.requests_per_s);
     }
     if (!answer_.asks_for_rest) {
--- a/src/forward_types.h
+++ b/src/forward_types.h
@@ -214,6 +214,8 @@
     /// Requests per second that the backend server takes from all gateways together, if it states a
     /// limit.
     std::optional<double> requests_per_s;
+    /// It states a limit that cannot be read.
+    bool is_limit_unreadable = false;
     /// Time for which the backend server stays cold, if it states one; see cold_terms.
     std::optional<milliseconds> cold_left;
 };
--- a/tests/forward_call_test.cpp
+++ b/tests/forward_call_test.cpp
@@ -248,6 +248,21 @@
     EXPECT_EQ(backends_.front()->requests().size(), 1U);
 }
 
+// A limit that could not be read passed for its end: all hosts sent without one.
+TEST_F(gateway_fixture, an_unreadable_limit_leaves_the_last_one_in_force) {
+    auto& backend = add_backend("b1", "desk");
+    for (const auto* limit : {"1000", "unreadable"}) {
+        backend.add_handler([limit](const auto&, const http_responder& responder) {
+            responder.send({200, {{"signature", "s"}, {"limit", limit}}, "ok"});
+        });
+    }
+    for (std::size_t sent = 1; sent <= 2; ++sent) {
+        EXPECT_EQ(send_request({"GET", "/safe/", {}, {}, {}})->status, 200U);
+        EXPECT_EQ(backend.requests().size(), sent);
+        EXPECT_EQ(fleet_.stated_limit("b1"), 1000);
+    }
+}
+
 // Reservation ids are sent in a list with separators. An attempt id in it could add an address of
 // the caller's choice to the list of helpers.
 TEST_F(gateway_fixture, a_reservation_id_contains_no_caller_input) {
--- a/tests/gateway_fixture.cpp
+++ b/tests/gateway_fixture.cpp
@@ -77,7 +77,10 @@
     answer.is_signed = !find_header(headers, "signature").empty();
     answer.is_event_stream = find_header(headers, "Content-Type") == "text/event-stream";
     if (const auto limit = find_header(headers, "limit"); !limit.empty()) {
-        answer.requests_per_s = std::stod(std::string{limit});
+        answer.is_limit_unreadable = limit == "unreadable";
+        if (!answer.is_limit_unreadable) {
+            answer.requests_per_s = std::stod(std::string{limit});
+        }
     }
     // Milliseconds.
     if (const auto retry_after = find_header(headers, "Retry-After"); !retry_after.empty()) {
--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -271,6 +271,20 @@
     EXPECT_EQ(wire_codec{}.read_answer(200, {}).requests_per_s, std::nullopt);
 }
 
+// A limit that could not be read passed for its end: all hosts sent without one.
+TEST(wire_codec, tells_an_unreadable_limit_from_none) {
+    const auto is_unreadable = [](std::string value) {
+        return wire_codec{}
+            .read_answer(200, {{"Server-Limit", std::move(value)}})
+            .is_limit_unreadable;
+    };
+    for (const auto* invalid : {"", "-1", "many", "1/s", "inf", "nan", "1, 2", "1e999"}) {
+        EXPECT_TRUE(is_unreadable(invalid)) << invalid;
+    }
+    EXPECT_FALSE(is_unreadable("0.05"));
+    EXPECT_FALSE(wire_codec{}.read_answer(200, {}).is_limit_unreadable);
+}
+
 TEST(wire_codec, reads_how_long_a_backend_server_stays_cold) {
     const auto cold_left_of = [](std::string value) {
         return wire_codec{}.read_answer(200, {{"X-Cold-Ms", std::move(value)}}).cold_left;
