Bound a stated limit to what a digest can hold

What hosts saw: the others refused each digest of a host that a server had told a limit above a million, with the placements and the state of its servers in it.

Cause: the schema bounds the field, and nothing bounded what was written into it.

Evidence: told_limits.a_huge_limit_leaves_the_digest_readable fails with the fix disabled and passes with it.

--- a/src/backend_fleet_limits.cpp
+++ b/src/backend_fleet_limits.cpp
@@ -12,6 +12,8 @@
 
 /// Limits of backend servers that are told to the other gateways.
 constexpr std::size_t max_told_limits = 64;
+/// Bound of stated_limit_entry: the others refuse a digest with a higher one.
+constexpr double max_stated_limit = 1'000'000;
 /// Time for which the others are told that a limit has ended.
 constexpr duration ended_limit_lifetime = std::chrono::seconds{10};
 
@@ -20,6 +22,9 @@
 bool backend_fleet::set_stated_limit(const backend_process& process,
                                      std::optional<double> requests_per_s, time_point now) {
     auto* record = find(process.id);
+    if (requests_per_s) {
+        requests_per_s = std::min(*requests_per_s, max_stated_limit);
+    }
     if (record == nullptr || record->info.started_ms != process.started_ms ||
         !record->terms.set_limit(requests_per_s, now, now)) {
         return false;
--- a/tests/stated_limit_fleet_test.cpp
+++ b/tests/stated_limit_fleet_test.cpp
@@ -1,4 +1,5 @@
 #include "backend_fleet.h"
+#include "peer_codec.h"
 
 #include <gtest/gtest.h>
 
@@ -267,8 +268,9 @@
     }
 }
 
-// A zone loses its engines, and hosts of other zones learn of the limit only after that: their shares
-// were of another division than those of the engine's zone, for as long as the limit was in force.
+// A zone loses its engines, and hosts of other zones learn of the limit only after that: their
+// shares were of another division than those of the engine's zone, for as long as the limit was in
+// force.
 TEST_P(limited_engine_fleet, shares_follow_a_change_of_the_list_of_engines) {
     for (const double limit : {1, 5, 20}) {
         reset(limit);
@@ -344,6 +346,31 @@
     }
 }
 
+/// A host before many servers of a service without engines, all of which state limits.
+backend_fleet many_limited_servers(std::size_t count) {
+    backend_fleet fleet{"z0", 1, placement_policy::pause_aware};
+    for (std::size_t index = 0; index < count; ++index) {
+        backend_info info;
+        info.id = "s" + std::to_string(index);
+        info.service = "desk";
+        fleet.put(info);
+    }
+    return fleet;
+}
+
+// The others refused the whole digest, with the placements and all that it tells.
+TEST(told_limits, a_huge_limit_leaves_the_digest_readable) {
+    auto told = many_limited_servers(1);
+    EXPECT_TRUE(told.set_stated_limit({"s0", 0}, 1e300, start));
+    placement_update digest;
+    digest.limits = told.stated_limits(start);
+    std::string frame;
+    ASSERT_TRUE(append_frame(digest, frame));
+    frame_splitter splitter;
+    splitter.append({reinterpret_cast<const std::uint8_t*>(frame.data()), frame.size()});
+    EXPECT_TRUE(splitter.next());
+}
+
 INSTANTIATE_TEST_SUITE_P(hosts, limited_engine_fleet, testing::Values(4, 9, 28, 83, 296),
                          [](const auto& sized) { return std::to_string(sized.param); });
 
