Tell all stated limits in turn when a digest has no room for them

What servers saw: of more than 64 servers with limits, those whose ids sort last were known only to the hosts that they had told themselves; each other host sent once without a limit.

Cause: the first 64 limits by id were told each time.

Evidence: told_limits.more_than_a_digest_holds_are_told_in_turn fails with the fix disabled and passes with it.

--- a/src/backend_fleet.h
+++ b/src/backend_fleet.h
@@ -168,8 +168,9 @@
     [[nodiscard]] const exchange_topology& topology();
     /// Forgets limits that no gateway was told for long.
     void expire_limits(time_point now);
-    /// Limits that were stated, or that ended a short time ago, for the other gateways.
-    [[nodiscard]] std::vector<stated_limit_entry> stated_limits(time_point now) const;
+    /// Takes limits that were stated, or that ended a short time ago, for the next digest. Where
+    /// they are too many for one, the calls take turns.
+    [[nodiscard]] std::vector<stated_limit_entry> take_limits_to_tell(time_point now);
     /// Applies what another gateway was told; the latest statement counts.
     void apply_limits(const std::vector<stated_limit_entry>& limits, time_point now);
     /// Takes the divisions that have changed since the last call, the latest one of each backend
@@ -284,6 +285,8 @@
     exchange_topology topology_;
     bool is_topology_current_ = false;
     bool are_shares_current_ = false;
+    /// Backend server whose limit take_limits_to_tell() returned last.
+    std::string last_told_limit_;
     std::uint64_t origin_;
     any_placement placement_;
     std::mt19937_64 random_;
--- a/src/backend_fleet_limits.cpp
+++ b/src/backend_fleet_limits.cpp
@@ -10,7 +10,7 @@
 namespace magnolia {
 namespace {
 
-/// Limits of backend servers that are told to the other gateways.
+/// Limits of backend servers in one digest; with more, the digests take turns.
 constexpr std::size_t max_told_limits = 64;
 /// Bound of stated_limit_entry: the others refuse a digest with a higher one.
 constexpr double max_stated_limit = 1'000'000;
@@ -63,19 +63,26 @@
     return found == backends_.end() ? std::nullopt : found->second.terms.limit();
 }
 
-std::vector<stated_limit_entry> backend_fleet::stated_limits(time_point now) const {
+std::vector<stated_limit_entry> backend_fleet::take_limits_to_tell(time_point now) {
     std::vector<stated_limit_entry> limits;
-    for (const auto& [id, record] : backends_) {
+    const auto append = [&](const auto& item) {
+        const auto& [id, record] = item;
         const auto age = now - record.terms.limit_stated_at();
         const auto limit = record.terms.limit();
-        if ((limit || age <= ended_limit_lifetime) && limits.size() < max_told_limits) {
+        if (limit || age <= ended_limit_lifetime) {
             limits.push_back({.backend = id,
                               .started_ms = record.info.started_ms,
                               .is_limited = limit.has_value(),
                               .requests_per_s = limit.value_or(0),
                               .age = std::chrono::duration_cast<milliseconds>(age)});
         }
+        return limits.size() == max_told_limits;
+    };
+    const auto first = backends_.upper_bound(last_told_limit_);
+    if (std::find_if(first, backends_.end(), append) == backends_.end()) {
+        static_cast<void>(std::find_if(backends_.begin(), first, append));
     }
+    last_told_limit_ = limits.empty() ? std::string{} : limits.back().backend;
     return limits;
 }
 
--- a/src/gateway_exchange.cpp
+++ b/src/gateway_exchange.cpp
@@ -290,7 +290,7 @@
     digest.takes_relayed = is_ready() && relay_receiver_.takes_more();
     digest.unreachable = reach_.unreachable();
     digest.open_requests = static_cast<std::uint32_t>(active_requests());
-    digest.limits = fleet_.stated_limits(now);
+    digest.limits = fleet_.take_limits_to_tell(now);
     if (fleet_.evacuation().is_known()) {
         digest.evacuations.push_back(fleet_.evacuation().state());
     }
--- a/tests/stated_limit_fleet_test.cpp
+++ b/tests/stated_limit_fleet_test.cpp
@@ -358,12 +358,26 @@
     return fleet;
 }
 
+// A digest has room for 64 limits. It told the same ones each time, and the others never.
+TEST(told_limits, more_than_a_digest_holds_are_told_in_turn) {
+    constexpr std::size_t count = 100;
+    auto told = many_limited_servers(count);
+    auto untold = many_limited_servers(count);
+    for (std::size_t index = 0; index < count; ++index) {
+        EXPECT_TRUE(told.set_stated_limit({"s" + std::to_string(index), 0}, 5, start));
+    }
+    for (int digest = 0; digest < 2; ++digest) {
+        untold.apply_limits(told.take_limits_to_tell(start + 1s), start + 1s);
+    }
+    EXPECT_EQ(untold.limited_count(), count);
+}
+
 // The others refused the whole digest, with the placements and all that it tells.
 TEST(told_limits, a_huge_limit_leaves_the_digest_readable) {
     auto told = many_limited_servers(1);
     EXPECT_TRUE(told.set_stated_limit({"s0", 0}, 1e300, start));
     placement_update digest;
-    digest.limits = told.stated_limits(start);
+    digest.limits = told.take_limits_to_tell(start);
     std::string frame;
     ASSERT_TRUE(append_frame(digest, frame));
     frame_splitter splitter;
