Read lists of the store in which one entry cannot be read

Cause: a reply was parsed as one document. A number out of the range of a double made the whole list unreadable; deep nesting was accepted by the parser, and the recursion of copying or writing the value overflowed the stack. The entry stays in the store, so that a restarted process met it again. Class: what one writer writes decides over the reading of everything beside it.

The store's replies are read without the values that cannot be; the entry keeps its name and revision and names no server. A page that would be continued after an empty name is refused: it was read from the start again for ever. A server at port 0 is refused (70000 was already). Messages between hosts had a bounded depth before.

--- a/src/admin_api.cpp
+++ b/src/admin_api.cpp
@@ -1,6 +1,7 @@
 #include "admin_api.h"
 
 #include "contract_rules.h"
+#include "json_text.h"
 #include "key_hash.h"
 
 #include <algorithm>
@@ -57,7 +58,7 @@
 }
 
 result<contract> read_body(const http_request& request) {
-    const auto document = json::parse(request.body, nullptr, false);
+    const auto document = parse_json(request.body);
     if (document.is_discarded()) {
         return fail(error_code::bad_request, "the body is not JSON");
     }
@@ -247,7 +248,7 @@
             }
             auto list = json::array();
             for (const auto& item : *objects) {
-                const auto value = json::parse(item.value, nullptr, false);
+                const auto value = parse_json(item.value);
                 list.push_back({{"name", item.id.name},
                                 {"version", item.version},
                                 {"status", value.is_discarded() ? json(item.value) : value}});
--- a/src/answer_reader.cpp
+++ b/src/answer_reader.cpp
@@ -1,5 +1,7 @@
 #include "answer_reader.h"
 
+#include "json_text.h"
+
 #include <nlohmann/json.hpp>
 
 namespace magnolia {
@@ -89,8 +91,7 @@
         has_done_marker_ = true;
         return;
     }
-    constexpr bool no_exceptions = false;
-    const auto data = nlohmann::json::parse(event, nullptr, no_exceptions);
+    const auto data = parse_json(event);
     if (!data.is_object()) {
         record_fault(stream_fault::malformed);
         return;
--- a/src/caller_http.cpp
+++ b/src/caller_http.cpp
@@ -1,5 +1,7 @@
 #include "caller_http.h"
 
+#include "json_text.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -209,7 +211,7 @@
     }
 
     result<parsed_call> read_completion(http_request& request, const caller_identity& identity) {
-        auto body = json::parse(request.body, nullptr, false);
+        auto body = parse_json(request.body);
         request.body = {};
         if (!body.is_object() || !body.contains("model") || !body["model"].is_string()) {
             return fail(error_code::bad_request, "model");
--- a/src/claim_table.cpp
+++ b/src/claim_table.cpp
@@ -1,4 +1,5 @@
 #include "claims_p.h"
+#include "json_text.h"
 
 #include <nlohmann/json.hpp>
 #include <xxhash.h>
@@ -105,7 +106,7 @@
     if (object.version == 0) {
         return table;
     }
-    const auto document = json::parse(object.value, nullptr, false);
+    const auto document = parse_json(object.value);
     try {
         if (document.at("layout").get<std::uint64_t>() != layout_version) {
             return fail(error_code::internal, object.id.name + ": unknown layout version");
--- a/src/contract_store.cpp
+++ b/src/contract_store.cpp
@@ -1,5 +1,6 @@
 #include "contract_store.h"
 
+#include "json_text.h"
 #include "schema_reader.h"
 
 #include <algorithm>
@@ -29,7 +30,7 @@
 
 /// Tokens of the latest writes of an object; none if it cannot be decoded.
 std::vector<std::string> tokens_of(const stored_object& object) {
-    const auto document = json::parse(object.value, nullptr, false);
+    const auto document = parse_json(object.value);
     std::vector<std::string> tokens;
     if (document.is_object() && document.contains("writes")) {
         for (const auto& token : document["writes"]) {
@@ -59,7 +60,7 @@
 /// Decodes the versions in a history object; none if it is malformed.
 std::vector<stored_contract> decode_history(const stored_object& object) {
     std::vector<stored_contract> versions;
-    const auto document = json::parse(object.value, nullptr, false);
+    const auto document = parse_json(object.value);
     if (!document.is_array()) {
         return versions;
     }
@@ -92,7 +93,7 @@
 }
 
 result<stored_contract> decode_contract(const stored_object& object) {
-    const auto document = json::parse(object.value, nullptr, false);
+    const auto document = parse_json(object.value);
     schema_reader reader{unknown_keys::accept};
     stored_contract contract{{}, object.version};
     read(document, reader, contract.value);
--- a/src/contract_watcher.cpp
+++ b/src/contract_watcher.cpp
@@ -1,5 +1,6 @@
 #include "contract_watcher.h"
 
+#include "json_text.h"
 #include "schema_reader.h"
 
 #include <algorithm>
@@ -18,7 +19,7 @@
 } // namespace
 
 result<contract_version> read_contract(const stored_object& object) {
-    const auto document = nlohmann::json::parse(object.value, nullptr, false);
+    const auto document = parse_json(object.value);
     if (document.is_discarded()) {
         return fail(error_code::bad_contract, object.id.name);
     }
--- a/src/engine_http.cpp
+++ b/src/engine_http.cpp
@@ -1,5 +1,7 @@
 #include "engine_http.h"
 
+#include "json_text.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -73,7 +75,10 @@
 template <class T, class Reader>
 result<T> decode(std::string_view text, Reader reader) {
     try {
-        const auto in = json::parse(text);
+        const auto in = parse_json(text);
+        if (in.is_discarded()) {
+            return fail(error_code::frame_invalid, "JSON");
+        }
         return reader(in);
     } catch (const json::exception& failure) {
         return fail(error_code::frame_invalid, failure.what());
--- a/src/event_collector.cpp
+++ b/src/event_collector.cpp
@@ -1,5 +1,6 @@
 #include "event_collector.h"
 
+#include "json_text.h"
 #include "log.h"
 #include "schema_reader.h"
 
@@ -18,8 +19,7 @@
 } // namespace
 
 result<timeline_event> read_event_line(std::string_view line) {
-    constexpr bool no_exceptions = false;
-    const auto document = nlohmann::json::parse(line, nullptr, no_exceptions);
+    const auto document = parse_json(line);
     if (document.is_discarded()) {
         return fail(error_code::frame_invalid, "not JSON");
     }
--- a/src/gateway_exchange.cpp
+++ b/src/gateway_exchange.cpp
@@ -1,5 +1,6 @@
 /// Third part of the gateway: what the hosts tell each other.
 #include "gateway_p.h"
+#include "json_text.h"
 #include "store_watchers.h"
 
 #include <boost/asio/post.hpp>
@@ -48,7 +49,7 @@
 /// Record of a registered gateway; empty if it is not readable. Older releases registered an
 /// address only.
 std::optional<member_info> read_registration(const stored_object& object) {
-    const auto document = nlohmann::json::parse(object.value, nullptr, false);
+    const auto document = parse_json(object.value);
     schema_reader reader{unknown_keys::accept};
     registered_host host;
     if (document.is_string()) {
--- a/src/host_relay.cpp
+++ b/src/host_relay.cpp
@@ -1,5 +1,6 @@
 #include "host_relay.h"
 
+#include "json_text.h"
 #include "schema_reader.h"
 
 #include <boost/algorithm/string/predicate.hpp>
@@ -31,7 +32,7 @@
     drop_field(headers, context_field);
     relay_context context;
     schema_reader reader{unknown_keys::accept};
-    read(nlohmann::json::parse(text, nullptr, false), reader, context);
+    read(parse_json(text), reader, context);
     return reader.errors().empty() ? std::optional{context} : std::nullopt;
 }
 
--- a/src/lease.cpp
+++ b/src/lease.cpp
@@ -1,5 +1,7 @@
 #include "lease.h"
 
+#include "json_text.h"
+
 #include <boost/msm/back/state_machine.hpp>
 #include <boost/msm/front/functor_row.hpp>
 #include <boost/msm/front/state_machine_def.hpp>
@@ -63,7 +65,7 @@
 }
 
 result<lease_record> decode_lease(std::string_view value) {
-    const auto in = nlohmann::json::parse(value, nullptr, false);
+    const auto in = parse_json(value);
     try {
         return lease_record{in.at("holder"), in.at("boot"), in.at("fencing")};
     } catch (const nlohmann::json::exception& failure) {
--- a/src/platform_wire.cpp
+++ b/src/platform_wire.cpp
@@ -1,5 +1,6 @@
 #include "platform_wire.h"
 
+#include "json_text.h"
 #include "schema_reader.h"
 
 #include <boost/algorithm/string/predicate.hpp>
@@ -107,7 +108,7 @@
 }
 
 result<platform_call> decode_take(const http_request& request) {
-    const auto body = json::parse(request.body, nullptr, false);
+    const auto body = parse_json(request.body);
     if (!body.is_object() || !body.value("bytes", json{}).is_number_unsigned()) {
         return fail(error_code::bad_request, "bytes");
     }
@@ -283,7 +284,7 @@
 }
 
 result<platform_reply> decode_reply(const platform_call& call, const http_response& response) {
-    const auto body = json::parse(response.body, nullptr, false);
+    const auto body = parse_json(response.body);
     if (response.status != 200) {
         return fail(to_error_code(response.status), "status " + std::to_string(response.status),
                     read_retry_after(body));
--- a/src/quarantine_exchange.cpp
+++ b/src/quarantine_exchange.cpp
@@ -1,5 +1,6 @@
 #include "quarantine_exchange.h"
 
+#include "json_text.h"
 #include "log.h"
 #include "schema_reader.h"
 
@@ -229,7 +230,7 @@
     for (const auto& object : objects) {
         stored_verdict stored{.version = object.version, .value = {}};
         schema_reader reader{unknown_keys::accept};
-        read(nlohmann::json::parse(object.value, nullptr, false), reader, stored.value);
+        read(parse_json(object.value), reader, stored.value);
         if (!reader.errors().empty() || stored.value.segments.empty()) {
             log_of().warn("stored verdict " + object.id.name + " not readable, ignored");
             continue;
--- a/src/service_client.cpp
+++ b/src/service_client.cpp
@@ -1,6 +1,7 @@
 #include "service_client.h"
 
 #include "backend_call.h"
+#include "json_text.h"
 
 #include <boost/asio/post.hpp>
 #include <nlohmann/json.hpp>
@@ -27,7 +28,7 @@
 };
 
 refusal read_refusal(const std::string& body) {
-    const auto in = nlohmann::json::parse(body, nullptr, false);
+    const auto in = parse_json(body);
     if (!in.is_object()) {
         return {};
     }
--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -379,6 +379,67 @@
     EXPECT_EQ(std::get<stored_object>(*none).version, 0U);
 }
 
+/// Values of another writer that no reader of this project may follow.
+std::vector<std::string> odd_specs() {
+    constexpr std::size_t depth = 400'000;
+    return {std::string(depth, '[') + std::string(depth, ']'),
+            R"({"Service":"s1","Slots":1e999})",
+            R"({"Service":"s1","Slots":123456789012345678901234567890})",
+            R"({"Service":"s1","Zone":"z","State":"ready","Address":"127.0.0.1:70000"})",
+            R"({"Service":"s1","Zone":"z","State":"ready","Address":"127.0.0.1:0"})",
+            "7",
+            "null"};
+}
+
+// One odd entry ended the process, or hid the whole list, each time that it was read.
+TEST(object_store_codec, an_odd_entry_hides_no_other_one) {
+    const std::string sound = R"({"Metadata":{"Name":"i-1","Revision":7},"Spec":)"
+                              R"({"Service":"s1","Zone":"z","State":"ready",)"
+                              R"("Address":"127.0.0.1:80"}})";
+    const object_store_codec codec;
+    for (const auto& spec : odd_specs()) {
+        const auto odd = R"({"Metadata":{"Name":"i-0","Revision":8},"Spec":)" + spec + "}";
+        const auto shown = spec.substr(0, 80);
+        const auto expect_entries = [&](const std::vector<stored_object>& objects) {
+            ASSERT_EQ(objects.size(), 2U) << shown;
+            EXPECT_EQ(objects[0].id.name, "i-0") << shown;
+            EXPECT_EQ(objects[0].version, 8U) << shown;
+            EXPECT_FALSE(wire_codec{}.read_backend("i-0", objects[0].value)) << shown;
+            EXPECT_TRUE(wire_codec{}.read_backend("i-1", objects[1].value)) << shown;
+        };
+        const auto list = codec.decode(
+            object_list{.kind = "servers"},
+            {200,
+             {},
+             R"({"Items":[)" + odd + "," + sound + R"(],"HasMore":false,"StoreRevision":9})"});
+        ASSERT_TRUE(list) << shown;
+        expect_entries(std::get<object_page>(*list).items);
+        const auto watch = codec.decode(object_watch{"servers", {}, {}},
+                                        {200,
+                                         {},
+                                         R"({"StoreRevision":9,"events":[{"Object":)" + odd +
+                                             R"(,"Deleted":false},{"Object":)" + sound +
+                                             R"(,"Deleted":false}]})"});
+        ASSERT_TRUE(watch) << shown;
+        EXPECT_EQ(std::get<watch_page>(*watch).position.revision, 9U) << shown;
+        expect_entries(std::get<watch_page>(*watch).changes);
+        const auto one = codec.decode(object_get{{"servers", "i-0"}}, {200, {}, odd});
+        ASSERT_TRUE(one) << shown;
+        EXPECT_EQ(std::get<stored_object>(*one).version, 8U) << shown;
+        EXPECT_FALSE(wire_codec{}.read_config(std::get<stored_object>(*one).value)) << shown;
+    }
+}
+
+// What the store adds may be odd too; the list goes on after a name.
+TEST(object_store_codec, a_page_without_a_last_name_is_not_continued) {
+    const object_store_codec codec;
+    for (const auto* items : {"", R"({"Metadata":{"Name":7},"Spec":1})"}) {
+        const auto body =
+            std::string{R"({"Items":[)"} + items + R"(],"HasMore":true,"StoreRevision":9})";
+        EXPECT_FALSE(codec.decode(object_list{.kind = "servers"}, {200, {}, body})) << items;
+    }
+}
+
 TEST(object_store_codec, the_epoch_is_read_from_replies_of_any_status) {
     const object_store_codec codec;
     EXPECT_EQ(codec.read_epoch({{"Store-Era", "7"}}), 7U);
--- a/tools/magnolia-control.cpp
+++ b/tools/magnolia-control.cpp
@@ -5,6 +5,7 @@
 #include "engine_client.h"
 #include "fenced_orders.h"
 #include "io_thread.h"
+#include "json_text.h"
 #include "lease.h"
 #include "platform_client.h"
 #include "process.h"
@@ -191,7 +192,7 @@
 void controller::on_desired(const std::vector<stored_object>& objects) {
     for (const auto& object : objects) {
         const auto handle = handles_by_name_.find(object.id.name);
-        const auto in = nlohmann::json::parse(object.value, nullptr, false);
+        const auto in = parse_json(object.value);
         if (handle == handles_by_name_.end() || in.is_discarded()) {
             continue;
         }
