Forward no error of a backend server as part of a started stream

What callers saw, by the report of another operator: the text of an error, at times its whole head, in the middle of their stream, or a stream that ended as if it were complete.

Cause: events without an id were forwarded whatever came before. An error that a server writes into a signed event stream, or behind a part of an answer that ends with its connection, reads as such an event. Answers with an error status, unsigned ones and ones of another type were never forwarded into a stream.

Evidence: gateway_fixture.the_error_of_the_next_server_is_no_part_of_the_stream and an_error_behind_a_part_of_a_stream_is_no_part_of_it failed before, with the error's text and a last chunk at the caller; both pass.

Why this works: once a stream has numbered events, a field without a number ends the attempt as one in doubt; the stream is resumed or broken off. Comments still pass.

--- a/src/event_stream.cpp
+++ b/src/event_stream.cpp
@@ -50,7 +50,7 @@
                 ++line_start_;
             }
             const auto event = text.substr(event_start, line_start_ - event_start);
-            events.push_back({std::string{event}, parse_id(event)});
+            events.push_back({std::string{event}, parse_id(event), has_field_});
             event_start = line_start_;
             has_line_ = false;
             has_field_ = false;
--- a/src/event_stream.h
+++ b/src/event_stream.h
@@ -14,6 +14,8 @@
     std::string text;
     /// Number in the id field; absent if there is none or it is not an unsigned integer.
     std::optional<std::uint64_t> id;
+    /// Whether it has a field; otherwise it is a comment.
+    bool has_field = true;
 };
 
 /// Incremental parser of one event stream. Buffers at most one incomplete event. Used by a
--- a/src/forward_answer.cpp
+++ b/src/forward_answer.cpp
@@ -158,6 +158,12 @@
                             {error_code::backend_failed,
                              "resumed stream does not continue after the last event sent"});
     }
+    if (!event.id && event.has_field && last_event_) {
+        shared_.client.cancel(call_);
+        return fail_attempt(
+            run_evidence::in_doubt, attempt_result::failed,
+            {error_code::backend_failed, "event without a number in a stream of numbered events"});
+    }
     shared_.fleet.on_event(job_, !has_new_event(), now);
     if (!has_response_started_) {
         is_late_ = now - first_requested_at_ > route_->target_latency;
--- a/tests/answer_framing_test.cpp
+++ b/tests/answer_framing_test.cpp
@@ -80,6 +80,49 @@
     EXPECT_EQ(answer->body, event_text(1) + event_text(2) + event_text(3));
 }
 
+/// What may follow a part of a stream, in its place or behind it; all of it is about `error text`.
+std::vector<std::string> errors_after_a_part() {
+    const std::string text = "error text\n\n";
+    const auto length = "Content-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text;
+    const std::string events = "Content-Type: text/event-stream\r\n";
+    return {"HTTP/1.1 500 Failed\r\nsignature: s\r\n" + length,
+            "HTTP/1.1 503 Full\r\nnot-run: 1\r\n" + length,
+            "HTTP/1.1 502 Failed\r\n" + length,
+            "HTTP/1.1 200 OK\r\n" + events + length,
+            "HTTP/1.1 200 OK\r\nsignature: s\r\nContent-Type: text/plain\r\n" + length,
+            "HTTP/1.1 200 OK\r\nsignature: s\r\n" + events + length,
+            "HTTP/1.1 200 OK\r\nsignature: s\r\n" + events + "\r\n" + text,
+            text};
+}
+
+// Callers found the text of an error, or its whole head, in the middle of their stream, or the
+// stream ended as if it were complete.
+TEST_F(gateway_fixture, the_error_of_the_next_server_is_no_part_of_the_stream) {
+    for (const auto& error_answer : errors_after_a_part()) {
+        auto& backend = add_raw_backend("b1", "llm");
+        backend.add_script(until_close(event_text(1) + event_text(2)), connection_end::reset);
+        backend.add_script(error_answer, connection_end::orderly);
+        const auto response = send_raw("POST", "/stream/");
+        EXPECT_EQ(count_of(response, "id: "), 2U) << error_answer;
+        EXPECT_EQ(count_of(response, "error text"), 0U) << error_answer;
+        EXPECT_EQ(count_of(response, "HTTP/1."), 1U) << error_answer;
+        EXPECT_FALSE(has_last_chunk(response)) << error_answer;
+    }
+}
+
+// The same where the error stands behind the part, in an answer that ends with its connection.
+TEST_F(gateway_fixture, an_error_behind_a_part_of_a_stream_is_no_part_of_it) {
+    for (const auto& error_answer : errors_after_a_part()) {
+        auto& backend = add_raw_backend("b1", "llm");
+        backend.add_script(until_close(event_text(1) + event_text(2) + error_answer),
+                           connection_end::orderly);
+        backend.add_script(until_close(event_text(3)), connection_end::orderly);
+        const auto answer = send_request({"POST", "/stream/", {}, "prompt", {}});
+        ASSERT_TRUE(answer) << error_answer;
+        EXPECT_EQ(answer->body, event_text(1) + event_text(2) + event_text(3)) << error_answer;
+    }
+}
+
 // A run that was cut inside an event had more to send, so a resumed one without a further event is
 // no complete rest. The caller received a complete stream that lacked its end.
 TEST_F(gateway_fixture, a_resumed_stream_without_the_event_that_was_cut_does_not_look_complete) {
