Send calls of services and starts on engines on connections of their own

What callers saw, by the report of another operator: 'not run' for requests that a server had run, because it wrote an earlier refusal once more on a kept connection.

Starts on engines had the same connections and refusals, and get connections of their own; reserve and release orders, whose misread answer leads to a release of all shares, keep theirs.

--- a/src/engine_client.cpp
+++ b/src/engine_client.cpp
@@ -232,6 +232,8 @@
     auto call_limits = limits();
     call_limits.total_timeout = timeout_with_grace(time_left);
     call_limits.max_body_bytes = max_stream_bytes;
+    // A late refusal of an earlier call on the connection would pass for one of this call.
+    call_limits.may_reuse_connection = false;
     const auto self = shared_from_this();
     http_stream_handlers handlers;
     handlers.on_header = [stream](const http_response_head& head) { stream->status = head.status; };
--- a/src/service_client.cpp
+++ b/src/service_client.cpp
@@ -77,7 +77,7 @@
 class service_client::state : public std::enable_shared_from_this<service_client::state> {
 public:
     state(boost::asio::io_context& io, service_client_settings values)
-        : context{io}, settings{values}, http{std::in_place, io, values.max_idle} {}
+        : context{io}, settings{values}, http{std::in_place, io, 0} {}
 
     void submit(const service_call& call) {
         const auto found = services.find(call.service);
@@ -93,8 +93,9 @@
             std::visit([](const http_service& value) -> const endpoint& { return value.address; },
                        found->second);
         const auto limit = timeout_with_grace(call.time_left);
-        const http_call_limits limits{settings.connect_timeout, limit, limit,
-                                      settings.max_answer_bytes};
+        http_call_limits limits{settings.connect_timeout, limit, limit, settings.max_answer_bytes};
+        // A late answer to an earlier call on the connection would pass for one to this call.
+        limits.may_reuse_connection = false;
         calls[call.id] = http->call(address, request_for(call), limits,
                                     [self = shared_from_this(), id = call.id](auto answer) {
                                         if (self->calls.erase(id) > 0) {
--- a/src/service_client.h
+++ b/src/service_client.h
@@ -23,8 +23,6 @@
     std::chrono::milliseconds connect_timeout{1000};
     /// Maximum body of an answer, bytes.
     std::size_t max_answer_bytes = std::size_t{4} << 20U;
-    /// Maximum idle keep-alive connections per service.
-    std::size_t max_idle = 16;
 };
 
 /// Receives the event of each call.
--- a/tests/forward_call_test.cpp
+++ b/tests/forward_call_test.cpp
@@ -1,4 +1,5 @@
 #include "gateway_fixture.h"
+#include "repeating_server.h"
 
 #include <algorithm>
 
@@ -248,6 +249,18 @@
     EXPECT_EQ(backends_.front()->requests().size(), 1U);
 }
 
+// Callers were told "not run" of requests that a server had run, or these ran at a second server.
+TEST_F(gateway_fixture, a_refusal_that_is_written_again_answers_no_later_request) {
+    const repeating_server faulty{
+        context_, "HTTP/1.1 503 Full\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nsignature: s\r\nContent-Length: 4\r\n\r\ndone"};
+    list_backend("b1", "desk", faulty.port());
+    for (std::size_t requests = 1; requests <= 3; ++requests) {
+        EXPECT_EQ(send_request({"POST", "/unsafe/", {}, {}, {}})->status, 200U) << requests;
+        EXPECT_EQ(faulty.run_count(), requests);
+    }
+}
+
 // A limit that could not be read passed for its end: all hosts sent without one.
 TEST_F(gateway_fixture, an_unreadable_limit_leaves_the_last_one_in_force) {
     auto& backend = add_backend("b1", "desk");
--- a/tests/service_client_test.cpp
+++ b/tests/service_client_test.cpp
@@ -1,3 +1,4 @@
+#include "repeating_server.h"
 #include "service_client.h"
 #include "service_server.h"
 
@@ -92,6 +93,23 @@
     EXPECT_EQ(unknown.certainty, run_certainty::not_run);
 }
 
+// Callers were told "not run" of calls that the service had run.
+TEST_F(service_client_test, a_refusal_that_is_written_again_answers_no_later_call) {
+    const std::string proof = R"({"ran":false})";
+    const auto framed = [](const std::string& status, const std::string& body) {
+        return "HTTP/1.1 " + status + "\r\nContent-Length: " + std::to_string(body.size()) +
+               "\r\n\r\n" + body;
+    };
+    const repeating_server faulty{context, framed("503 Full", proof), framed("200 OK", "done")};
+    client.put_service(service_handle{1}, http_service{{"127.0.0.1", faulty.port()}});
+    EXPECT_EQ(std::get<service_failed>(call(service_handle{1})).certainty, run_certainty::not_run);
+    for (std::size_t calls = 1; calls <= 3; ++calls) {
+        const auto event = call(service_handle{1});
+        EXPECT_TRUE(std::holds_alternative<service_answer>(event)) << calls;
+        EXPECT_EQ(faulty.run_count(), calls);
+    }
+}
+
 TEST_F(service_client_test, a_cancelled_call_gets_no_event) {
     ASSERT_TRUE(server.apply_fault(0, "delay", 20));
     client.submit({{{9, 1}, 1}, service_handle{0}, "/x", nullptr, {}, std::chrono::seconds{5}});
