Test the division of a limit by the views of hosts that start or end together

The shares of 4 to 296 hosts, by the membership that they have, leave room in the users' bound from 3 s after a start at once, and while half of the hosts end and return.

--- a/tests/host_directory_test.cpp
+++ b/tests/host_directory_test.cpp
@@ -1,10 +1,13 @@
 #include "host_directory.h"
+#include "limit_sharing.h"
 #include "memory_net.h"
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <deque>
 #include <memory>
+#include <numeric>
 
 namespace magnolia {
 namespace {
@@ -35,11 +38,25 @@
         }
     }
 
-    void start_host(std::size_t index) {
+    void start_host(std::size_t index) { start_host(index, listed_.size()); }
+
+    /// @param registered  number of the hosts that it finds in the store.
+    void start_host(std::size_t index, std::size_t registered) {
         auto self = listed_[index];
         self.incarnation = ++incarnations_;
         auto& host = hosts_[self.name] = std::make_unique<host_directory>(self, incarnations_);
-        host->add_listed(listed_, now_);
+        host->add_listed(std::span{listed_}.first(registered), now_);
+    }
+
+    /// Sum of the parts of a limit that the running hosts take by their views.
+    double divided_limit(double limit) const {
+        double sum = 0;
+        for (const auto& [name, host] : hosts_) {
+            std::vector<std::string> names;
+            std::ranges::transform(host->alive(), std::back_inserter(names), &member_info::name);
+            sum += limit_share(limit, "b1", name, names);
+        }
+        return sum;
     }
 
     void end_host(const std::string& name) { hosts_.erase(name); }
@@ -111,6 +128,47 @@
     EXPECT_EQ(fleet.wrong_views(hosts), 0U);
 }
 
+// Hosts that start at once find only those in the store that were a moment earlier, and hosts that
+// were killed are missed at different times. A limit has to hold by the views that they have.
+TEST(host_directory, parts_of_a_limit_hold_while_many_hosts_start_or_end) {
+    constexpr double limit = 20;
+    constexpr duration contact_time = 3s;
+    constexpr duration window = 4s;
+    constexpr duration step = 2 * tick;
+    for (const std::size_t count : {4U, 9U, 28U, 83U, 296U}) {
+        host_fleet fleet{0, count, 0.02};
+        // Steady users send up to five limits in four seconds (a burst of one each); the bound of
+        // six and five requests leaves one limit for hosts that disagree.
+        const auto expect_divided = [&](duration span, const std::string& phase) {
+            std::deque<double> excess(window / step, 0);
+            for (const auto end = fleet.now() + span; fleet.now() < end; fleet.run(step)) {
+                excess.pop_front();
+                excess.push_back(std::max(0.0, fleet.divided_limit(limit) - limit) *
+                                 std::chrono::duration<double>{step}.count());
+                const auto requests = std::accumulate(excess.begin(), excess.end(), 0.0);
+                EXPECT_LE(requests, limit + 5) << phase << " of " << count << " hosts";
+            }
+        };
+        for (std::size_t index = 0; index < count; ++index) {
+            fleet.start_host(index, index);
+            if (index % (1 + count / 6) == 0) {
+                fleet.run(50ms);
+            }
+        }
+        fleet.run(contact_time);
+        expect_divided(5s, "start");
+        for (std::size_t index = 0; index < count; index += 2) {
+            fleet.end_host("h" + std::to_string(index));
+        }
+        expect_divided(8s, "end of half");
+        for (std::size_t index = 0; index < count; index += 2) {
+            fleet.start_host(index);
+        }
+        expect_divided(8s, "return of half");
+        EXPECT_GE(fleet.divided_limit(limit), 0.8 * limit) << count;
+    }
+}
+
 TEST(host_directory, a_host_that_leaves_takes_no_more_work) {
     constexpr std::size_t hosts = 30;
     host_fleet fleet{hosts, hosts, 0};
