Conclude that a service is unreachable when its last server's connection has broken

Cause: a cut resets the connection of the stream after its request was written, which did not count; the service's two other servers refuse connections, and all sends are used up before the check of the first one fails.

Change: a broken connection counts for one server of several once connections to all others could not be opened. Broken connections alone prove nothing and start no checks.

Evidence: service_reach_test.a_broken_connection_counts_if_all_other_servers_have_failed (new function).

--- a/src/forward_answer.cpp
+++ b/src/forward_answer.cpp
@@ -196,6 +196,8 @@
         }
         if (!failure->is_request_written) {
             shared_.reach.on_connection_failed(backend_, steady_now());
+        } else if (!failure->is_timeout) {
+            shared_.reach.on_connection_broken(backend_, steady_now());
         }
         if (failure->is_refused) {
             shared_.quarantine.on_connection_refused(process_, steady_now());
--- a/src/reach_prober.cpp
+++ b/src/reach_prober.cpp
@@ -52,9 +52,20 @@
 void reach_prober::record_failure(const std::string& service, const std::string& backend,
                                   time_point now) {
     const auto listed = fleet_.live_backends(service, now).size();
-    if (!reach_.on_connection_failed(service, backend, listed, now)) {
-        return;
+    if (reach_.on_connection_failed(service, backend, listed, now)) {
+        on_unreachable(service, listed);
+    }
+}
+
+void reach_prober::on_connection_broken(const std::string& backend, time_point now) {
+    const auto service = fleet_.service_of(backend);
+    const auto listed = fleet_.live_backends(service, now).size();
+    if (!service.empty() && reach_.on_connection_broken(service, backend, listed, now)) {
+        on_unreachable(service, listed);
     }
+}
+
+void reach_prober::on_unreachable(const std::string& service, std::size_t listed) {
     log_of().warn("service is unreachable from this host, passes requests on to other hosts "
                   "service=" +
                   service + " backend_servers=" + std::to_string(listed));
--- a/src/reach_prober.h
+++ b/src/reach_prober.h
@@ -27,6 +27,8 @@
     void on_connected(const std::string& backend);
     /// A connection to the backend server could not be opened.
     void on_connection_failed(const std::string& backend, time_point now);
+    /// A connection to the backend server broke after a request had been written to it.
+    void on_connection_broken(const std::string& backend, time_point now);
     [[nodiscard]] bool is_unreachable(std::string_view service) const {
         return reach_.is_unreachable(service);
     }
@@ -35,6 +37,8 @@
 private:
     /// Records a failed connection; checks the other services if this one is unreachable now.
     void record_failure(const std::string& service, const std::string& backend, time_point now);
+    /// The service is unreachable from now on.
+    void on_unreachable(const std::string& service, std::size_t listed);
     /// Checks some backend servers of the service, those that have not failed first.
     void probe(const std::string& service);
     /// Checks all suspected services, and again later while there are any.
--- a/src/service_reach.cpp
+++ b/src/service_reach.cpp
@@ -32,8 +32,26 @@
     }
     failed.backends.insert(backend);
     failed.last = now;
+    return conclude(failed, listed, now);
+}
+
+bool service_reach::on_connection_broken(const std::string& service, const std::string& backend,
+                                         std::size_t listed, time_point now) {
+    auto& failed = failures_[service];
+    failed.broken = backend;
+    failed.broken_at = now;
+    return conclude(failed, listed, now);
+}
+
+bool service_reach::conclude(failures& failed, std::size_t listed, time_point now) {
     const auto needed = std::clamp(listed, std::size_t{1}, failures_to_conclude);
-    const bool is_concluded = failed.backends.size() >= needed;
+    const bool is_broken_other = !failed.broken.empty() &&
+                                 now - failed.broken_at <= failure_lifetime &&
+                                 !failed.backends.contains(failed.broken);
+    const bool have_all_failed = is_broken_other && listed > 1 &&
+                                 failed.backends.size() + 1 >= listed &&
+                                 now - failed.last <= failure_lifetime;
+    const bool is_concluded = failed.backends.size() >= needed || have_all_failed;
     return is_concluded && !std::exchange(failed.is_unreachable, true);
 }
 
@@ -54,10 +72,15 @@
 
 std::vector<std::string> service_reach::suspected(time_point now) {
     std::erase_if(failures_, [now](const auto& item) {
-        return !item.second.is_unreachable && now - item.second.last > failure_lifetime;
+        const auto last = std::max(item.second.last, item.second.broken_at);
+        return !item.second.is_unreachable && now - last > failure_lifetime;
     });
     std::vector<std::string> services;
-    std::ranges::copy(failures_ | std::views::keys, std::back_inserter(services));
+    for (const auto& [service, failed] : failures_) {
+        if (!failed.backends.empty()) {
+            services.push_back(service);
+        }
+    }
     return services;
 }
 
--- a/tests/service_reach_test.cpp
+++ b/tests/service_reach_test.cpp
@@ -55,6 +55,25 @@
     EXPECT_FALSE(reach_.is_unreachable("llm"));
 }
 
+// A cut reset a request at one of three servers and refused connections to the others. The host
+// tried those again instead of passing the request on.
+TEST_F(service_reach_test, a_broken_connection_counts_if_all_other_servers_have_failed) {
+    EXPECT_FALSE(reach_.on_connection_broken("desk", "a", 3, start));
+    EXPECT_TRUE(reach_.suspected(start).empty());
+    EXPECT_FALSE(reach_.on_connection_failed("desk", "b", 3, start));
+    EXPECT_TRUE(reach_.on_connection_failed("desk", "c", 3, start));
+}
+
+TEST_F(service_reach_test, broken_connections_alone_prove_nothing) {
+    for (const auto* backend : {"a", "b", "c"}) {
+        EXPECT_FALSE(reach_.on_connection_broken("desk", backend, 3, start));
+    }
+    EXPECT_FALSE(reach_.on_connection_failed("desk", "a", 3, start));
+    EXPECT_FALSE(reach_.on_connection_broken("single", "a", 1, start));
+    EXPECT_FALSE(reach_.on_connection_broken("desk", "c", 3, start + 1s));
+    EXPECT_FALSE(reach_.on_connection_failed("desk", "b", 3, start + 4s));
+}
+
 TEST_F(service_reach_test, one_connection_makes_it_reachable) {
     fail_connections({"a", "b", "c"});
     EXPECT_EQ(reach_.suspected(start + 1h).size(), 1U);
