--- a/tests/stated_limit_fleet_test.cpp
+++ b/tests/stated_limit_fleet_test.cpp
@@ -331,6 +331,36 @@
     EXPECT_GE(rate(stated_at + contact_time, now_), 0.8);
 }
 
+// A limit keeps requests from its server, not from the others.
+TEST_P(limited_engine_fleet, callers_are_served_by_the_other_engines) {
+    reset(1);
+    for (auto& host : hosts_) {
+        for (std::size_t index = 0; index < engines_per_zone * zone_count; ++index) {
+            auto info = engine(zone_name(index), index / zone_count);
+            info.is_leaving = false;
+            host.fleet->put(info);
+        }
+        host.fleet->set_stated_limit({limited_engine, 0}, limit_, now_);
+    }
+    std::size_t unserved = 0;
+    for (; now_ < start + 8s; now_ += 200ms) {
+        for (auto& host : hosts_) {
+            const auto chosen = host.fleet->choose("llm", short_prompt(), {}, now_);
+            if (!chosen) {
+                ++unserved;
+                continue;
+            }
+            const auto job = host.fleet->start(*chosen, short_prompt().demand, now_);
+            host.fleet->on_ended(job, attempt_result::done, now_);
+            if (chosen->members.front().id == limited_engine) {
+                arrivals_.push_back(now_);
+            }
+        }
+    }
+    EXPECT_EQ(unserved, 0U);
+    EXPECT_LE(most_requests(), max_requests());
+}
+
 // Hosts, zones' engines and the engine's own entry come and go, and hosts notice at different
 // times.
 TEST_P(limited_engine_fleet, a_limit_holds_in_a_series_of_changes) {
