--- a/tests/stated_limit_fleet_test.cpp
+++ b/tests/stated_limit_fleet_test.cpp
@@ -331,6 +331,35 @@
     EXPECT_GE(rate(stated_at + contact_time, now_), 0.8);
 }
 
+// Hosts took an engine that was no longer listed for one of their own zone.
+TEST_P(limited_engine_fleet, a_limit_holds_while_the_entry_of_its_server_has_lapsed) {
+    for (const double limit : {1, 5, 20}) {
+        reset(limit);
+        for (auto& host : hosts_) {
+            host.fleet->remove(limited_engine, entry_grace, now_);
+        }
+        send_until(start + 10s);
+        EXPECT_LE(most_requests(), max_requests()) << trace();
+        EXPECT_GE(rate(start + contact_time, now_), 0.8 * limit) << trace();
+    }
+}
+
+// Each host of another zone took the whole limit of an engine whose zone has no hosts.
+TEST_P(limited_engine_fleet, a_limit_holds_in_a_zone_without_hosts) {
+    for (const double limit : {1, 5, 20}) {
+        reset(limit);
+        auto left = names_;
+        std::erase_if(left, [](const auto& name) { return name.zone == "z0"; });
+        for (auto& host : hosts_) {
+            host.is_down = host.place.zone == "z0";
+            host.fleet->set_hosts(host.place.name, left, now_);
+        }
+        send_until(start + 10s);
+        EXPECT_LE(most_requests(), max_requests()) << trace();
+        EXPECT_GE(rate(start + contact_time, now_), 0.8 * limit) << trace();
+    }
+}
+
 // A limit keeps requests from its server, not from the others.
 TEST_P(limited_engine_fleet, callers_are_served_by_the_other_engines) {
     reset(1);
