Count no malformed answer as a broken connection

What callers would see: requests passed on to other hosts although this one reaches the service, after a server's malformed answer beside two servers that refuse connections.

--- a/src/forward_answer.cpp
+++ b/src/forward_answer.cpp
@@ -196,7 +196,7 @@
         }
         if (!failure->is_request_written) {
             shared_.reach.on_connection_failed(backend_, steady_now());
-        } else if (!failure->is_timeout) {
+        } else if (!failure->is_timeout && failure->failure.code == error_code::connection) {
             shared_.reach.on_connection_broken(backend_, steady_now());
         }
         if (failure->is_refused) {
--- a/tests/forward_call_test.cpp
+++ b/tests/forward_call_test.cpp
@@ -261,6 +261,18 @@
     }
 }
 
+// Bytes that are no answer come over a connection: the service can be reached.
+TEST_F(gateway_fixture, a_malformed_answer_is_no_broken_connection) {
+    constexpr std::uint16_t closed_port = 1;
+    list_backend("b2", "desk", closed_port);
+    list_backend("b3", "desk", closed_port);
+    add_raw_backend("b1", "desk").add_script("no answer\r\n\r\n", connection_end::orderly);
+    for (int request = 0; request < 8; ++request) {
+        EXPECT_NE(send_request({"GET", "/safe/", {}, {}, {}})->status, 200U);
+        EXPECT_FALSE(reach_.is_unreachable("desk"));
+    }
+}
+
 // A limit that could not be read passed for its end: all hosts sent without one.
 TEST_F(gateway_fixture, an_unreadable_limit_leaves_the_last_one_in_force) {
     auto& backend = add_backend("b1", "desk");
