Derive the reported division of a limit from the terms

Cause: each server's record kept limit and share a second time beside stated_terms, and wrote them for all servers at each change of the list, limited or not.

Change: the record keeps the number of hosts only; limit and share come from the terms.

--- a/src/backend_fleet.h
+++ b/src/backend_fleet.h
@@ -217,8 +217,9 @@
         /// Moving average of failed attempts, 0 to 1.
         double failure_rate = 0;
         stated_terms terms;
-        /// As last computed, and as take_division_changes() last returned it.
-        limit_division division{};
+        /// Hosts among which its limit is divided.
+        std::size_t limit_hosts = 0;
+        /// As take_division_changes() last returned it.
         limit_division reported_division{};
         time_point last_answer{};
         time_point last_probe_success{};
--- a/src/backend_fleet_limits.cpp
+++ b/src/backend_fleet_limits.cpp
@@ -3,7 +3,6 @@
 #include "limit_sharing.h"
 
 #include <algorithm>
-#include <numeric>
 #include <ranges>
 #include <utility>
 
@@ -36,7 +35,6 @@
 void backend_fleet::update_share(backend_record& record, time_point now) {
     const auto limit = record.terms.limit();
     if (!limit) {
-        record.division = {.backend = record.info.id};
         return;
     }
     std::vector<std::string> users;
@@ -46,9 +44,8 @@
     } else {
         std::ranges::transform(hosts_, std::back_inserter(users), &located_name::name);
     }
-    const auto share = limit_share(*limit, record.info.id, host_, users);
-    record.terms.set_share(share, now);
-    record.division = {record.info.id, limit, share, users.size()};
+    record.limit_hosts = users.size();
+    record.terms.set_share(limit_share(*limit, record.info.id, host_, users), now);
 }
 
 void backend_fleet::refresh_shares(time_point now) {
@@ -87,11 +84,8 @@
 }
 
 void backend_fleet::expire_limits(time_point now) {
-    for (auto& record : backends_ | std::views::values) {
-        if (record.terms.expire_limit(now)) {
-            update_share(record, now);
-        }
-    }
+    std::ranges::for_each(backends_ | std::views::values,
+                          [now](auto& record) { record.terms.expire_limit(now); });
     refresh_shares(now);
 }
 
@@ -110,24 +104,28 @@
 
 std::vector<limit_division> backend_fleet::take_division_changes() {
     std::vector<limit_division> changes;
-    for (auto& record : backends_ | std::views::values) {
-        const bool is_limited =
-            record.division.requests_per_s || record.reported_division.requests_per_s;
-        if (is_limited && record.division != record.reported_division) {
-            record.reported_division = record.division;
-            changes.push_back(record.division);
+    for (auto& [id, record] : backends_) {
+        const auto limit = record.terms.limit();
+        if (!limit && !record.reported_division.requests_per_s) {
+            continue;
+        }
+        const auto division =
+            limit ? limit_division{id, limit, record.terms.share(), record.limit_hosts}
+                  : limit_division{.backend = id};
+        if (division != record.reported_division) {
+            record.reported_division = division;
+            changes.push_back(division);
         }
     }
     return changes;
 }
 
 double backend_fleet::limited_share() const {
-    const auto shares = backends_ | std::views::values |
-                        std::views::transform([](const auto& record) {
-                            return record.terms.limit() ? record.division.share : 0;
-                        }) |
-                        std::views::common;
-    return std::accumulate(shares.begin(), shares.end(), 0.0);
+    double sum = 0;
+    for (const auto& record : backends_ | std::views::values) {
+        sum += record.terms.share();
+    }
+    return sum;
 }
 
 std::size_t backend_fleet::limited_count() const {
--- a/src/stated_terms.cpp
+++ b/src/stated_terms.cpp
@@ -41,12 +41,10 @@
     return std::exchange(limit_, requests_per_s) != requests_per_s;
 }
 
-bool stated_terms::expire_limit(time_point now) {
-    const bool is_expired = limit_ && now - limit_stated_at_ > limit_lifetime;
-    if (is_expired) {
+void stated_terms::expire_limit(time_point now) {
+    if (limit_ && now - limit_stated_at_ > limit_lifetime) {
         limit_.reset();
     }
-    return is_expired;
 }
 
 void stated_terms::set_share(double requests_per_s, time_point now) {
--- a/src/stated_terms.h
+++ b/src/stated_terms.h
@@ -32,10 +32,12 @@
     /// none.
     [[nodiscard]] time_point limit_stated_at() const { return limit_stated_at_; }
     /// Forgets a limit that no answer has stated for long: this gateway may not have been told its
-    /// end. Returns whether there was one.
-    bool expire_limit(time_point now);
+    /// end.
+    void expire_limit(time_point now);
     /// Requests per second that this gateway may send while there is a limit; 0 for none.
     void set_share(double requests_per_s, time_point now);
+    /// As set_share() has set it; 0 without a limit.
+    [[nodiscard]] double share() const { return limit_ ? bucket_.rate() : 0; }
     /// A request is sent to it.
     void on_sent(time_point now);
 
