--- a/tests/stated_limit_fleet_test.cpp
+++ b/tests/stated_limit_fleet_test.cpp
@@ -112,6 +112,15 @@
         }
     }
 
+    /// The host's list has this number of engines of the zone from now on.
+    static void list_engines(host& host, const std::string& zone, std::size_t count,
+                             time_point now) {
+        for (std::size_t index = 0; index < engines_per_zone; ++index) {
+            const auto info = engine(zone, index);
+            index < count ? host.fleet->put(info) : host.fleet->remove(info.id, 0s, now);
+        }
+    }
+
     /// Changes what the hosts know, each at a time of its own from now on.
     void change_at_hosts(duration max_delay, const std::function<void(host&, time_point)>& change) {
         for (auto& host : hosts_) {
@@ -146,10 +155,7 @@
             const auto zone = zone_name(1 + random_() % (zone_count - 1));
             const auto count = random_() % (engines_per_zone + 1);
             return change_at_hosts(max_lag, [zone, count](auto& host, time_point now) {
-                for (std::size_t index = 0; index < engines_per_zone; ++index) {
-                    const auto info = engine(zone, index);
-                    index < count ? host.fleet->put(info) : host.fleet->remove(info.id, 0s, now);
-                }
+                list_engines(host, zone, count, now);
             });
         }
         default:
@@ -222,6 +228,14 @@
         return static_cast<double>(count) / std::chrono::duration<double>{to - from}.count();
     }
 
+    void expect_bound() const { EXPECT_LE(most_requests(), max_requests()) << trace(); }
+
+    /// The bound holds, and the demand since this time has used the limit.
+    void expect_bound_and_use(time_point since) const {
+        expect_bound();
+        EXPECT_GE(rate(since, now_), 0.8 * limit_) << trace();
+    }
+
     std::mt19937_64 random_{GetParam()};
     double limit_ = 0;
     std::vector<located_name> names_;
@@ -239,8 +253,7 @@
     for (const double limit : {1, 2, 5, 20}) {
         reset(limit);
         send_until(start + 14s);
-        EXPECT_LE(most_requests(), max_requests()) << trace();
-        EXPECT_GE(rate(start + contact_time, now_), 0.8 * limit) << trace();
+        expect_bound_and_use(start + contact_time);
     }
 }
 
@@ -250,21 +263,14 @@
     for (const double limit : {1, 5, 20}) {
         reset(limit);
         send_until(start + 6s);
-        change_at_hosts(2s, [](auto& host, time_point now) {
-            for (std::size_t index = 6; index < engines_per_zone; ++index) {
-                host.fleet->remove(engine("z1", index).id, 0s, now);
-            }
-        });
+        change_at_hosts(2s, [](auto& host, time_point now) { list_engines(host, "z1", 6, now); });
         send_until(start + 14s);
-        EXPECT_LE(most_requests(), max_requests()) << trace();
-        change_at_hosts(2s, [](auto& host, time_point) {
-            for (std::size_t index = 6; index < engines_per_zone; ++index) {
-                host.fleet->put(engine("z1", index));
-            }
+        expect_bound();
+        change_at_hosts(2s, [](auto& host, time_point now) {
+            list_engines(host, "z1", engines_per_zone, now);
         });
         send_until(start + 22s);
-        EXPECT_LE(most_requests(), max_requests()) << trace();
-        EXPECT_GE(rate(start + 18s, now_), 0.8 * limit) << trace();
+        expect_bound_and_use(start + 18s);
     }
 }
 
@@ -278,14 +284,9 @@
             host.told_at = now_ + (host.place.zone == "z0" ? 0s : 1s);
         }
         send_until(start + 500ms);
-        change_at_hosts(0s, [](auto& host, time_point now) {
-            for (std::size_t index = 6; index < engines_per_zone; ++index) {
-                host.fleet->remove(engine("z1", index).id, 0s, now);
-            }
-        });
+        change_at_hosts(0s, [](auto& host, time_point now) { list_engines(host, "z1", 6, now); });
         send_until(start + 10s);
-        EXPECT_LE(most_requests(), max_requests()) << trace();
-        EXPECT_GE(rate(start + contact_time, now_), 0.8 * limit) << trace();
+        expect_bound_and_use(start + contact_time);
     }
 }
 
@@ -305,14 +306,13 @@
             host.fleet->set_hosts(host.place.name, left, now);
         });
         send_until(start + 14s);
-        EXPECT_LE(most_requests(), max_requests()) << trace();
+        expect_bound();
         std::ranges::for_each(hosts_, [](auto& host) { host.is_down = false; });
         change_at_hosts(2500ms, [this](auto& host, time_point now) {
             host.fleet->set_hosts(host.place.name, names_, now);
         });
         send_until(start + 22s);
-        EXPECT_LE(most_requests(), max_requests()) << trace();
-        EXPECT_GE(rate(start + 18s, now_), 0.8 * limit) << trace();
+        expect_bound_and_use(start + 18s);
     }
 }
 
@@ -327,8 +327,7 @@
     const auto stated_at = now_;
     send_until(now_ + 10s);
     std::erase_if(arrivals_, [&](const auto at) { return at < stated_at + contact_time; });
-    EXPECT_LE(most_requests(), max_requests()) << trace();
-    EXPECT_GE(rate(stated_at + contact_time, now_), 0.8);
+    expect_bound_and_use(stated_at + contact_time);
 }
 
 // Hosts took an engine that was no longer listed for one of their own zone.
@@ -339,8 +338,7 @@
             host.fleet->remove(limited_engine, entry_grace, now_);
         }
         send_until(start + 10s);
-        EXPECT_LE(most_requests(), max_requests()) << trace();
-        EXPECT_GE(rate(start + contact_time, now_), 0.8 * limit) << trace();
+        expect_bound_and_use(start + contact_time);
     }
 }
 
@@ -355,8 +353,7 @@
             host.fleet->set_hosts(host.place.name, left, now_);
         }
         send_until(start + 10s);
-        EXPECT_LE(most_requests(), max_requests()) << trace();
-        EXPECT_GE(rate(start + contact_time, now_), 0.8 * limit) << trace();
+        expect_bound_and_use(start + contact_time);
     }
 }
 
