Split the quarantine from forward_call; one join for lists in log lines

Change: forward_quarantine.cpp holds what a call has to do with crashing prompts, from both its files; the texts of an answer's summary stand with the answers; join() is in log.h. No change of behaviour; the log lines are the same.

--- a/src/forward_answer.cpp
+++ b/src/forward_answer.cpp
@@ -1,4 +1,4 @@
-/// Second half of forward_call: handles the responses of backend servers and the answer to the
+/// Second part of forward_call: handles the responses of backend servers and the answer to the
 /// caller.
 #include "forward_call.h"
 #include "log.h"
@@ -44,6 +44,32 @@
 
 } // namespace
 
+std::string to_string(const answer_summary& answer) {
+    return "result=" + std::string{to_string(answer.result)} +
+           " framing=" + (answer.framing ? std::string{to_string(*answer.framing)} : "-") +
+           " events=" + std::to_string(answer.events) +
+           " partial_event_bytes=" + std::to_string(answer.partial_event_bytes);
+}
+
+std::string_view to_string(answer_stage stage) {
+    switch (stage) {
+    case answer_stage::not_begun:
+        return "not_begun";
+    case answer_stage::before_first_event:
+        return "before_first_event";
+    case answer_stage::under_way:
+        return "under_way";
+    }
+    return "invalid";
+}
+
+answer_stage stage_of(const answer_summary& answer) {
+    if (!answer.framing) {
+        return answer_stage::not_begun;
+    }
+    return answer.events == 0 ? answer_stage::before_first_event : answer_stage::under_way;
+}
+
 void forward_call::on_header(const http_response_head& head) {
     shared_.fleet.on_answer_bytes(backend_, steady_now());
     status_ = head.status;
@@ -83,17 +109,6 @@
     shared_.fleet.on_rest_asked(process_, rest, steady_now());
 }
 
-void forward_call::report_sound() {
-    // Prompts are told apart by their segments; the request as a whole matters under suspicion
-    // only.
-    const bool is_prompt_enough =
-        !head_.prompt.shared.empty() && !shared_.quarantine.needs_fingerprints();
-    const auto sound = is_prompt_enough ? head_.prompt.shared : segments();
-    if (shared_.quarantine.on_answer_began(sound, steady_now())) {
-        shared_.on_quarantine_evidence();
-    }
-}
-
 void forward_call::on_body(std::string_view text) {
     const auto now = steady_now();
     shared_.fleet.on_answer_bytes(backend_, now);
@@ -240,19 +255,6 @@
     complete(status_, {});
 }
 
-void forward_call::report_loss() {
-    const auto now = steady_now();
-    if (!relay_host_.empty() || !is_at_risk() || !shared_.fleet.is_staying(backend_)) {
-        return;
-    }
-    const prompt_outline suspect{segments(), head_.prompt.own};
-    is_resend_barred_ = shared_.quarantine.is_suspect(suspect.shared, process_);
-    if (shared_.quarantine.on_answer_lost(process_, suspect, now)) {
-        shared_.prober.probe_at_once(backend_, address_, now);
-    }
-    shared_.on_quarantine_evidence();
-}
-
 /// The faulty backend server may be a helper that prefills a share of the prompt instead of the one
 /// that sent the response.
 void forward_call::on_refusal() {
--- a/src/forward_call.cpp
+++ b/src/forward_call.cpp
@@ -1,7 +1,6 @@
 #include "forward_call.h"
 
 #include "log.h"
-#include "request_fingerprint.h"
 
 #include <algorithm>
 #include <set>
@@ -47,47 +46,12 @@
     return list;
 }
 
-/// The texts for the log, separated by commas; "-" if there are none.
-std::string join(const std::vector<std::string>& texts) {
-    std::string list;
-    for (const auto& text : texts) {
-        list += (list.empty() ? "" : ",") + text;
-    }
-    return list.empty() ? "-" : list;
-}
-
 milliseconds to_milliseconds(duration span) {
     return std::chrono::duration_cast<milliseconds>(span);
 }
 
 } // namespace
 
-std::string to_string(const answer_summary& answer) {
-    return "result=" + std::string{to_string(answer.result)} +
-           " framing=" + (answer.framing ? std::string{to_string(*answer.framing)} : "-") +
-           " events=" + std::to_string(answer.events) +
-           " partial_event_bytes=" + std::to_string(answer.partial_event_bytes);
-}
-
-std::string_view to_string(answer_stage stage) {
-    switch (stage) {
-    case answer_stage::not_begun:
-        return "not_begun";
-    case answer_stage::before_first_event:
-        return "before_first_event";
-    case answer_stage::under_way:
-        return "under_way";
-    }
-    return "invalid";
-}
-
-answer_stage stage_of(const answer_summary& answer) {
-    if (!answer.framing) {
-        return answer_stage::not_begun;
-    }
-    return answer.events == 0 ? answer_stage::before_first_event : answer_stage::under_way;
-}
-
 forward_call::forward_call(shared_call_state& shared, http_request request,
                            http_responder responder, std::optional<relay_context> relayed)
     : shared_{shared}, request_{std::move(request)}, responder_{std::move(responder)},
@@ -273,58 +237,6 @@
     return true;
 }
 
-const std::string& forward_call::fingerprint() {
-    if (fingerprint_.empty()) {
-        fingerprint_ = request_fingerprint(head_.key, request_);
-    }
-    return fingerprint_;
-}
-
-segment_list forward_call::segments() {
-    auto segments = head_.prompt.shared;
-    segments.push_back(whole_request_segment(fingerprint()));
-    return segments;
-}
-
-const quarantined_prompt* forward_call::find_block(time_point now) {
-    return shared_.quarantine.needs_fingerprints() ? shared_.quarantine.find_block(segments(), now)
-                                                   : nullptr;
-}
-
-bool forward_call::is_at_risk() const {
-    return form_ == answer_form::none ||
-           (form_ == answer_form::events && answer_summary_.events == 0);
-}
-
-bool forward_call::refuse_if_quarantined() {
-    const auto now = steady_now();
-    const auto* verdict = find_block(now);
-    if (verdict == nullptr) {
-        return false;
-    }
-    const auto segments = join(verdict->segments);
-    if (is_in_doubt_) {
-        answer_failure({error_code::backend_lost, "prompt is blocked, segments " + segments});
-    } else {
-        answer_failure({error_code::prompt_quarantined, segments,
-                        to_milliseconds(verdict->blocked_until - now)});
-    }
-    return true;
-}
-
-void forward_call::enforce_quarantine() {
-    const auto now = steady_now();
-    const bool may_crash = call_.value != 0 && is_at_risk();
-    if (is_complete_ || !may_crash || find_block(now) == nullptr) {
-        return;
-    }
-    shared_.client.cancel(call_);
-    is_in_doubt_ = true;
-    end_attempt(attempt_result::cancelled);
-    // Answers, as the prompt is blocked.
-    next_attempt();
-}
-
 void forget_removed_routes(shared_call_state& shared) {
     std::set<std::string_view> names;
     std::ranges::transform(shared.routes->config().routes, std::inserter(names, names.end()),
@@ -334,13 +246,6 @@
     std::erase_if(shared.answer_times, is_removed);
 }
 
-void enforce_quarantine(shared_call_state& shared) {
-    std::vector<std::shared_ptr<forward_call>> calls;
-    std::ranges::transform(shared.calls, std::back_inserter(calls),
-                           [](auto& call) { return call.shared_from_this(); });
-    std::ranges::for_each(calls, [](const auto& call) { call->enforce_quarantine(); });
-}
-
 void forward_call::refuse_with_retry_after(error failure) {
     if (is_in_doubt_) {
         return answer_failure({error_code::backend_lost, failure.subject});
@@ -582,10 +487,11 @@
         splitter_.is_inside_event() ? splitter_.pending().size() : 0;
     shared_.on_answer_end(answer_summary_);
     if (result != attempt_result::done && result != attempt_result::cancelled) {
+        const auto segments = head_.prompt.shared.empty() ? "-" : join(head_.prompt.shared);
         log_of().info(head_.attempt, "answer attempt=" + std::to_string(sends_made_) +
                                          " backend=" + backend_ + " " + to_string(answer_summary_) +
-                                         " segments=" + join(head_.prompt.shared) + " request=" +
-                                         fingerprint() + " cause=\"" + std::string{cause} + "\"");
+                                         " segments=" + segments + " request=" + fingerprint() +
+                                         " cause=\"" + std::string{cause} + "\"");
     }
 }
 
--- a/src/gateway_evacuation.cpp
+++ b/src/gateway_evacuation.cpp
@@ -6,14 +6,6 @@
 namespace magnolia {
 namespace {
 
-std::string join(const std::vector<std::string>& names) {
-    std::string list;
-    for (const auto& name : names) {
-        list += (list.empty() ? "" : ",") + name;
-    }
-    return list;
-}
-
 std::vector<std::string> names_in(const object_cache& cache) {
     std::vector<std::string> names;
     std::ranges::transform(cache.list().items, std::back_inserter(names),
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -120,6 +120,14 @@
     return std::exchange(dropped_, 0);
 }
 
+std::string join(std::span<const std::string> texts) {
+    std::string list;
+    for (const auto& text : texts) {
+        list += (list.empty() ? "" : ",") + text;
+    }
+    return list;
+}
+
 std::string sanitize_message(std::string_view message) {
     std::string line{message.substr(0, config::max_log_message_bytes)};
     std::ranges::replace_if(
--- a/src/log.h
+++ b/src/log.h
@@ -4,6 +4,7 @@
 #include <magnolia/types.h>
 
 #include <cstdint>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -49,6 +50,9 @@
     std::uint64_t dropped_ = 0;
 };
 
+/// The texts, separated by commas.
+[[nodiscard]] std::string join(std::span<const std::string> texts);
+
 /// Message as it is written to the log: control characters are replaced by spaces, and a message
 /// longer than config::max_log_message_bytes is cut off and marked with an ellipsis.
 [[nodiscard]] std::string sanitize_message(std::string_view message);
--- a/src/quarantine_exchange.cpp
+++ b/src/quarantine_exchange.cpp
@@ -46,14 +46,6 @@
     return std::chrono::duration_cast<milliseconds>(since_1970).count();
 }
 
-std::string join(const std::vector<std::string>& texts) {
-    std::string list;
-    for (const auto& text : texts) {
-        list += (list.empty() ? "" : ",") + text;
-    }
-    return list;
-}
-
 /// Name of the object with the combination. The ids of segments are input of callers.
 std::string object_name(const segment_list& segments) {
     const auto text = join(segments);
