--- a/review/stand_ins.hpp
+++ b/review/stand_ins.hpp
@@ -107,11 +107,24 @@
     return fd;
 }
 
-/// A port that is free now.
+/// A port that is free now, for TCP and UDP, below those that the system gives to outgoing connections.
 inline std::uint16_t free_port(const std::string& ip) {
-    address at{ip, 0};
-    ::close(open_listener(at));
-    return at.port;
+    static std::uint16_t next = static_cast<std::uint16_t>(12000 + ::getpid() % 8000);
+    for (int tries = 0; tries < 1000; ++tries) {
+        const address at{ip, ++next};
+        const auto name = to_sockaddr(at);
+        bool is_free = true;
+        for (const int type : {SOCK_STREAM, SOCK_DGRAM}) {
+            const int fd = ::socket(AF_INET, type | SOCK_CLOEXEC, 0);
+            is_free = is_free && ::bind(fd, reinterpret_cast<const sockaddr*>(&name), sizeof(name)) == 0;
+            ::close(fd);
+        }
+        if (is_free) {
+            return at.port;
+        }
+    }
+    std::fprintf(stderr, "no free port\n");
+    std::_Exit(could_not_run);
 }
 
 struct message {
