--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -36,11 +36,13 @@
                 record("worker " + id + " runs a1");
                 ++events_seen;
                 const bool is_sent = stream_events(peer, request, 1, 14, 950ms);
-                record("worker " + id + (is_sent ? " has answered a1" : " was left by the gateway during a1"));
+                record("worker " + id +
+                       (is_sent ? " has answered a1" : " was left by the gateway during a1"));
                 return;
             }
             record("worker " + id + " is full and rejects " + attempt + " (503, X-Not-Executed)");
-            peer.write(answer_text(503, "X-Not-Executed: 1\r\nX-Attempt-Id: " + attempt + "\r\n", ""));
+            peer.write(
+                answer_text(503, "X-Not-Executed: 1\r\nX-Attempt-Id: " + attempt + "\r\n", ""));
         };
     };
     worker first{"127.41.0.2", "i-1", "chute-llm", "salt-lake", on_request("i-1")};
@@ -55,7 +57,8 @@
         finish(host, could_not_run);
     }
     outcome long_audit;
-    std::thread long_consumer{[&] { long_audit = send_request(host.front(), audit("a1", 150000), 15s); }};
+    std::thread long_consumer{
+        [&] { long_audit = send_request(host.front(), audit("a1", 150000), 15s); }};
     while (events_seen == 0) {
         std::this_thread::sleep_for(10ms);
     }
@@ -68,20 +71,24 @@
     sleep_until(stop_at + 1s);
     record("consumer sends b1, time limit 15 s");
     outcome waiting;
-    std::thread waiting_consumer{[&] { waiting = send_request(host.front(), audit("b1", 120000), 15s); }};
+    std::thread waiting_consumer{
+        [&] { waiting = send_request(host.front(), audit("b1", 120000), 15s); }};
     sleep_until(stop_at + 8s);
     if (has_trouble()) {
-        record(host.has_ended() ? host.name() + " has ended" : "platform sends SIGKILL to " + host.name());
+        record(host.has_ended() ? host.name() + " has ended"
+                                : "platform sends SIGKILL to " + host.name());
         host.stop_now();
     }
     waiting_consumer.join();
     long_consumer.join();
-    record("b1: " + waiting.text() + ", Retry-After \"" + waiting.answer.header("Retry-After") + "\"");
+    record("b1: " + waiting.text() + ", Retry-After \"" + waiting.answer.header("Retry-After") +
+           "\"");
     record("a1: " + long_audit.text());
     if (!waiting.is_connected) {
         record("b1 was not taken");
         finish(host, could_not_run);
     }
-    record(waiting.is_answered() ? "LOST held: b1 was answered" : "LOST broken: b1 was read and ended without an answer");
+    record(waiting.is_answered() ? "LOST held: b1 was answered"
+                                 : "LOST broken: b1 was read and ended without an answer");
     finish(host, waiting.is_answered() ? rule_held : rule_broken);
 }
--- a/review/stand_ins.hpp
+++ b/review/stand_ins.hpp
@@ -1,5 +1,6 @@
-/// Stand-ins for the review's cases: the platform's store, workers, consumers and the platform's start and stop of
-/// processes, as PROTOCOL.md and DEPLOY.md describe them. Blocking sockets, one thread for each connection.
+/// Stand-ins for the review's cases: the platform's store, workers, consumers and the platform's
+/// start and stop of processes, as PROTOCOL.md and DEPLOY.md describe them. Blocking sockets, one
+/// thread for each connection.
 #pragma once
 
 #include <arpa/inet.h>
@@ -47,13 +48,15 @@
 inline constexpr int rule_broken = 1;
 inline constexpr int could_not_run = 2;
 
-/// Writes record.txt: one line for each thing that was sent, answered or run, with the ms since the start.
+/// Writes record.txt: one line for each thing that was sent, answered or run, with the ms since the
+/// start.
 class record_file {
 public:
     explicit record_file(const std::string& path) : out_{path, std::ios::trunc} {}
     void line(const std::string& text) {
         const std::scoped_lock lock{mutex_};
-        const auto ms = std::chrono::duration_cast<milliseconds>(clock_type::now() - begin_).count();
+        const auto ms =
+            std::chrono::duration_cast<milliseconds>(clock_type::now() - begin_).count();
         char time[32];
         std::snprintf(time, sizeof(time), "%8.3f s  ", static_cast<double>(ms) / 1000);
         out_ << time << text << std::endl;
@@ -66,14 +69,18 @@
 };
 
 inline std::unique_ptr<record_file> the_record;
-inline void record(const std::string& text) { the_record->line(text); }
+inline void record(const std::string& text) {
+    the_record->line(text);
+}
 
 inline bool has_trouble() {
     const char* value = std::getenv("TROUBLE");
     return value == nullptr || std::string_view{value} != "0";
 }
 
-inline void sleep_until(clock_type::time_point when) { std::this_thread::sleep_until(when); }
+inline void sleep_until(clock_type::time_point when) {
+    std::this_thread::sleep_until(when);
+}
 
 // Sockets and HTTP.
 
@@ -107,7 +114,8 @@
     return fd;
 }
 
-/// A port that is free now, for TCP and UDP, below those that the system gives to outgoing connections.
+/// A port that is free now, for TCP and UDP, below those that the system gives to outgoing
+/// connections.
 inline std::uint16_t free_port(const std::string& ip) {
     static std::uint16_t next = static_cast<std::uint16_t>(12000 + ::getpid() % 8000);
     for (int tries = 0; tries < 1000; ++tries) {
@@ -116,7 +124,8 @@
         bool is_free = true;
         for (const int type : {SOCK_STREAM, SOCK_DGRAM}) {
             const int fd = ::socket(AF_INET, type | SOCK_CLOEXEC, 0);
-            is_free = is_free && ::bind(fd, reinterpret_cast<const sockaddr*>(&name), sizeof(name)) == 0;
+            is_free =
+                is_free && ::bind(fd, reinterpret_cast<const sockaddr*>(&name), sizeof(name)) == 0;
             ::close(fd);
         }
         if (is_free) {
@@ -135,7 +144,8 @@
 
     [[nodiscard]] std::string header(std::string_view name) const {
         for (const auto& [key, value] : headers) {
-            if (key.size() == name.size() && ::strncasecmp(key.data(), name.data(), name.size()) == 0) {
+            if (key.size() == name.size() &&
+                ::strncasecmp(key.data(), name.data(), name.size()) == 0) {
                 return value;
             }
         }
@@ -146,7 +156,9 @@
         const auto begin = first_line.find(' ') + 1;
         return first_line.substr(begin, first_line.find(' ', begin) - begin);
     }
-    [[nodiscard]] int status() const { return first_line.size() < 12 ? 0 : std::atoi(first_line.c_str() + 9); }
+    [[nodiscard]] int status() const {
+        return first_line.size() < 12 ? 0 : std::atoi(first_line.c_str() + 9);
+    }
 };
 
 /// How the reading of a message ended.
@@ -247,7 +259,8 @@
         }
     }
     reading fill(clock_type::time_point until) {
-        const auto left = std::chrono::duration_cast<milliseconds>(until - clock_type::now()).count();
+        const auto left =
+            std::chrono::duration_cast<milliseconds>(until - clock_type::now()).count();
         pollfd item{fd_, POLLIN, 0};
         if (left <= 0 || ::poll(&item, 1, static_cast<int>(left)) <= 0) {
             return reading::timed_out;
@@ -306,9 +319,10 @@
     pollfd item{fd, POLLOUT, 0};
     int failure = 0;
     socklen_t size = sizeof(failure);
-    const bool is_open = started == 0 ||
-                         (errno == EINPROGRESS && ::poll(&item, 1, static_cast<int>(limit.count())) == 1 &&
-                          ::getsockopt(fd, SOL_SOCKET, SO_ERROR, &failure, &size) == 0 && failure == 0);
+    const bool is_open =
+        started == 0 ||
+        (errno == EINPROGRESS && ::poll(&item, 1, static_cast<int>(limit.count())) == 1 &&
+         ::getsockopt(fd, SOL_SOCKET, SO_ERROR, &failure, &size) == 0 && failure == 0);
     if (!is_open) {
         ::close(fd);
         return nullptr;
@@ -322,7 +336,8 @@
 public:
     using handler = std::function<void(connection&, const message&)>;
 
-    server(std::string ip, handler on_request) : at_{std::move(ip), 0}, on_request_{std::move(on_request)} {
+    server(std::string ip, handler on_request)
+        : at_{std::move(ip), 0}, on_request_{std::move(on_request)} {
         fd_ = open_listener(at_);
         std::thread{[this] {
             while (true) {
@@ -352,8 +367,8 @@
 };
 
 inline std::string answer_text(int status, const std::string& headers, const std::string& body) {
-    return "HTTP/1.1 " + std::to_string(status) + " Status\r\n" + headers + "Content-Length: " +
-           std::to_string(body.size()) + "\r\n\r\n" + body;
+    return "HTTP/1.1 " + std::to_string(status) + " Status\r\n" + headers +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 inline std::string json_answer(int status, const json& body) {
@@ -365,7 +380,9 @@
 class store {
 public:
     explicit store(const std::string& ip)
-        : server_{ip, [this](connection& peer, const message& request) { on_request(peer, request); }} {}
+        : server_{ip,
+                  [this](connection& peer, const message& request) { on_request(peer, request); }} {
+    }
     [[nodiscard]] const address& at() const { return server_.at(); }
     /// Writes an object as the operator or a worker does.
     void put(const std::string& kind, const std::string& name, const json& spec) {
@@ -386,8 +403,10 @@
 
     json change(const std::string& kind, const std::string& name, const json& spec) {
         ++revision_;
-        objects_[kind][name] = {{"Metadata", {{"Name", name}, {"Revision", revision_}}}, {"Spec", spec}};
-        events_.push_back({revision_, kind, {{"Object", objects_[kind][name]}, {"Deleted", false}}});
+        objects_[kind][name] = {{"Metadata", {{"Name", name}, {"Revision", revision_}}},
+                                {"Spec", spec}};
+        events_.push_back(
+            {revision_, kind, {{"Object", objects_[kind][name]}, {"Deleted", false}}});
         changed_.notify_all();
         return objects_[kind][name];
     }
@@ -410,18 +429,21 @@
             peer.write(json_answer(404, json::object()));
             return;
         }
-        const auto query = query_at == std::string::npos ? std::string{} : "&" + target.substr(query_at + 1);
+        const auto query =
+            query_at == std::string::npos ? std::string{} : "&" + target.substr(query_at + 1);
         const auto number = [&query](const std::string& name) -> std::optional<std::uint64_t> {
             const auto found = query.find("&" + name + "=");
-            return found == std::string::npos ? std::nullopt
-                                              : std::optional{std::stoull(query.substr(found + name.size() + 2))};
+            return found == std::string::npos
+                       ? std::nullopt
+                       : std::optional{std::stoull(query.substr(found + name.size() + 2))};
         };
         const auto rest = path.substr(prefix.size());
         const auto slash = rest.find('/');
         const auto kind = rest.substr(0, slash);
         const auto name = slash == std::string::npos ? std::string{} : rest.substr(slash + 1);
         std::unique_lock lock{mutex_};
-        peer.write(answer(request, kind, name, number("Watch"), number("WaitMs").value_or(0), lock));
+        peer.write(
+            answer(request, kind, name, number("Watch"), number("WaitMs").value_or(0), lock));
     }
     std::string answer(const message& request, const std::string& kind, const std::string& name,
                        std::optional<std::uint64_t> watch, std::uint64_t wait_ms,
@@ -445,24 +467,28 @@
             for (const auto& [key, value] : objects_[kind]) {
                 items.push_back(value);
             }
-            return json_answer(200, {{"Items", items}, {"HasMore", false}, {"StoreRevision", revision_}});
+            return json_answer(
+                200, {{"Items", items}, {"HasMore", false}, {"StoreRevision", revision_}});
         }
         const auto found = objects_[kind].find(name);
         if (method == "GET") {
-            return found == objects_[kind].end() ? json_answer(404, json::object()) : json_answer(200, found->second);
+            return found == objects_[kind].end() ? json_answer(404, json::object())
+                                                 : json_answer(200, found->second);
         }
         const auto body = json::parse(request.body, nullptr, false);
         if (method == "POST" && body.is_object()) {
             const auto created = body["Metadata"].value("Name", std::string{});
             const auto known = objects_[kind].find(created);
-            return known != objects_[kind].end() ? json_answer(409, known->second)
-                                                 : json_answer(201, change(kind, created, body["Spec"]));
+            return known != objects_[kind].end()
+                       ? json_answer(409, known->second)
+                       : json_answer(201, change(kind, created, body["Spec"]));
         }
         if (method == "PUT" && body.is_object() && found != objects_[kind].end()) {
             const auto expected = body["Metadata"].value("Revision", std::uint64_t{0});
             const auto current = found->second["Metadata"]["Revision"].get<std::uint64_t>();
-            return expected != 0 && expected != current ? json_answer(409, found->second)
-                                                        : json_answer(200, change(kind, name, body["Spec"]));
+            return expected != 0 && expected != current
+                       ? json_answer(409, found->second)
+                       : json_answer(200, change(kind, name, body["Spec"]));
         }
         return json_answer(404, json::object());
     }
@@ -488,21 +514,25 @@
 }
 
 inline std::string signed_headers(const message& request) {
-    return "X-Attempt-Id: " + request.header("X-Attempt-Id") + "\r\nX-Response-Signature: 3e1b.07." +
-           request.header("X-Attempt-Id") + "\r\n";
+    return "X-Attempt-Id: " + request.header("X-Attempt-Id") +
+           "\r\nX-Response-Signature: 3e1b.07." + request.header("X-Attempt-Id") + "\r\n";
 }
 
-/// A worker: answers reports, 421 where another instance is expected, and passes requests to its handler.
+/// A worker: answers reports, 421 where another instance is expected, and passes requests to its
+/// handler.
 class worker {
 public:
-    worker(const std::string& ip, std::string id, std::string service, std::string zone, server::handler on_request)
-        : id_{std::move(id)}, service_{std::move(service)}, zone_{std::move(zone)}, on_request_{std::move(on_request)},
+    worker(const std::string& ip, std::string id, std::string service, std::string zone,
+           server::handler on_request)
+        : id_{std::move(id)}, service_{std::move(service)}, zone_{std::move(zone)},
+          on_request_{std::move(on_request)},
           server_{ip, [this](connection& peer, const message& request) { serve(peer, request); }} {}
     [[nodiscard]] const address& at() const { return server_.at(); }
     [[nodiscard]] const std::string& id() const { return id_; }
     [[nodiscard]] json entry(int slots, const std::string& state = "ready") const {
-        return {{"Service", service_}, {"Address", at().text()}, {"Zone", zone_},  {"Version", "1"}, {"Slots", slots},
-                {"State", state},      {"ColdRemainingMs", 0},   {"Sequence", 1}, {"born", 1764900000000}};
+        return {{"Service", service_},  {"Address", at().text()}, {"Zone", zone_},
+                {"Version", "1"},       {"Slots", slots},         {"State", state},
+                {"ColdRemainingMs", 0}, {"Sequence", 1},          {"born", 1764900000000}};
     }
 
 private:
@@ -534,10 +564,13 @@
     server server_;
 };
 
-/// Streams events, one after each pause, and stops early if the gateway leaves. Returns whether all were sent.
-inline bool stream_events(connection& peer, const message& request, int first, int last, milliseconds pause) {
-    peer.write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n" +
-               signed_headers(request) + "\r\n");
+/// Streams events, one after each pause, and stops early if the gateway leaves. Returns whether all
+/// were sent.
+inline bool stream_events(connection& peer, const message& request, int first, int last,
+                          milliseconds pause) {
+    peer.write(
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n" +
+        signed_headers(request) + "\r\n");
     for (int id = first; id <= last; ++id) {
         if (peer.is_peer_gone() || !peer.write(chunk(event_text(id)))) {
             return false;
@@ -559,9 +592,12 @@
     bool is_connected = false;
     [[nodiscard]] bool is_answered() const { return end == reading::complete; }
     [[nodiscard]] std::string text() const {
-        return std::string{is_connected ? "" : "no connection, "} + "status " + std::to_string(answer.status()) +
-               ", " + to_text(end) + ", " + std::to_string(answer.body.size()) + " bytes, after " +
-               std::to_string(std::chrono::duration_cast<milliseconds>(ended_at - sent_at).count()) + " ms";
+        return std::string{is_connected ? "" : "no connection, "} + "status " +
+               std::to_string(answer.status()) + ", " + to_text(end) + ", " +
+               std::to_string(answer.body.size()) + " bytes, after " +
+               std::to_string(
+                   std::chrono::duration_cast<milliseconds>(ended_at - sent_at).count()) +
+               " ms";
     }
 };
 
@@ -577,11 +613,13 @@
     return result;
 }
 
-inline std::string request_text(const std::string& method, const std::string& path, const std::string& attempt,
-                                const std::string& headers, const std::string& body = {}) {
-    const auto length = method == "GET" ? std::string{} : "Content-Length: " + std::to_string(body.size()) + "\r\n";
-    return method + " " + path + " HTTP/1.1\r\nHost: parts.example\r\nX-Attempt-Id: " + attempt + "\r\n" + headers +
-           length + "\r\n" + body;
+inline std::string request_text(const std::string& method, const std::string& path,
+                                const std::string& attempt, const std::string& headers,
+                                const std::string& body = {}) {
+    const auto length =
+        method == "GET" ? std::string{} : "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    return method + " " + path + " HTTP/1.1\r\nHost: parts.example\r\nX-Attempt-Id: " + attempt +
+           "\r\n" + headers + length + "\r\n" + body;
 }
 
 // The system's processes.
@@ -589,17 +627,20 @@
 /// One machine with one gateway, started as deploy/system.toml says.
 class machine {
 public:
-    machine(std::filesystem::path folder, std::string name, std::string ip, std::string zone, const address& platform)
-        : folder_{std::move(folder)}, name_{std::move(name)}, front_{ip, free_port(ip)}, ready_{ip, free_port(ip)} {
+    machine(std::filesystem::path folder, std::string name, std::string ip, std::string zone,
+            const address& platform)
+        : folder_{std::move(folder)}, name_{std::move(name)}, front_{ip, free_port(ip)},
+          ready_{ip, free_port(ip)} {
         // As deploy/gateway.yaml.in is filled in from the settings of DEPLOY.md.
-        std::ofstream{file()} << "process:\n  name: \"" << name_ << "\"\n  zone: \"" << zone
-                              << "\"\n  log_level: info\n  log_to_output: true\n  metrics: \"" << ip
-                              << ":9464\"\n  platform: \"" << platform.text() << "\"\nlisten: \"" << front_.text()
-                              << "\"\nreadiness: \"" << ready_.text() << "\"\npeer_listen: \"" << ip << ":"
-                              << free_port(ip)
-                              << "\"\nretry:\n  ratio: 0.2\n  window_s: 10\n  slack: 104\nstop_timeout_s: 8\n"
-                                 "contact_ms: 3000\nlate_reservation_ms: 4000\nmax_reservation_ms: 20000\n"
-                                 "processor_share: 0.25\ndiscovery_ms: 2500\n";
+        std::ofstream{file()}
+            << "process:\n  name: \"" << name_ << "\"\n  zone: \"" << zone
+            << "\"\n  log_level: info\n  log_to_output: true\n  metrics: \"" << ip
+            << ":9464\"\n  platform: \"" << platform.text() << "\"\nlisten: \"" << front_.text()
+            << "\"\nreadiness: \"" << ready_.text() << "\"\npeer_listen: \"" << ip << ":"
+            << free_port(ip)
+            << "\"\nretry:\n  ratio: 0.2\n  window_s: 10\n  slack: 104\nstop_timeout_s: 8\n"
+               "contact_ms: 3000\nlate_reservation_ms: 4000\nmax_reservation_ms: 20000\n"
+               "processor_share: 0.25\ndiscovery_ms: 2500\n";
     }
     machine(const machine&) = delete;
     machine& operator=(const machine&) = delete;
@@ -618,7 +659,8 @@
             const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             ::dup2(out, STDOUT_FILENO);
             ::dup2(out, STDERR_FILENO);
-            ::execl("target/magnolia-gateway", "target/magnolia-gateway", "--settings", settings.c_str(), nullptr);
+            ::execl("target/magnolia-gateway", "target/magnolia-gateway", "--settings",
+                    settings.c_str(), nullptr);
             std::_Exit(127);
         }
         record("platform starts " + name_);
@@ -645,8 +687,9 @@
     }
     /// Status that the platform's readiness question gets; 0 if none.
     [[nodiscard]] int readiness() const {
-        const auto result =
-            send_request(ready_, "GET /-/readiness HTTP/1.1\r\nHost: machine\r\nConnection: close\r\n\r\n", 1000ms);
+        const auto result = send_request(
+            ready_, "GET /-/readiness HTTP/1.1\r\nHost: machine\r\nConnection: close\r\n\r\n",
+            1000ms);
         return result.is_answered() ? result.answer.status() : 0;
     }
     bool wait_until_ready(milliseconds limit) {
@@ -674,38 +717,47 @@
 
 /// Configuration of a small deployment, with the figures of hpx-chute.
 inline json small_config() {
-    const json engine{{"Slots", 16},
-                      {"KvTokens", 232000},
-                      {"Stride", 43},
-                      {"step_ms", 1.02},
-                      {"per_seq_ms", 0.00226},
-                      {"context_per_k", 0.00431},
-                      {"read_per_s", 206000},
-                      {"pairs_per_m", 0.138},
-                      {"chunk", 2048},
-                      {"usual", {{"prompt", 12000}, {"answer", 1300}}},
+    const json engine{{"Slots", 16},           {"KvTokens", 232000},
+                      {"Stride", 43},          {"step_ms", 1.02},
+                      {"per_seq_ms", 0.00226}, {"context_per_k", 0.00431},
+                      {"read_per_s", 206000},  {"pairs_per_m", 0.138},
+                      {"chunk", 2048},         {"usual", {{"prompt", 12000}, {"answer", 1300}}},
                       {"report_lag_ms", 200}};
-    const auto stream = [](const std::string& name, const std::string& path, int target, int gap, int timeout) {
-        return json{{"Name", name},       {"Host", "parts.example"},   {"PathPrefix", path},     {"Kind", "streaming"},
-                    {"Resumable", true},  {"Sticky", true},            {"Service", "chute-llm"}, {"TimeoutMs", timeout},
-                    {"Attempts", 2},      {"TargetLatencyMs", target}, {"TargetGapMs", gap},     {"Priority", 1}};
+    const auto stream = [](const std::string& name, const std::string& path, int target, int gap,
+                           int timeout) {
+        return json{{"Name", name},           {"Host", "parts.example"},
+                    {"PathPrefix", path},     {"Kind", "streaming"},
+                    {"Resumable", true},      {"Sticky", true},
+                    {"Service", "chute-llm"}, {"TimeoutMs", timeout},
+                    {"Attempts", 2},          {"TargetLatencyMs", target},
+                    {"TargetGapMs", gap},     {"Priority", 1}};
     };
-    const auto plain = [](const std::string& name, const std::string& path, const std::string& kind, int attempts) {
-        return json{{"Name", name},     {"Host", "parts.example"}, {"PathPrefix", path},   {"Kind", kind},
-                    {"TimeoutMs", 600}, {"TargetLatencyMs", 120},  {"Attempts", attempts}, {"Service", "trade-desk"},
-                    {"Priority", 2}};
+    const auto plain = [](const std::string& name, const std::string& path, const std::string& kind,
+                          int attempts) {
+        return json{{"Name", name},         {"Host", "parts.example"}, {"PathPrefix", path},
+                    {"Kind", kind},         {"TimeoutMs", 600},        {"TargetLatencyMs", 120},
+                    {"Attempts", attempts}, {"Service", "trade-desk"}, {"Priority", 2}};
     };
     return {{"Version", 7},
             {"Routes", json::array({stream("part-quote", "/quote/", 300, 250, 10000),
                                     stream("sheet-compare", "/sheet/", 1500, 600, 10000),
                                     stream("bom-audit", "/audit/", 2500, 1000, 15000),
-                                    plain("po-place", "/order/", "unsafe", 1), plain("stock-check", "/stock/", "safe", 2)})},
+                                    plain("po-place", "/order/", "unsafe", 1),
+                                    plain("stock-check", "/stock/", "safe", 2)})},
             {"Services",
-             json::array({{{"Name", "chute-llm"}, {"HealthPath", "/health"}, {"MaxConnections", 434}, {"Engine", engine}},
-                          {{"Name", "trade-desk"}, {"HealthPath", "/health"}, {"MaxConnections", 110}}})},
+             json::array(
+                 {{{"Name", "chute-llm"},
+                   {"HealthPath", "/health"},
+                   {"MaxConnections", 434},
+                   {"Engine", engine}},
+                  {{"Name", "trade-desk"}, {"HealthPath", "/health"}, {"MaxConnections", 110}}})},
             {"Limits",
-             {{"MaxHeaderBytes", 16384}, {"MaxBodyBytes", 4194304}, {"HeaderTimeoutMs", 3000}, {"IdleTimeoutMs", 15000}}},
-            {"Tenants", json::array({{{"Name", "shop-1"}, {"ApiKeys", json::array({"n2ctnfzs989anu6wsjnb"})}}})}};
+             {{"MaxHeaderBytes", 16384},
+              {"MaxBodyBytes", 4194304},
+              {"HeaderTimeoutMs", 3000},
+              {"IdleTimeoutMs", 15000}}},
+            {"Tenants", json::array({{{"Name", "shop-1"},
+                                      {"ApiKeys", json::array({"n2ctnfzs989anu6wsjnb"})}}})}};
 }
 
 inline const std::string api_key = "Api-Key: n2ctnfzs989anu6wsjnb\r\n";
