--- a/review/stand_ins.hpp
+++ b/review/stand_ins.hpp
@@ -624,20 +624,72 @@
 
 // The system's processes.
 
+/// A link between a machine and the store that can be cut: open connections are reset, new ones
+/// too.
+class cuttable_link {
+public:
+    cuttable_link(const std::string& ip, address target) : at_{ip, 0}, target_{std::move(target)} {
+        fd_ = open_listener(at_);
+        std::thread{[this] {
+            while (true) {
+                const int fd = ::accept4(fd_, nullptr, nullptr, SOCK_CLOEXEC);
+                if (fd >= 0) {
+                    std::thread{[this, fd] { forward(fd); }}.detach();
+                }
+            }
+        }}.detach();
+    }
+    [[nodiscard]] const address& at() const { return at_; }
+    void cut() { is_cut_ = true; }
+    void heal() { is_cut_ = false; }
+
+private:
+    static void reset(int fd) {
+        const linger now{1, 0};
+        ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+        ::close(fd);
+    }
+    static bool pass(int from, int to) {
+        char bytes[16384];
+        const auto count = ::recv(from, bytes, sizeof(bytes), 0);
+        return count > 0 &&
+               ::send(to, bytes, static_cast<std::size_t>(count), MSG_NOSIGNAL) == count;
+    }
+    void forward(int fd) {
+        const int up = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        const auto name = to_sockaddr(target_);
+        bool is_open =
+            !is_cut_ && ::connect(up, reinterpret_cast<const sockaddr*>(&name), sizeof(name)) == 0;
+        while (is_open && !is_cut_) {
+            pollfd items[]{{fd, POLLIN, 0}, {up, POLLIN, 0}};
+            ::poll(items, 2, 5);
+            is_open =
+                (items[0].revents == 0 || pass(fd, up)) && (items[1].revents == 0 || pass(up, fd));
+        }
+        ::close(up);
+        reset(fd);
+    }
+
+    address at_;
+    address target_;
+    std::atomic<bool> is_cut_{false};
+    int fd_ = -1;
+};
+
 /// One machine with one gateway, started as deploy/system.toml says.
 class machine {
 public:
     machine(std::filesystem::path folder, std::string name, std::string ip, std::string zone,
-            const address& platform)
+            const address& platform, std::uint16_t metrics_port = 9464)
         : folder_{std::move(folder)}, name_{std::move(name)}, front_{ip, free_port(ip)},
           ready_{ip, free_port(ip)} {
         // As deploy/gateway.yaml.in is filled in from the settings of DEPLOY.md.
         std::ofstream{file()}
             << "process:\n  name: \"" << name_ << "\"\n  zone: \"" << zone
-            << "\"\n  log_level: info\n  log_to_output: true\n  metrics: \"" << ip
-            << ":9464\"\n  platform: \"" << platform.text() << "\"\nlisten: \"" << front_.text()
-            << "\"\nreadiness: \"" << ready_.text() << "\"\npeer_listen: \"" << ip << ":"
-            << free_port(ip)
+            << "\"\n  log_level: info\n  log_to_output: true\n  metrics: \"" << ip << ":"
+            << metrics_port << "\"\n  platform: \"" << platform.text() << "\"\nlisten: \""
+            << front_.text() << "\"\nreadiness: \"" << ready_.text() << "\"\npeer_listen: \"" << ip
+            << ":" << free_port(ip)
             << "\"\nretry:\n  ratio: 0.2\n  window_s: 10\n  slack: 104\nstop_timeout_s: 8\n"
                "contact_ms: 3000\nlate_reservation_ms: 4000\nmax_reservation_ms: 20000\n"
                "processor_share: 0.25\ndiscovery_ms: 2500\n";
