--- a/src/forward_call.h
+++ b/src/forward_call.h
@@ -13,6 +13,7 @@
 #include "http_client.h"
 #include "http_server.h"
 #include "liveness_prober.h"
+#include "planned_stop.h"
 #include "prompt_quarantine.h"
 #include "reach_prober.h"
 #include "relay_directory.h"
@@ -87,15 +88,6 @@
     std::uint64_t config_version = 0;
 };
 
-/// Times of a planned stop.
-struct stop_times {
-    /// From then on only requests that are certain to end within the stop are accepted: the load
-    /// balancer has other hosts for the rest.
-    time_point cautious_from{};
-    /// Remaining requests are aborted.
-    time_point aborts_at{};
-};
-
 class forward_call;
 
 /// Unlinks a call that ends.
@@ -153,12 +145,18 @@
     call_list calls{};
 };
 
+/// Calls in progress, kept alive so that they may end while the list is used.
+[[nodiscard]] std::vector<std::shared_ptr<forward_call>> pending_calls(shared_call_state& shared);
+
 /// Drops what is known of routes that the active configuration does not have.
 void forget_removed_routes(shared_call_state& shared);
 
 /// Ends attempts without an event whose prompts are blocked now.
 void enforce_quarantine(shared_call_state& shared);
 
+/// Ends all calls with their final answers, at the end of a planned stop.
+void end_calls_of_stop(shared_call_state& shared);
+
 /// State machine of one request. It keeps itself alive through its pending callbacks and timers
 /// until the answer is complete. Not thread-safe: runs on the thread of the I/O context.
 ///
@@ -173,6 +171,9 @@
     void start();
     /// Ends the attempt if it has no event and its prompt is blocked now.
     void enforce_quarantine();
+    /// Ends the request at the end of a planned stop, whatever it waits for: as not run if no
+    /// backend server can have it, else as failed; breaks a started answer off.
+    void end_for_stop();
     /// Host that has passed the request on; empty if none has.
     [[nodiscard]] std::string_view relayed_from() const {
         return relayed_ ? std::string_view{relayed_->sender} : std::string_view{};
@@ -212,9 +213,15 @@
     [[nodiscard]] bool is_at_risk() const;
     /// The answer shows that the request does not crash backend servers.
     void report_sound();
-    /// Refuses the request during a planned stop if it is not expected to end within it; returns
-    /// whether it did. On a route without complete answers it is expected to meet its target.
+    /// Refuses a new request during a planned stop if it is not expected, or late in the stop not
+    /// certain, to end within it; returns whether it did.
     [[nodiscard]] bool refuse_if_stopping();
+    /// Refuses a request that waits if its answer would not end within a planned stop; returns
+    /// whether it did.
+    [[nodiscard]] bool refuse_if_cut_by_stop(time_point now);
+    /// Time that an answer of the route takes at most, as a rule; on a route without complete
+    /// answers, it meets its target.
+    [[nodiscard]] duration usual_answer_time() const;
     /// Refuses the request if its prompt is blocked; returns whether it is.
     [[nodiscard]] bool refuse_if_quarantined();
     /// Tries again after the pause, or refuses with the failure if there is no time to wait.
--- a/src/forward_quarantine.cpp
+++ b/src/forward_quarantine.cpp
@@ -85,10 +85,8 @@
 }
 
 void enforce_quarantine(shared_call_state& shared) {
-    std::vector<std::shared_ptr<forward_call>> calls;
-    std::ranges::transform(shared.calls, std::back_inserter(calls),
-                           [](auto& call) { return call.shared_from_this(); });
-    std::ranges::for_each(calls, [](const auto& call) { call->enforce_quarantine(); });
+    std::ranges::for_each(pending_calls(shared),
+                          [](const auto& call) { call->enforce_quarantine(); });
 }
 
 } // namespace magnolia
--- a/src/gateway_lifecycle.cpp
+++ b/src/gateway_lifecycle.cpp
@@ -10,16 +10,6 @@
 /// Time between two checks of the settings file. A change applies within the time allowed for a
 /// change of the configuration, which is at least 2 s.
 constexpr milliseconds settings_check_interval{1000};
-/// Share of the stop timeout during which new requests are accepted at most.
-constexpr double accept_share = 0.4;
-/// Share of the stop timeout after which only requests that are certain to end within it are
-/// accepted.
-constexpr double cautious_share = 0.35;
-/// Time before the end of the stop timeout at which remaining requests are aborted.
-constexpr milliseconds abort_reserve{350};
-/// Time that the load balancer needs to stop sending to a host that is not ready: two failed
-/// checks, one second apart.
-constexpr milliseconds balancer_removal_time{3200};
 constexpr milliseconds stop_poll_interval{50};
 /// Time for final responses to be sent before the process ends.
 constexpr milliseconds flush_time{150};
@@ -94,39 +84,33 @@
 
 void gateway::state::begin_stop() {
     is_stopping_ = true;
-    stop_began_at_ = steady_now();
+    const auto now = steady_now();
+    // A change since the last check may concern the time of this stop.
+    next_settings_check_ = now;
+    check_settings_file(now);
+    const auto timeout = seconds_to_ms(settings_.stop_timeout_s);
+    shared_.stop = plan_stop(now, timeout);
     log_.info("planned stop begins, " + std::to_string(active_requests()) +
-              " requests in progress");
-    const auto stop_timeout = seconds_to_ms(settings_.stop_timeout_s);
-    shared_.stop =
-        stop_times{.cautious_from = stop_began_at_ + fraction_of(stop_timeout, cautious_share),
-                   .aborts_at = stop_began_at_ + stop_timeout - abort_reserve};
+              " requests in progress, timeout_ms=" + std::to_string(timeout.count()));
     caller_server_.begin_drain();
     relay_receiver_.server().begin_drain();
-    send_digest(stop_began_at_);
+    send_digest(now);
     send_membership(hosts_.leave());
     object_relay_.close();
     poll_stop();
 }
 
 void gateway::state::poll_stop() {
-    const auto elapsed = steady_now() - stop_began_at_;
-    const auto stop_timeout = seconds_to_ms(settings_.stop_timeout_s);
-    const auto accept_time =
-        std::min(balancer_removal_time, fraction_of(stop_timeout, accept_share));
-    const bool is_idle = active_requests() == 0;
-    const bool is_timed_out = elapsed >= stop_timeout - abort_reserve;
-    if (is_timed_out || (elapsed >= accept_time && is_idle)) {
-        log_.info("planned stop ends, " + std::to_string(active_requests()) + " requests aborted");
-        caller_server_.close();
-        relay_receiver_.server().close();
-        stop_timer_.expires_after(flush_time);
-        stop_timer_.async_wait([this](const auto& /*failure*/) { io_.stop(); });
-        return;
+    const auto now = steady_now();
+    const auto partial =
+        caller_server_.partial_requests() + relay_receiver_.server().partial_requests();
+    const bool is_idle = active_requests() + partial == 0;
+    const bool takes_no_more = now >= shared_.stop->accepts_until;
+    if (now >= shared_.stop->aborts_at || (takes_no_more && is_idle)) {
+        return end_stop(partial);
     }
-    if (elapsed >= accept_time) {
-        caller_server_.stop_accepting();
-        relay_receiver_.server().stop_accepting();
+    if (takes_no_more) {
+        stop_accepting();
     }
     stop_timer_.expires_after(stop_poll_interval);
     stop_timer_.async_wait([this](const auto& failure) {
@@ -136,4 +120,24 @@
     });
 }
 
+void gateway::state::stop_accepting() {
+    caller_server_.stop_accepting();
+    relay_receiver_.server().stop_accepting();
+}
+
+void gateway::state::end_stop(std::size_t partial_requests) {
+    log_.info("planned stop ends, " + std::to_string(active_requests()) + " requests aborted, " +
+              std::to_string(partial_requests) + " of which a part was received refused");
+    stop_accepting();
+    end_calls_of_stop(shared_);
+    caller_server_.refuse_partial_requests();
+    relay_receiver_.server().refuse_partial_requests();
+    stop_timer_.expires_after(flush_time);
+    stop_timer_.async_wait([this](const auto& /*failure*/) {
+        caller_server_.close();
+        relay_receiver_.server().close();
+        io_.stop();
+    });
+}
+
 } // namespace magnolia
--- a/src/gateway_p.h
+++ b/src/gateway_p.h
@@ -149,8 +149,12 @@
     void reload_settings();
     /// Reports not ready and drains; requests are accepted until the load balancer has reacted.
     void begin_stop();
-    /// Advances the planned stop; ends the I/O loop when no request remains or the time is over.
+    /// Advances the planned stop; ends it when no request remains or the time is over.
     void poll_stop();
+    /// Closes the listeners and idle connections.
+    void stop_accepting();
+    /// Answers the requests that are left, then ends the I/O loop.
+    void end_stop(std::size_t partial_requests);
 
     process& owner_;
     gateway_settings settings_;
@@ -214,7 +218,6 @@
     std::string settings_text_;
     bool is_stopping_ = false;
     bool was_ready_ = false;
-    time_point stop_began_at_{};
 };
 
 } // namespace magnolia
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -8,6 +8,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace magnolia {
 namespace {
 
@@ -186,6 +188,12 @@
     }
 }
 
+void http_server::refuse_partial_requests() {
+    for (auto& session : state_->sessions) {
+        session.refuse_partial_request();
+    }
+}
+
 void http_server::close() {
     state_->shut_down();
 }
@@ -198,4 +206,9 @@
     return state_->active;
 }
 
+std::size_t http_server::partial_requests() const {
+    return static_cast<std::size_t>(std::ranges::count_if(
+        state_->sessions, [](const auto& session) { return session.has_partial_request(); }));
+}
+
 } // namespace magnolia
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -80,7 +80,7 @@
 using http_handler = std::function<void(http_request request, http_responder responder)>;
 
 /// Makes the response to a request that the server refuses by itself. Errors: bad_request,
-/// header_too_large, too_large, slow_body, overloaded.
+/// header_too_large, too_large, slow_body, overloaded, stopping.
 using http_error_formatter = std::function<http_response(const error& failure)>;
 
 /// Makes a response with the HTTP status of the error and a JSON body with its type, subject and,
@@ -112,11 +112,15 @@
     /// Closes the listener and all idle connections. Requests in progress continue; their
     /// connections close after the response.
     void stop_accepting();
+    /// Refuses the requests that have not been received completely, with `stopping`.
+    void refuse_partial_requests();
     /// Closes the listener and all connections at once, without calling the on_disconnect
     /// functions.
     void close();
     /// Number of requests in progress.
     [[nodiscard]] std::size_t active_requests() const;
+    /// Number of requests of which a part was received.
+    [[nodiscard]] std::size_t partial_requests() const;
 
 private:
     friend class http_session;
--- a/src/http_session.cpp
+++ b/src/http_session.cpp
@@ -112,6 +112,9 @@
     if (failure == http::error::body_limit) {
         return {error_code::too_large, failure.message()};
     }
+    if (is_cut_by_stop_) {
+        return {error_code::stopping, "request was not received within the stop"};
+    }
     if (is_timed_out_) {
         return {error_code::slow_body, "body"};
     }
@@ -131,6 +134,7 @@
         co_return http::error::end_of_stream;
     }
     is_idle_ = false;
+    is_receiving_ = true;
     received_at_ = steady_now();
     start_timeout(server_->limits.header_timeout);
     co_await http::async_read_header(stream_, buffer_, parser,
@@ -166,6 +170,7 @@
     stream_.expires_never();
     auto failure = co_await read_header(parser);
     if (server_ == nullptr || failure == http::error::end_of_stream) {
+        is_receiving_ = false;
         co_return false;
     }
     if (!failure && has_unsupported_transfer_coding(parser.get())) {
@@ -176,6 +181,7 @@
         // twice.
         const error refusal{error_code::overloaded, "memory limit for request bodies",
                             overload_retry_after};
+        is_receiving_ = false;
         co_await refuse(refusal);
         co_return false;
     }
@@ -183,6 +189,7 @@
         failure = co_await read_body(parser);
     }
     cancel_timeout();
+    is_receiving_ = false;
     if (server_ == nullptr) {
         co_return false;
     }
@@ -326,6 +333,13 @@
     }
 }
 
+void http_session::refuse_partial_request() {
+    if (is_receiving_) {
+        is_cut_by_stop_ = true;
+        stream_.cancel();
+    }
+}
+
 void http_session::detach() {
     on_disconnect_ = nullptr;
     close();
--- a/src/http_session_p.h
+++ b/src/http_session_p.h
@@ -75,6 +75,9 @@
     void close_if_idle();
     /// As close_if_idle(), but leaves a connection open that has not yet served a request.
     void close_if_reused();
+    /// Refuses the request that is being received, if there is one, with `stopping`.
+    void refuse_partial_request();
+    [[nodiscard]] bool has_partial_request() const { return is_receiving_; }
 
     // Used by http_responder.
     /// Adds the header to the output. Without a length, the body is sent in chunks, or ends with
@@ -148,6 +151,10 @@
     bool is_open_exchange_ = false;
     bool is_finished_ = false;
     bool is_idle_ = true;
+    /// A part of a request was received, and neither its end nor an error.
+    bool is_receiving_ = false;
+    /// The request is not received to its end, as the server stops.
+    bool is_cut_by_stop_ = false;
     bool has_served_ = false;
     time_point received_at_{};
     bool keep_alive_ = true;
--- a/tests/gateway_fixture.cpp
+++ b/tests/gateway_fixture.cpp
@@ -113,6 +113,8 @@
     }
     auto config = default_config();
     config.version = document["version"].get<std::uint64_t>();
+    auto& memory = config.services.front().engine->memory_tokens;
+    memory = document.value("memory", memory);
     std::erase_if(config.routes, [&](const auto& route) {
         return route.path_prefix == document.value("without", std::string{});
     });
