--- a/src/forward_call.cpp
+++ b/src/forward_call.cpp
@@ -88,6 +88,10 @@
     if (!routes_) {
         return fail(error_code::platform_down, "no configuration received yet", milliseconds{500});
     }
+    if (shared_.is_state_known && !shared_.is_state_known()) {
+        return fail(error_code::platform_down, "whether the store has a newer state is not known",
+                    milliseconds{500});
+    }
     if (relayed_ && routes_->version() < relayed_->config_version) {
         return fail(error_code::platform_down, "configuration older than the other host's",
                     milliseconds{500});
--- a/src/forward_call.h
+++ b/src/forward_call.h
@@ -141,6 +141,9 @@
         on_limit_changed;
     /// Called when the quarantine got new evidence.
     std::function<void()> on_quarantine_evidence;
+    /// Whether what this host knows of the store is recent enough to act on, or as recent as it can
+    /// be while the store does not answer; null if it always is.
+    std::function<bool()> is_state_known{};
     /// Calls in progress.
     call_list calls{};
 };
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -160,6 +160,8 @@
                            }}},
       tick_timer_{io_}, update_timer_{io_}, stop_timer_{io_}, hangup_signal_{io_, SIGHUP} {
     reader_.set_max_age(settings.contact_ms);
+    reader_.set_probe(codec.config_object());
+    shared_.is_state_known = [this] { return is_state_known(steady_now()); };
     object_relay_.add(config_watcher_, [this] {
         return std::max(config_watcher_.confirmed_at(), config_confirmed_by_peers_);
     });
@@ -382,6 +384,13 @@
                        : std::max(config_watcher_.confirmed_at(), config_confirmed_by_peers_);
 }
 
+bool gateway::state::is_state_known(time_point now) const {
+    const bool is_disconnected =
+        config_watcher_.is_disconnected() || backend_watcher_.is_disconnected();
+    return !is_disconnected ||
+           now - reader_.outage_seen_at() <= max_outage_age(settings_.contact_ms);
+}
+
 bool gateway::state::is_ready() const {
     return !is_stopping_ && shared_.routes && backend_watcher_.has_synced() &&
            may_know_evacuations() && quarantine_exchange_.is_loaded(steady_now());
--- a/src/gateway_p.h
+++ b/src/gateway_p.h
@@ -100,6 +100,9 @@
     /// Last moment at which the active configuration was confirmed to be the newest; time_point{}
     /// if a peer has told a newer one.
     [[nodiscard]] time_point routes_confirmed_at(time_point now) const;
+    /// Whether the watchers hear from the store, or a source has failed so recently that the store
+    /// cannot have answered this host again for the contact time.
+    [[nodiscard]] bool is_state_known(time_point now) const;
     [[nodiscard]] http_response readiness_response(const http_request& request) const;
     [[nodiscard]] bool is_ready() const;
     /// Sends the placements and ends of jobs since the previous update to the hosts that share the
--- a/src/object_watcher.cpp
+++ b/src/object_watcher.cpp
@@ -1,16 +1,13 @@
 #include "object_watcher.h"
 
 #include "log.h"
+#include "watch_schedule.h"
 
 #include <algorithm>
 
 namespace magnolia {
 namespace {
 
-/// Wait of a watch call after a failed call: the store may still not respond, and a lost call must
-/// not delay the next one for long.
-constexpr milliseconds watch_wait_after_failure{100};
-
 /// Pause of a watch at the store after a change. Changes often come in series, where each would
 /// wake the watch of each watcher.
 constexpr milliseconds pause_after_change{200};
@@ -76,7 +73,9 @@
 }
 
 void object_watcher::watch() {
-    const bool may_be_down = is_disconnected_ && reader_.reads_from_store();
+    // The call may be the one that finds out whether the store answers again.
+    const bool may_be_down =
+        (is_disconnected_ || reader_.is_store_failing()) && reader_.reads_from_store();
     const auto wait = may_be_down ? watch_wait_after_failure : watch_wait_();
     call(object_watch{kind_, position_, wait}, &object_watcher::on_changes);
 }
--- a/src/read_source.cpp
+++ b/src/read_source.cpp
@@ -73,7 +73,7 @@
 read_choice read_source::choose(time_point now, double random) {
     was_store_last_ = false;
     if (uses_teller(now)) {
-        return {teller_, true};
+        return {.host = teller_, .accepts_loss = true, .longest_wait = teller_until_ - now};
     }
     if (is_store_next(now)) {
         was_store_last_ = true;
@@ -81,7 +81,7 @@
     }
     if (const auto* usable = first_usable(now)) {
         next_trial_.reset();
-        return {usable->host, false};
+        return {.host = usable->host};
     }
     // Each of them alone would call the store all the time.
     if (!next_trial_) {
@@ -93,7 +93,7 @@
         was_store_last_ = true;
         return {};
     }
-    return {first_outdated()->host, true};
+    return {.host = first_outdated()->host, .accepts_loss = true, .reports_loss = false};
 }
 
 void read_source::on_failure(std::string_view host, time_point now) {
@@ -109,10 +109,17 @@
 bool read_source::on_answer(std::string_view host, duration age, bool is_lost, time_point now,
                             double random) {
     auto* relay = find(host);
-    if (relay == nullptr || uses_teller(now)) {
+    const bool is_worse = is_lost || age > max_age_;
+    if (uses_teller(now)) {
+        // It has told what it knew, and does not learn of more.
+        const bool is_teller_worse = is_worse && host == teller_;
+        teller_until_ = is_teller_worse ? time_point{} : teller_until_;
+        return is_teller_worse;
+    }
+    if (relay == nullptr) {
         return false;
     }
-    if (!is_lost && age <= max_age_) {
+    if (!is_worse) {
         relay->cause = fault::none;
         return false;
     }
@@ -127,6 +134,7 @@
 void read_source::on_store_answer(bool is_answered, time_point now) {
     is_store_failing_ = !is_answered;
     if (near_count_ == 0) {
+        teller_until_ = is_answered ? time_point{} : teller_until_;
         return;
     }
     // It answered a trial: this host follows it for a while, and tells the others.
--- a/src/read_source.h
+++ b/src/read_source.h
@@ -17,9 +17,12 @@
 struct read_choice {
     /// Empty for the store.
     std::string host;
-    /// The host may wait for a change although it has lost the store, and its reply is used: there
-    /// is no better source.
+    /// The reply of the host is used although it has lost the store.
     bool accepts_loss = false;
+    /// The host answers at once if it has lost the store, instead of waiting for a change.
+    bool reports_loss = true;
+    /// Longest time for which it may wait for a change.
+    duration longest_wait = duration::max();
 
     [[nodiscard]] bool is_store() const { return host.empty(); }
 };
@@ -41,6 +44,10 @@
     [[nodiscard]] read_choice choose(time_point now, double random);
     /// Whether the next call goes to the store, trials apart.
     [[nodiscard]] bool is_store_next(time_point now) const;
+    /// The last call of this host to the store has failed.
+    [[nodiscard]] bool is_store_failing() const { return is_store_failing_; }
+    /// Whether the store is this host's own source, so that a call elsewhere ends once it answers.
+    [[nodiscard]] bool returns_to_store() const { return near_count_ == 0 && is_store_failing_; }
 
     /// The host refused or did not answer.
     void on_failure(std::string_view host, time_point now);
--- a/src/store_reader.cpp
+++ b/src/store_reader.cpp
@@ -77,7 +77,7 @@
     }
     const auto known = addresses_.find(choice.host);
     const auto target = known != addresses_.end() ? relay{known->first, known->second} : teller_;
-    ask(target, choice.accepts_loss, std::move(call), std::move(done));
+    ask(target, choice, std::move(call), std::move(done));
 }
 
 void store_reader::ask_store(platform_call call, reply_handler done) {
@@ -85,12 +85,50 @@
         std::move(call), call_priority::configuration,
         [this, lifetime = std::weak_ptr{lifetime_}, done = std::move(done)](const auto& reply) {
             if (!lifetime.expired()) {
-                sources_.on_store_answer(reply.has_value(), steady_now());
+                on_store_reply(reply);
                 done({.reply = reply, .since_reconnect = std::nullopt});
             }
         });
 }
 
+void store_reader::on_store_reply(const result<platform_reply>& reply) {
+    const auto now = steady_now();
+    const bool is_answered = reply || (reply.error().code != error_code::platform_down &&
+                                       reply.error().code != error_code::platform_busy);
+    sources_.on_store_answer(is_answered, now);
+    if (!is_answered) {
+        outage_seen_at_ = now;
+    }
+}
+
+void store_reader::probe_store() {
+    if (is_probing_ || !probe_ || relayed_reads_.empty() || !sources_.returns_to_store()) {
+        return;
+    }
+    is_probing_ = true;
+    // The client spaces calls while they fail.
+    store_.execute(object_get{*probe_}, call_priority::configuration,
+                   [this, lifetime = std::weak_ptr{lifetime_}](const auto& reply) {
+                       if (lifetime.expired()) {
+                           return;
+                       }
+                       is_probing_ = false;
+                       on_store_reply(reply);
+                       if (sources_.is_store_failing()) {
+                           return probe_store();
+                       }
+                       log_of().info("store responds again, reads from it instead of host " +
+                                     teller_.host);
+                       withdraw_relayed_reads();
+                   });
+}
+
+void store_reader::withdraw_relayed_reads() {
+    for (const auto& [number, call] : std::exchange(relayed_reads_, {})) {
+        client_.cancel(call);
+    }
+}
+
 void store_reader::call_after(milliseconds pause, std::function<void()> function) {
     const auto timer = std::make_shared<boost::asio::steady_timer>(context_, pause);
     timer->async_wait([lifetime = std::weak_ptr{lifetime_}, timer,
@@ -101,9 +139,12 @@
     });
 }
 
-void store_reader::ask(const relay& target, bool accepts_loss, platform_call call,
+void store_reader::ask(const relay& target, const read_choice& choice, platform_call call,
                        reply_handler done) {
-    const auto* watch = std::get_if<object_watch>(&call);
+    auto* watch = std::get_if<object_watch>(&call);
+    if (watch != nullptr && watch->wait > choice.longest_wait) {
+        watch->wait = std::chrono::ceil<milliseconds>(choice.longest_wait);
+    }
     http_call_limits limits;
     limits.connect_timeout = connect_timeout;
     limits.total_timeout = timeout_ + (watch != nullptr ? watch->wait : milliseconds{0});
@@ -114,20 +155,27 @@
         request.headers.push_back(
             {std::string{relayed_epoch_field}, std::to_string(watch->after.epoch)});
     }
-    if (!accepts_loss) {
+    if (choice.reports_loss) {
         request.headers.push_back({std::string{report_loss_field}, "1"});
     }
-    client_.call(target.address, std::move(request), limits,
-                 [this, lifetime = std::weak_ptr{lifetime_}, host = target.host, accepts_loss,
-                  call = std::move(call), done = std::move(done)](const auto& answer) mutable {
-                     if (lifetime.expired()) {
-                         return;
-                     }
-                     auto reply =
-                         answer ? decode(call, *answer)
+    const auto number = next_read_++;
+    relayed_reads_[number] = client_.call(
+        target.address, std::move(request), limits,
+        [this, lifetime = std::weak_ptr{lifetime_}, number, host = target.host,
+         accepts_loss = choice.accepts_loss, call = std::move(call),
+         done = std::move(done)](const auto& answer) mutable {
+            if (lifetime.expired()) {
+                return;
+            }
+            const bool is_withdrawn = relayed_reads_.erase(number) == 0;
+            if (is_withdrawn) {
+                return read(std::move(call), done);
+            }
+            auto reply = answer ? decode(call, *answer)
                                 : fail(error_code::platform_down, answer.error().failure.subject);
-                     on_relayed(host, accepts_loss, std::move(call), std::move(reply), done);
-                 });
+            on_relayed(host, accepts_loss, std::move(call), std::move(reply), done);
+        });
+    probe_store();
 }
 
 void store_reader::on_relayed(const std::string& host, bool accepts_loss, platform_call call,
@@ -147,6 +195,9 @@
         }
         return read(std::move(call), done);
     }
+    if (reply->is_lost) {
+        outage_seen_at_ = steady_now();
+    }
     // News of a source that is worse are used, and the next call goes to another one.
     reply->is_lost = reply->is_lost && accepts_loss;
     done(*reply);
--- a/src/store_reader.h
+++ b/src/store_reader.h
@@ -48,10 +48,18 @@
                     std::size_t host_count);
     /// Age of what a relay has from which the store may have more.
     void set_max_age(duration age) { sources_.set_max_age(age); }
+    /// Sets the object that is read to find out whether the store answers again, while this host
+    /// reads elsewhere as its own calls have failed. Without one it does not find out.
+    void set_probe(object_id id) { probe_ = std::move(id); }
     /// Another host has told a newer state for some time. The next call goes to a better source.
     void on_lag(const relay& teller);
     /// Whether the next call goes to the store.
     [[nodiscard]] bool reads_from_store() const;
+    /// Whether the last call of this host to the store has failed.
+    [[nodiscard]] bool is_store_failing() const { return sources_.is_store_failing(); }
+    /// Last moment at which a call to the store failed, or a source said that it has lost it;
+    /// time_point{} if never.
+    [[nodiscard]] time_point outage_seen_at() const { return outage_seen_at_; }
 
     /// Calls the function after the pause, unless this object has ended.
     void call_after(std::chrono::milliseconds pause, std::function<void()> function);
@@ -61,10 +69,16 @@
 private:
     [[nodiscard]] double draw();
     void ask_store(platform_call call, reply_handler done);
-    void ask(const relay& target, bool accepts_loss, platform_call call, reply_handler done);
+    void ask(const relay& target, const read_choice& choice, platform_call call,
+             reply_handler done);
     /// Uses the reply of a relay, or asks another source.
     void on_relayed(const std::string& host, bool accepts_loss, platform_call call,
                     result<sourced_reply> reply, const reply_handler& done);
+    /// Asks the store, while reads wait at other hosts, whether it answers this host again.
+    void probe_store();
+    void on_store_reply(const result<platform_reply>& reply);
+    /// Makes the reads that wait at other hosts again.
+    void withdraw_relayed_reads();
     /// Decodes the response of a relay. Errors: platform_down if it has no reply or an older one.
     [[nodiscard]] result<sourced_reply> decode(const platform_call& call,
                                                const http_response& response);
@@ -80,6 +94,12 @@
     /// Addresses of the relays, by name.
     std::map<std::string, endpoint, std::less<>> addresses_;
     relay teller_;
+    std::optional<object_id> probe_;
+    bool is_probing_ = false;
+    time_point outage_seen_at_{};
+    /// Reads at other hosts, by number.
+    std::map<std::uint64_t, http_call_id> relayed_reads_;
+    std::uint64_t next_read_ = 0;
     std::shared_ptr<bool> lifetime_ = std::make_shared<bool>(true);
 };
 
--- a/src/watch_schedule.cpp
+++ b/src/watch_schedule.cpp
@@ -42,6 +42,12 @@
     return fraction_of(contact_time, timeout_share);
 }
 
+milliseconds max_outage_age(milliseconds contact_time) {
+    // The call that failed may have been under way for this long.
+    const auto under_way = store_timeout(contact_time) + watch_wait_after_failure;
+    return std::max(contact_time - under_way, contact_time / 2);
+}
+
 milliseconds watch_wait(milliseconds contact_time, watch_role role, std::size_t hosts,
                         std::mt19937_64& random) {
     std::uniform_real_distribution<double> jitter{min_share, 1.0};
--- a/src/watch_schedule.h
+++ b/src/watch_schedule.h
@@ -16,6 +16,14 @@
 /// @param contact_time  time after a disruption within which a host must be up to date.
 [[nodiscard]] milliseconds store_timeout(milliseconds contact_time);
 
+/// Age of the last sign of an outage from which a host that hears nothing must count on the store
+/// having answered again for the contact time.
+[[nodiscard]] milliseconds max_outage_age(milliseconds contact_time);
+
+/// Wait of a watch call while calls to the store fail: it may still not respond, and a lost call
+/// must not delay the next one for long.
+inline constexpr milliseconds watch_wait_after_failure{100};
+
 /// How a host learns of changes.
 enum class watch_role : std::uint8_t {
     /// Reads from the store for itself, as all hosts of a small deployment do.
--- a/tests/gateway_fixture.cpp
+++ b/tests/gateway_fixture.cpp
@@ -115,6 +115,14 @@
     config.version = document["version"].get<std::uint64_t>();
     auto& memory = config.services.front().engine->memory_tokens;
     memory = document.value("memory", memory);
+    if (document.contains("keys")) {
+        config.workspaces.front().keys = document["keys"].get<std::vector<std::string>>();
+    }
+    for (auto& route : config.routes) {
+        if (route.path_prefix == document.value("moved", std::string{})) {
+            route.services = {{"other", 1}};
+        }
+    }
     std::erase_if(config.routes, [&](const auto& route) {
         return route.path_prefix == document.value("without", std::string{});
     });
@@ -124,7 +132,10 @@
 result<backend_info> test_codec::read_backend(const std::string& id, std::string_view value) const {
     backend_info backend;
     backend.id = id;
-    // SERVICE ADDRESS:PORT
+    // SERVICE ADDRESS:PORT [leaving]
+    constexpr std::string_view leaving = " leaving";
+    backend.is_leaving = value.ends_with(leaving);
+    value.remove_suffix(backend.is_leaving ? leaving.size() : 0);
     const auto space = value.find(' ');
     backend.service = value.substr(0, space);
     if (space != std::string_view::npos &&
--- a/tests/read_source_test.cpp
+++ b/tests/read_source_test.cpp
@@ -172,7 +172,7 @@
         const bool is_lost = knows_loss(from);
         const bool is_news = from.has_change && !self.has_change;
         const bool is_over = now_ >= self.call_ends;
-        if (is_news || is_over || (is_lost && !self.reads.accepts_loss)) {
+        if (is_news || is_over || (is_lost && self.reads.reports_loss)) {
             self.has_change = self.has_change || is_news;
             self.source.on_answer(self.reads.host, milliseconds{0}, is_lost, now_, share());
             begin(host, now_);
@@ -285,6 +285,49 @@
     EXPECT_EQ(next(), "x");
 }
 
+// Review case 2, CONFIG: a host went on reading for 3.5 s from one that had lost the store.
+TEST_F(read_source_test, a_teller_that_has_lost_the_store_is_left_at_once) {
+    source_.set_relays({}, {}, 2);
+    source_.on_store_answer(false, now_);
+    source_.on_lag("teller", now_);
+    const auto detour = source_.choose(now_, 0.5);
+    EXPECT_EQ(detour.host, "teller");
+    EXPECT_TRUE(detour.accepts_loss) << "it may be the only one that knows";
+    EXPECT_TRUE(detour.reports_loss) << "it must not wait for a change that it cannot learn of";
+    EXPECT_TRUE(source_.on_answer("teller", milliseconds{0}, true, now_, 0.5));
+    EXPECT_EQ(next(), "");
+}
+
+// As above, with a state that was confirmed too long ago.
+TEST_F(read_source_test, a_teller_with_an_old_state_is_left_at_once) {
+    source_.set_max_age(milliseconds{3000});
+    EXPECT_EQ(next(), "a");
+    source_.on_lag("teller", now_);
+    EXPECT_EQ(next(), "teller");
+    EXPECT_TRUE(source_.on_answer("teller", milliseconds{3001}, false, now_, 0.5));
+    EXPECT_EQ(next(), "x");
+}
+
+// As above: watches that begin in a detour lasted beyond it.
+TEST_F(read_source_test, no_wait_at_a_teller_lasts_longer_than_the_detour) {
+    EXPECT_EQ(next(), "a");
+    source_.on_lag("teller", now_);
+    now_ += milliseconds{1500};
+    const auto detour = source_.choose(now_, 0.5);
+    EXPECT_EQ(detour.host, "teller");
+    now_ += std::chrono::duration_cast<milliseconds>(detour.longest_wait);
+    EXPECT_EQ(next(), "a") << "its own source is tried again";
+}
+
+TEST_F(read_source_test, a_detour_of_a_host_of_a_small_deployment_ends_when_the_store_answers) {
+    source_.set_relays({}, {}, 9);
+    source_.on_store_answer(false, now_);
+    source_.on_lag("teller", now_);
+    EXPECT_EQ(next(), "teller");
+    source_.on_store_answer(true, now_);
+    EXPECT_EQ(next(), "");
+}
+
 TEST_F(read_source_test, a_host_whose_calls_to_the_store_fail_reads_from_the_one_that_told_it) {
     source_.set_relays({}, {}, 9);
     EXPECT_EQ(next(), "");
--- a/tests/store_reader_test.cpp
+++ b/tests/store_reader_test.cpp
@@ -15,8 +15,9 @@
 protected:
     /// Client, reader and watcher of one host.
     struct host {
-        host(boost::asio::io_context& context, const endpoint& store)
-            : client{context, store, budget(), 1}, reader{context, client, 1, milliseconds{200}},
+        host(boost::asio::io_context& context, const endpoint& store,
+             milliseconds timeout = milliseconds{200})
+            : client{context, store, budget(), 1}, reader{context, client, 1, timeout},
               watcher{reader,
                       "servers",
                       [] { return milliseconds{300}; },
@@ -258,6 +259,29 @@
         milliseconds{20});
 }
 
+// Review case 2, CONFIG: a host whose store answered again waited for the host that it had left
+// for.
+TEST_F(store_reader_test, a_host_leaves_a_silent_teller_once_its_store_answers_again) {
+    constexpr milliseconds contact_time{3000};
+    host cut{context_, {"127.0.0.1", store_.port()}, std::chrono::seconds{10}};
+    cut.reader.set_relays({}, {}, 2);
+    cut.reader.set_probe({"servers", "a"});
+    cut.watcher.start();
+    run_until([&] { return cut.lists == 1; });
+    store_.model().faults().outage = outage_mode::hang;
+    run_until([&] { return cut.watcher.is_disconnected(); });
+    is_silent_ = true;
+    cut.reader.on_lag({"watching", {"127.0.0.1", server_.port()}});
+    EXPECT_FALSE(cut.reader.reads_from_store());
+    // Until the next call, which goes to the teller.
+    run_for(milliseconds{500});
+    store_.model().faults().outage = outage_mode::none;
+    write("b");
+    run_for(contact_time);
+    EXPECT_TRUE(cut.names.contains("b"));
+    EXPECT_FALSE(cut.watcher.is_disconnected());
+}
+
 TEST_F(store_reader_test, other_requests_are_not_taken) {
     object_relay relay;
     bool is_taken = true;
--- a/tests/watch_schedule_test.cpp
+++ b/tests/watch_schedule_test.cpp
@@ -82,5 +82,34 @@
     }
 }
 
+// Review case 2, CONFIG: the waits between the end of a cut and the first reply of the store, one
+// after the other at their longest, exceeded the contact time.
+TEST(watch_schedule, the_longest_waits_after_a_cut_stay_within_the_contact_time) {
+    /// Between two calls to the store that does not answer, and a call to another host that takes
+    /// no connection.
+    constexpr milliseconds backoff{500};
+    constexpr milliseconds refused_relay{400};
+    std::mt19937_64 random{1};
+    for (const auto contact : {milliseconds{3000}, milliseconds{4000}, milliseconds{5000}}) {
+        const auto hung_call = store_timeout(contact) + watch_wait_after_failure;
+        // A host that asks the store: a call that was lost in the cut, and the next one.
+        EXPECT_LE(hung_call + backoff + reconnect_time, contact);
+        // The detour of such a host ends with the same calls, made beside it.
+        EXPECT_LT(hung_call + backoff, max_outage_age(contact)) << "a cut host must go on serving";
+        for (const std::size_t hosts : {89, 295}) {
+            // A host that asks another one: a watch that was lost, and the next host.
+            const auto hung_watch =
+                watch_wait(contact, watch_role::reader, hosts, random) + store_timeout(contact);
+            EXPECT_LE(hung_watch + refused_relay + reconnect_time, contact) << hosts << " hosts";
+        }
+    }
+    for (const std::size_t hosts : {2, 8}) {
+        // A cut so short that no call has failed: the watch that it broke.
+        const auto hung_watch = watch_wait(contact_time, watch_role::single, hosts, random) +
+                                store_timeout(contact_time);
+        EXPECT_LE(hung_watch + backoff + reconnect_time, contact_time) << hosts << " hosts";
+    }
+}
+
 } // namespace
 } // namespace magnolia
