--- a/src/process.cpp
+++ b/src/process.cpp
@@ -104,8 +104,14 @@
     }
 
     void on_stop(std::function<void()> handler) {
-        const std::scoped_lock lock{mutex_};
-        on_stop_ = std::move(handler);
+        {
+            const std::scoped_lock lock{mutex_};
+            if (!is_stopping()) {
+                on_stop_ = std::move(handler);
+                return;
+            }
+        }
+        boost::asio::post(io_thread_.context(), std::move(handler));
     }
 
     void request_stop() {
--- a/src/process.h
+++ b/src/process.h
@@ -60,7 +60,7 @@
     /// process_started.
     void set_ready(bool is_ready);
     /// Sets a function that is called once, on the thread of this object, when a planned stop
-    /// begins. Not called if it is set after that.
+    /// begins; at once if one has begun.
     void on_stop(std::function<void()> handler);
     /// Starts the planned stop, as SIGTERM does. Idempotent.
     void request_stop();
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -9,6 +9,7 @@
 #include <array>
 #include <csignal>
 #include <fstream>
+#include <future>
 
 namespace magnolia {
 namespace {
@@ -66,6 +67,22 @@
     EXPECT_TRUE(is_stop_handler_called);
 }
 
+// Review case 3, LOST: a SIGTERM between the start of the process and the registration of the
+// gateway's stop was taken and had no effect.
+TEST(process, a_signal_before_the_stop_handler_is_set_begins_the_planned_stop) {
+    std::promise<void> called;
+    const auto code =
+        run({}, valid_settings, [&](process& running, const entry_settings& /*settings*/) {
+            std::raise(SIGTERM);
+            running.wait_for_stop();
+            running.on_stop([&] { called.set_value(); });
+            EXPECT_EQ(called.get_future().wait_for(std::chrono::seconds{5}),
+                      std::future_status::ready);
+            return result<void>{};
+        });
+    EXPECT_EQ(code, 0);
+}
+
 TEST(process, a_failure_of_the_body_exits_with_the_failed_code) {
     const auto code =
         run({}, valid_settings, [](process& /*running*/, const entry_settings& /*settings*/) {
