Give up bytes without end that are no answer

Here a host kept up to 16 MB of each such answer and searched the open line of a stream anew for each piece.

Cause: what a useless part may cost was bounded by what a whole good answer may need; any byte of a body was a sign of life.

Change: bytes that are not for the caller are given up after 64 KB, an event after 256 KB; the head keeps its meaning. Signed answers of any status are streamed beyond 64 KB. Streams of events have back-pressure. The splitter goes on where it stopped. Answers to probes and orders are limited.

--- a/include/magnolia/config.h
+++ b/include/magnolia/config.h
@@ -22,6 +22,10 @@
 /// margin.
 inline constexpr std::size_t max_body_bytes = std::size_t{16} << 20U;
 
+/// Maximum size of the body of a backend server's answer to a probe or an order, in bytes. They are
+/// a few fields; a faulty server may send without end.
+inline constexpr std::size_t max_order_answer_bytes = std::size_t{64} << 10U;
+
 /// Maximum size of an object's value in the platform's store, in bytes.
 inline constexpr std::size_t max_object_bytes = std::size_t{1} << 20U;
 
--- a/src/event_stream.cpp
+++ b/src/event_stream.cpp
@@ -35,7 +35,9 @@
     const std::string_view text{pending_};
     std::vector<stream_event> events;
     std::size_t event_start = 0;
-    const auto find_line_end = [&] { return text.find_first_of("\r\n", line_start_); };
+    const auto find_line_end = [&] {
+        return text.find_first_of("\r\n", std::max(line_start_, scanned_));
+    };
     for (auto line_end = find_line_end(); line_end != std::string_view::npos;
          line_end = find_line_end()) {
         const auto line = text.substr(line_start_, line_end - line_start_);
@@ -61,6 +63,7 @@
         pending_.erase(0, event_start);
         line_start_ -= event_start;
     }
+    scanned_ = pending_.size();
     return events;
 }
 
--- a/src/event_stream.h
+++ b/src/event_stream.h
@@ -18,8 +18,9 @@
     bool has_field = true;
 };
 
-/// Incremental parser of one event stream. Buffers at most one incomplete event. Used by a
-/// forwarded call; not thread-safe.
+/// Incremental parser of one event stream. Buffers one incomplete event, however large; its user
+/// limits it. The work per byte does not depend on the length of lines. Used by a forwarded call;
+/// not thread-safe.
 class event_splitter {
 public:
     /// Adds bytes and returns the events that they complete. Lines end with LF, CRLF or CR.
@@ -34,6 +35,8 @@
     std::string pending_;
     /// Position in pending_ of the line that is being received.
     std::size_t line_start_ = 0;
+    /// Position in pending_ up to which that line has no end.
+    std::size_t scanned_ = 0;
     /// The last byte before pending_ is a CR, so a LF at its start ends the same line.
     bool follows_cr_ = false;
     /// pending_ has a complete line that is not blank.
--- a/src/forward_answer.cpp
+++ b/src/forward_answer.cpp
@@ -16,6 +16,9 @@
 /// Bytes of an answer that are buffered before it is forwarded byte by byte. Up to this size, a
 /// failed attempt can be retried without the caller seeing a part of its answer.
 constexpr std::size_t max_buffered_bytes = std::size_t{64} << 10U;
+/// Size of an incomplete event past which the answer counts as none. Events of models and services
+/// have a few KB.
+constexpr std::size_t max_event_bytes = std::size_t{256} << 10U;
 /// Bytes that may wait for a slow caller before reading from the backend server is paused
 /// (backpressure).
 constexpr std::size_t max_unsent_bytes = std::size_t{256} << 10U;
@@ -110,31 +113,64 @@
 }
 
 void forward_call::on_body(std::string_view text) {
-    const auto now = steady_now();
-    shared_.fleet.on_answer_bytes(backend_, now);
     if (form_ == answer_form::events) {
         return on_events(text);
     }
-    last_progress_ = now;
-    if (form_ == answer_form::buffered) {
+    const bool is_for_caller =
+        answer_.is_signed && !answer_.is_not_run && !answer_.is_other_backend && !relay_outcome_;
+    if (form_ == answer_form::buffered && (!is_for_caller || has_response_started_)) {
+        // Such bytes may come without end, and are no sign of life.
         body_ += text;
-        const bool may_stream = is_success(status_) && answer_.is_signed && !has_response_started_;
-        if (body_.size() <= max_buffered_bytes || !may_stream) {
-            return;
-        }
+        return body_.size() > max_buffered_bytes
+                   ? give_up_answer("too many bytes that are no answer")
+                   : void();
+    }
+    const auto now = steady_now();
+    shared_.fleet.on_answer_bytes(backend_, now);
+    last_progress_ = now;
+    if (form_ == answer_form::streamed) {
+        return write(text);
+    }
+    body_ += text;
+    if (body_.size() > max_buffered_bytes) {
         form_ = answer_form::streamed;
         start_response();
         responder_.write(std::exchange(body_, {}));
+    }
+}
+
+void forward_call::give_up_answer(std::string_view reason) {
+    log_of().info(head_.attempt,
+                  "gives the answer up backend=" + backend_ + " reason=\"" + std::string{reason} +
+                      "\" bytes=" + std::to_string(body_.size() + splitter_.pending().size()));
+    shared_.client.cancel(call_);
+    // The head is complete and keeps its meaning.
+    if (relay_outcome_) {
+        return on_relay_failure();
+    }
+    if (answer_.is_not_run || answer_.is_other_backend) {
+        return on_refusal();
+    }
+    fail_attempt(run_evidence::in_doubt, attempt_result::failed,
+                 {error_code::backend_failed, std::string{reason}});
+}
+
+void forward_call::write(std::string_view text) {
+    responder_.write(text);
+    if (!is_caller_behind()) {
         return;
     }
-    responder_.write(text, [self = shared_from_this(), call = call_] {
-        if (self->responder_.pending_bytes() < max_unsent_bytes) {
+    shared_.client.pause(call_);
+    responder_.write({}, [self = shared_from_this(), call = call_] {
+        if (!self->is_caller_behind()) {
+            self->last_progress_ = steady_now();
             self->shared_.client.resume(call);
         }
     });
-    if (responder_.pending_bytes() >= max_unsent_bytes) {
-        shared_.client.pause(call_);
-    }
+}
+
+bool forward_call::is_caller_behind() const {
+    return responder_.pending_bytes() >= max_unsent_bytes;
 }
 
 void forward_call::start_response() {
@@ -149,6 +185,9 @@
 
 void forward_call::on_events(std::string_view text) {
     const auto events = splitter_.append(text);
+    if (!events.empty()) {
+        shared_.fleet.on_answer_bytes(backend_, steady_now());
+    }
     if (answer_summary_.events == 0 && !events.empty()) {
         report_sound();
     }
@@ -159,6 +198,10 @@
         }
         forward_event(event);
     }
+    const bool is_under_way = !is_complete_ && form_ == answer_form::events;
+    if (is_under_way && splitter_.pending().size() > max_event_bytes) {
+        give_up_answer("event too large");
+    }
 }
 
 void forward_call::forward_event(const stream_event& event) {
@@ -196,7 +239,7 @@
     if (event.id) {
         last_event_ = event.id;
     }
-    responder_.write(event.text);
+    write(event.text);
 }
 
 void forward_call::on_end(const http_failure* failure) {
--- a/src/forward_call.cpp
+++ b/src/forward_call.cpp
@@ -553,7 +553,7 @@
 void forward_call::check_silence(time_point now) {
     const bool may_resend = call_.value != 0 && has_job_ && route_->repeat != repeat_rule::never &&
                             sends_made_ < max_sends();
-    if (!may_resend) {
+    if (!may_resend || is_caller_behind()) {
         return;
     }
     const bool is_probe_due =
--- a/src/forward_call.h
+++ b/src/forward_call.h
@@ -257,6 +257,12 @@
     void on_body(std::string_view text);
     void on_end(const http_failure* failure);
     void on_events(std::string_view text);
+    /// Ends an attempt whose answer grows without getting a meaning.
+    void give_up_answer(std::string_view reason);
+    /// Sends bytes to the caller; a slow caller slows the backend server down.
+    void write(std::string_view text);
+    /// So much waits for the caller that nothing more is read from the backend server.
+    [[nodiscard]] bool is_caller_behind() const;
     /// The response of a stream of events ended without an error.
     void on_stream_end();
     void on_complete_answer();
--- a/src/liveness_prober.cpp
+++ b/src/liveness_prober.cpp
@@ -56,6 +56,7 @@
     limits.connect_timeout = probe_timeout;
     limits.inactivity_timeout = probe_timeout;
     limits.total_timeout = probe_timeout;
+    limits.max_body_bytes = config::max_order_answer_bytes;
     client_.call(address, codec_.write_probe(), limits, [this, process](const auto& answer) {
         probes_[process.id].is_in_flight = false;
         if (answer) {
--- a/src/reservations.cpp
+++ b/src/reservations.cpp
@@ -28,6 +28,7 @@
     limits.connect_timeout = response_timeout;
     limits.inactivity_timeout = response_timeout;
     limits.total_timeout = response_timeout;
+    limits.max_body_bytes = config::max_order_answer_bytes;
     client_.call(address, std::move(request), limits,
                  [on_done = std::move(on_done)](const auto& response) {
                      on_done(response && response->status == status_ok);
