--- a/tests/answer_framing_test.cpp
+++ b/tests/answer_framing_test.cpp
@@ -279,5 +279,45 @@
     });
 }
 
+// A report of other operators: callers got a 200 with an empty or short body, framed as whole, when
+// a server stopped inside its head. Interim answers are heads of their own.
+TEST_F(cut_answers, a_head_cut_behind_interim_answers_never_looks_complete) {
+    const std::string body = "order 1 placed";
+    for (const std::string interim :
+         {"HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nsignature: s\r\n\r\n"}) {
+        for (const auto& bytes : {interim + with_length(body, body.size(), "text/plain"),
+                                  interim + interim + chunked(body, "text/plain")}) {
+            for_each_cut("desk", "/unsafe/", bytes, body, [](const outcome& cut) {
+                ASSERT_TRUE(cut.answer);
+                EXPECT_EQ(cut.answer->status, 502U) << cut.sent_body;
+            });
+        }
+        for_each_cut(
+            "llm", "/once-stream/", interim + chunked(three_events), three_events,
+            [](const outcome& cut) { EXPECT_FALSE(cut.answer && cut.answer->status == 200); });
+    }
+}
+
+// The same for the server at which a stream is resumed: the caller has a 200 already.
+TEST_F(gateway_fixture,
+       a_stream_resumed_at_a_server_that_stops_in_its_head_does_not_look_complete) {
+    const auto head = until_close("");
+    for (const auto end : {connection_end::orderly, connection_end::reset}) {
+        for (std::size_t cut = 0; cut < head.size(); cut += 7) {
+            const auto id =
+                "b" + std::to_string(cut) + (end == connection_end::reset ? "-reset" : "-orderly");
+            auto& backend = add_raw_backend(id, "llm");
+            backend.add_script(until_close(event_text(1)), connection_end::reset);
+            backend.add_script(head.substr(0, cut), end);
+            const auto response = send_raw("POST", "/stream/");
+            EXPECT_EQ(count_of(response, "id: "), 1U) << cut;
+            EXPECT_FALSE(has_last_chunk(response)) << cut;
+            EXPECT_GE(backend.connection_count(), 2U) << cut;
+            fleet_.set_gone(id);
+            shared_.retry_budgets.clear();
+        }
+    }
+}
+
 } // namespace
 } // namespace magnolia
