--- a/tests/forward_call_test.cpp
+++ b/tests/forward_call_test.cpp
@@ -36,6 +36,18 @@
     EXPECT_EQ(send_request({"GET", "/safe/", {}, {}, {}})->status, 200U);
 }
 
+// Review case 2, CONFIG: a host that cannot show how old its state is must not act on it.
+TEST_F(gateway_fixture, nothing_is_run_or_denied_by_a_state_of_unknown_age) {
+    add_backend("b1", "desk").add_handler(respond_with(200));
+    shared_.is_state_known = [] { return false; };
+    for (const auto* path : {"/safe/", "/unsafe/", "/none/"}) {
+        const auto answer = send_request({"GET", path, {}, {}, {}});
+        ASSERT_TRUE(answer);
+        EXPECT_EQ(answer->status, 503U) << path;
+    }
+    EXPECT_TRUE(backends_.front()->requests().empty());
+}
+
 TEST_F(gateway_fixture, an_unsafe_request_is_not_retried_after_a_broken_response) {
     for (const auto* id : {"b1", "b2"}) {
         add_backend(id, "desk").add_handler([](const auto&, const http_responder& responder) {
--- a/tests/gateway_cluster.cpp
+++ b/tests/gateway_cluster.cpp
@@ -26,7 +26,7 @@
     settings_.listen.port = take_port(context);
     settings_.readiness.port = take_port(context);
     settings_.peer_listen.port = take_port(context);
-    settings_.stop_timeout_s = 2;
+    settings_.stop_timeout_s = default_stop_timeout_s;
     write_settings(store);
     owner_ = std::make_unique<process>(settings_.process, settings_file_);
     thread_ = std::thread{[this, &store_codec, codec] {
@@ -48,13 +48,14 @@
     return holder.local_endpoint().port();
 }
 
-void running_gateway::write_settings(const endpoint& store) const {
+void running_gateway::write_settings(const endpoint& store, double stop_timeout_s) const {
     const auto next = settings_file_.string() + ".next";
     std::ofstream{next} << "process: {name: " << settings_.process.name
                         << ", zone: z1, platform: \"" << to_text(store) << "\"}\nlisten: \""
                         << to_text(settings_.listen) << "\"\nreadiness: \""
                         << to_text(settings_.readiness) << "\"\npeer_listen: \""
-                        << to_text(settings_.peer_listen) << "\"\nstop_timeout_s: 2\n";
+                        << to_text(settings_.peer_listen)
+                        << "\"\nstop_timeout_s: " << stop_timeout_s << "\n";
     std::filesystem::rename(next, settings_file_);
 }
 
--- a/tests/gateway_cluster.h
+++ b/tests/gateway_cluster.h
@@ -27,9 +27,12 @@
     running_gateway(const running_gateway&) = delete;
     running_gateway& operator=(const running_gateway&) = delete;
 
+    static constexpr double default_stop_timeout_s = 2;
+
     [[nodiscard]] const gateway_settings& settings() const { return settings_; }
-    /// Replaces the settings file by one that names another store.
-    void write_settings(const endpoint& store) const;
+    /// Replaces the settings file by one that names another store, or another time for a stop.
+    void write_settings(const endpoint& store,
+                        double stop_timeout_s = default_stop_timeout_s) const;
     /// Starts the planned stop.
     void request_stop() { owner_->request_stop(); }
     /// Metrics in the text format.
--- a/tests/stop_answers_test.cpp
+++ b/tests/stop_answers_test.cpp
@@ -150,6 +150,32 @@
     EXPECT_EQ((*running)->status, 0U);
 }
 
+// As review case 1, without the store.
+TEST_F(answers_of_a_stop, a_request_is_answered_while_the_store_is_away) {
+    start();
+    const auto running = send(port(), "/unsafe/");
+    poll([this] { return received() == 1; });
+    store_.model().faults().outage = outage_mode::hang;
+    stop_and_wait(running);
+    EXPECT_EQ((*running)->status, may_have_run);
+    store_.model().faults().outage = outage_mode::none;
+}
+
+// Whoever stops the process goes by the settings of that moment, whether or not they are read.
+TEST_F(answers_of_a_stop, the_settings_of_its_begin_decide_how_long_a_stop_takes) {
+    start();
+    const auto running = send(port(), "/unsafe/");
+    poll([this] { return received() == 1; });
+    host_->write_settings(gateways_store_, 4);
+    const auto begun = steady_now();
+    host_->request_stop();
+    poll([this, begun] { return steady_now() - begun > milliseconds{500}; });
+    host_->write_settings(gateways_store_, 2);
+    poll([&] { return running->has_value(); });
+    EXPECT_GE(steady_now() - begun, std::chrono::seconds{3});
+    EXPECT_EQ((*running)->status, may_have_run);
+}
+
 /// Two hosts, the first of which passes requests on to the other one.
 class answers_of_a_relay : public linked_hosts {
 protected:
