Count the store's reads of a relay cluster once its start is over

Cause, from a trace of every read: the count began 1.0 to 1.5 s after the first host's start. At that time all hosts still wait with their first watches at the store itself, each charged once a second, and read the list of hosts a second time; how many of these reads fell into the count depended on how fast the hosts had started (1.0 to 1.1 s in the runs that failed, 1.3 s in those that passed). No host reads the store itself for a change.

Change: the count begins once the reads of the start have ended. The bound stays 100 as a whole: the list that each host reads meanwhile is that of blocked prompts now, ten seconds after its start, instead of that of hosts.

--- a/tests/store_relay_cluster_test.cpp
+++ b/tests/store_relay_cluster_test.cpp
@@ -16,6 +16,18 @@
         wait_for_peers();
     }
 
+    /// Waits until all hosts have read the list of hosts twice, and read from the watchers.
+    void wait_for_steady_reads() {
+        /// Two watchers of two kinds, for each of which a call or its wait counts once a second.
+        constexpr std::uint64_t reads_per_second = 8;
+        std::uint64_t before = 0;
+        do {
+            before = store_.model().counts().reads;
+            const auto end = steady_now() + std::chrono::seconds{1};
+            poll([end] { return steady_now() >= end; });
+        } while (store_.model().counts().reads - before > reads_per_second);
+    }
+
     void change_config() {
         put("routes", "main", R"({"version":)" + std::to_string(++version_) + "}");
         wait_for_metric("magnolia_config_version", version_);
@@ -39,9 +51,10 @@
     constexpr std::uint64_t changes = 20;
     /// Of a zone; each host by itself made one.
     constexpr std::uint64_t calls_per_change = 3;
-    /// Watches that end without a change in the time that the changes take, and the second list of
-    /// hosts that each host reads some seconds after its first.
+    /// Watches that end without a change in the time that the changes take, and the list of blocked
+    /// prompts that each host reads again ten seconds after its start.
     constexpr std::uint64_t other_calls = 14 + host_count;
+    wait_for_steady_reads();
     const auto before = store_.model().counts().reads;
     for (std::uint64_t change = 0; change < changes; ++change) {
         change_config();
