--- a/tests/stop_answers_test.cpp
+++ b/tests/stop_answers_test.cpp
@@ -169,7 +169,7 @@
     host_->write_settings(gateways_store_, 4);
     const auto begun = steady_now();
     host_->request_stop();
-    poll([this, begun] { return steady_now() - begun > milliseconds{500}; });
+    poll([begun] { return steady_now() - begun > milliseconds{500}; });
     host_->write_settings(gateways_store_, 2);
     poll([&] { return running->has_value(); });
     EXPECT_GE(steady_now() - begun, std::chrono::seconds{3});
