--- a/tests/gateway_cluster.cpp
+++ b/tests/gateway_cluster.cpp
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include <fstream>
+#include <sstream>
 
 namespace magnolia {
 namespace {
@@ -15,11 +16,10 @@
 
 } // namespace
 
-running_gateway::running_gateway(boost::asio::io_context& context, const std::string& name,
-                                 const endpoint& store, const store_codec& store_codec,
-                                 const gateway_codec* codec)
-    : settings_file_{std::filesystem::path{testing::TempDir()} /
-                     ("gateway_" + name + "_" + std::to_string(::getpid()) + ".yaml")} {
+host_settings::host_settings(boost::asio::io_context& context, const std::string& name,
+                             const endpoint& store)
+    : file_{std::filesystem::path{testing::TempDir()} /
+            ("gateway_" + name + "_" + std::to_string(::getpid()) + ".yaml")} {
     settings_.process.name = name;
     settings_.process.zone = "z1";
     settings_.process.platform = store;
@@ -27,10 +27,38 @@
     settings_.readiness.port = take_port(context);
     settings_.peer_listen.port = take_port(context);
     settings_.stop_timeout_s = default_stop_timeout_s;
-    write_settings(store);
-    owner_ = std::make_unique<process>(settings_.process, settings_file_);
+    write(text(store));
+}
+
+std::uint16_t host_settings::take_port(boost::asio::io_context& context) {
+    auto& holder = port_holders_.emplace_back(context, tcp::v4());
+    holder.set_option(tcp::acceptor::reuse_address{true});
+    holder.bind({boost::asio::ip::make_address("127.0.0.1"), 0});
+    return holder.local_endpoint().port();
+}
+
+std::string host_settings::text(const endpoint& store, double stop_timeout_s) const {
+    std::ostringstream out;
+    out << "process: {name: " << settings_.process.name << ", zone: z1, platform: \""
+        << to_text(store) << "\"}\nlisten: \"" << to_text(settings_.listen) << "\"\nreadiness: \""
+        << to_text(settings_.readiness) << "\"\npeer_listen: \"" << to_text(settings_.peer_listen)
+        << "\"\nstop_timeout_s: " << stop_timeout_s << "\n";
+    return out.str();
+}
+
+void host_settings::write(const std::string& text) const {
+    const auto next = file_.string() + ".next";
+    std::ofstream{next} << text;
+    std::filesystem::rename(next, file_);
+}
+
+running_gateway::running_gateway(boost::asio::io_context& context, const std::string& name,
+                                 const endpoint& store, const store_codec& store_codec,
+                                 const gateway_codec* codec)
+    : settings_{context, name, store},
+      owner_{std::make_unique<process>(settings_.get().process, settings_.file())} {
     thread_ = std::thread{[this, &store_codec, codec] {
-        gateway host{*owner_, settings_, codec != nullptr ? *codec : default_codec_, store_codec};
+        gateway host{*owner_, settings(), codec != nullptr ? *codec : default_codec_, store_codec};
         EXPECT_TRUE(host.run());
         has_ended_ = true;
     }};
@@ -41,24 +69,6 @@
     thread_.join();
 }
 
-std::uint16_t running_gateway::take_port(boost::asio::io_context& context) {
-    auto& holder = port_holders_.emplace_back(context, tcp::v4());
-    holder.set_option(tcp::acceptor::reuse_address{true});
-    holder.bind({boost::asio::ip::make_address("127.0.0.1"), 0});
-    return holder.local_endpoint().port();
-}
-
-void running_gateway::write_settings(const endpoint& store, double stop_timeout_s) const {
-    const auto next = settings_file_.string() + ".next";
-    std::ofstream{next} << "process: {name: " << settings_.process.name
-                        << ", zone: z1, platform: \"" << to_text(store) << "\"}\nlisten: \""
-                        << to_text(settings_.listen) << "\"\nreadiness: \""
-                        << to_text(settings_.readiness) << "\"\npeer_listen: \""
-                        << to_text(settings_.peer_listen)
-                        << "\"\nstop_timeout_s: " << stop_timeout_s << "\n";
-    std::filesystem::rename(next, settings_file_);
-}
-
 void gateway_cluster::SetUp() {
     ASSERT_TRUE(store_.listen(endpoint{}));
     gateways_store_ = {"127.0.0.1", store_.port()};
--- a/tests/gateway_cluster.h
+++ b/tests/gateway_cluster.h
@@ -14,6 +14,32 @@
 
 namespace magnolia {
 
+/// Settings of a gateway on free ports of the loopback interface, and the file that holds them.
+class host_settings {
+public:
+    /// @param context  finds free ports.
+    host_settings(boost::asio::io_context& context, const std::string& name, const endpoint& store);
+
+    static constexpr double default_stop_timeout_s = 2;
+
+    [[nodiscard]] const gateway_settings& get() const { return settings_; }
+    [[nodiscard]] const std::filesystem::path& file() const { return file_; }
+    /// Text of a file that names this store and time of a stop.
+    [[nodiscard]] std::string text(const endpoint& store,
+                                   double stop_timeout_s = default_stop_timeout_s) const;
+    /// Replaces the file.
+    void write(const std::string& text) const;
+
+private:
+    /// Chooses a free port and keeps it as long as the object exists.
+    std::uint16_t take_port(boost::asio::io_context& context);
+
+    gateway_settings settings_;
+    /// Bound and never listening: while the gateway starts, no other process is given its ports.
+    std::vector<boost::asio::ip::tcp::acceptor> port_holders_;
+    std::filesystem::path file_;
+};
+
 /// A complete gateway with its process object, settings file and thread. Stops with the object.
 class running_gateway {
 public:
@@ -27,12 +53,12 @@
     running_gateway(const running_gateway&) = delete;
     running_gateway& operator=(const running_gateway&) = delete;
 
-    static constexpr double default_stop_timeout_s = 2;
-
-    [[nodiscard]] const gateway_settings& settings() const { return settings_; }
+    [[nodiscard]] const gateway_settings& settings() const { return settings_.get(); }
     /// Replaces the settings file by one that names another store, or another time for a stop.
     void write_settings(const endpoint& store,
-                        double stop_timeout_s = default_stop_timeout_s) const;
+                        double stop_timeout_s = host_settings::default_stop_timeout_s) const {
+        settings_.write(settings_.text(store, stop_timeout_s));
+    }
     /// Starts the planned stop.
     void request_stop() { owner_->request_stop(); }
     /// Metrics in the text format.
@@ -41,14 +67,8 @@
     [[nodiscard]] bool has_ended() const { return has_ended_; }
 
 private:
-    /// Chooses a free port and keeps it until the gateway is removed.
-    std::uint16_t take_port(boost::asio::io_context& context);
-
     test_codec default_codec_;
-    gateway_settings settings_;
-    /// Bound and never listening: while the gateway starts, no other process is given its ports.
-    std::vector<boost::asio::ip::tcp::acceptor> port_holders_;
-    std::filesystem::path settings_file_;
+    host_settings settings_;
     std::unique_ptr<process> owner_;
     std::atomic<bool> has_ended_{false};
     std::thread thread_;
