Carry a planned stop through further signals

Supervisors and scripts repeat a signal whose effect they don't see at once.

Cause: process ended itself with exit code 4 at the second SIGTERM or SIGINT. Change: the stop goes on, with a log line for each further signal; exit code 4 is gone. Whoever wants the immediate end has SIGKILL, which the platform does not send by chance.

--- a/src/process.cpp
+++ b/src/process.cpp
@@ -38,9 +38,9 @@
 }
 
 constexpr std::string_view exit_code_help = R"(
-Exit codes: 0 planned stop, 1 error, 2 invalid command line, 3 invalid settings,
-4 planned stop aborted by a second signal.
-SIGTERM and SIGINT start the planned stop; a second one ends the process immediately.
+Exit codes: 0 planned stop, 1 error, 2 invalid command line, 3 invalid settings.
+SIGTERM and SIGINT start the planned stop; further ones have no effect. SIGKILL
+ends the process immediately.
 )";
 
 command_line usage_error(const program_info& info, const std::string& problem) {
@@ -167,18 +167,15 @@
             {error_code::not_found, "unknown path; available: /metrics, /healthz, /readyz"});
     }
 
-    /// Starts the planned stop at the first SIGTERM or SIGINT and ends the process at the second.
+    /// Starts the planned stop at the first SIGTERM or SIGINT; it goes on whatever follows.
     void wait_for_signal() {
         signals_.async_wait([this](const boost::system::error_code& failure, int number) {
             if (failure) {
                 return;
             }
-            if (is_stopping()) {
-                logger_.warn("Received a second signal; exiting immediately.");
-                std::_Exit(static_cast<int>(exit_code::forced));
-            }
             logger_.info("Received signal " + std::to_string(number) +
-                         "; starting the planned stop.");
+                         (is_stopping() ? "; the planned stop goes on."
+                                        : "; starting the planned stop."));
             begin_stop();
             wait_for_signal();
         });
--- a/src/process.h
+++ b/src/process.h
@@ -22,8 +22,6 @@
     usage = 2,
     /// Invalid settings.
     settings = 3,
-    /// A second SIGTERM or SIGINT ended the process during the planned stop.
-    forced = 4,
 };
 
 /// Name and description of a program, shown by --help and --version.
@@ -36,6 +34,8 @@
 /// Services of a running program: settings, metrics, event log, health endpoints and the planned
 /// stop. Owns a thread that handles signals and serves the health endpoints. Safe to use from any
 /// thread.
+///
+/// A planned stop goes through whatever signals follow: none cuts it short or begins it again.
 class process {
 public:
     /// @param settings_file  file that the settings were read from.
