Record signals from the first moment of a program to its end

Cause: handlers existed only while a signal_set of Asio did, from the construction of the process object on (SIGHUP: of the gateway) until its destruction; before and after it the default action ended the process. Class: what a process does at a signal depended on the moment.

The tests' own program resets its signals, so that it can be interrupted.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -4,7 +4,6 @@
 #include <nlohmann/json.hpp>
 #include <xxhash.h>
 
-#include <csignal>
 #include <ranges>
 
 namespace magnolia {
@@ -158,7 +157,7 @@
                                apply_evacuations();
                                object_relay_.on_advance();
                            }}},
-      tick_timer_{io_}, update_timer_{io_}, stop_timer_{io_}, hangup_signal_{io_, SIGHUP} {
+      tick_timer_{io_}, update_timer_{io_}, stop_timer_{io_} {
     reader_.set_max_age(settings.contact_ms);
     reader_.set_probe(codec.config_object());
     shared_.is_state_known = [this] { return is_state_known(steady_now()); };
@@ -459,10 +458,11 @@
     }
     store_.on_restored([this] { on_store_restored(); });
     started_at_ = steady_now();
-    wait_for_hangup();
     tick();
+    owner_.on_reload([this] { boost::asio::post(io_, [this] { reload_settings(); }); });
     owner_.on_stop([this] { boost::asio::post(io_, [this] { begin_stop(); }); });
     io_.run();
+    owner_.on_reload({});
     return {};
 }
 
--- a/src/gateway_lifecycle.cpp
+++ b/src/gateway_lifecycle.cpp
@@ -22,15 +22,6 @@
 
 } // namespace
 
-void gateway::state::wait_for_hangup() {
-    hangup_signal_.async_wait([this](const auto& failure, int) {
-        if (!failure) {
-            reload_settings();
-            wait_for_hangup();
-        }
-    });
-}
-
 milliseconds gateway::state::reservation_ttl() const {
     return std::min(fraction_of(settings_.late_reservation_ms, reservation_ttl_share),
                     settings_.max_reservation_ms);
--- a/src/gateway_p.h
+++ b/src/gateway_p.h
@@ -13,7 +13,6 @@
 #include "relay_receiver.h"
 #include "watch_schedule.h"
 
-#include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 namespace magnolia {
@@ -142,8 +141,6 @@
     [[nodiscard]] retry_budget make_retry_budget() const;
     /// Counts and logs a finished request.
     void on_call_end(const call_summary& summary);
-    /// Reloads the settings on SIGHUP.
-    void wait_for_hangup();
     [[nodiscard]] milliseconds reservation_ttl() const;
     /// Reloads the settings if the content of the file changed; no signal is needed.
     void check_settings_file(time_point now);
@@ -189,7 +186,6 @@
     /// Sends updates that may wait.
     boost::asio::steady_timer update_timer_;
     boost::asio::steady_timer stop_timer_;
-    boost::asio::signal_set hangup_signal_;
     bool is_update_scheduled_ = false;
     bool is_late_update_scheduled_ = false;
     lag_detector<told_number> epoch_lag_;
--- a/src/process.cpp
+++ b/src/process.cpp
@@ -6,11 +6,9 @@
 #include <magnolia/config.h>
 
 #include <boost/asio/ip/address.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <cxxopts.hpp>
 
 #include <condition_variable>
-#include <csignal>
 #include <future>
 #include <iostream>
 #include <random>
@@ -39,8 +37,9 @@
 
 constexpr std::string_view exit_code_help = R"(
 Exit codes: 0 planned stop, 1 error, 2 invalid command line, 3 invalid settings.
-SIGTERM and SIGINT start the planned stop; further ones have no effect. SIGKILL
-ends the process immediately.
+SIGTERM and SIGINT start the planned stop; further ones have no effect. SIGHUP
+reloads the settings where the program supports it. SIGKILL ends the process
+immediately.
 )";
 
 command_line usage_error(const program_info& info, const std::string& problem) {
@@ -62,11 +61,7 @@
 /// on one I/O thread.
 class process::state {
 public:
-    explicit state(const process_settings& from) : settings{from} {
-        std::signal(SIGPIPE, SIG_IGN);
-        wait_for_signal();
-        io_thread_.start();
-    }
+    explicit state(const process_settings& from) : settings{from} { io_thread_.start(); }
 
     ~state() {
         events.emit(event_kind::process_stopped);
@@ -118,6 +113,21 @@
         boost::asio::post(io_thread_.context(), [this] { begin_stop(); });
     }
 
+    void on_reload(std::function<void()> handler) {
+        const std::scoped_lock lock{reload_mutex_};
+        on_reload_ = std::move(handler);
+        if (on_reload_ && std::exchange(is_reload_pending_, false)) {
+            on_reload_();
+        }
+    }
+
+    void handle_signals() {
+        boost::asio::post(io_thread_.context(), [this] {
+            signals_.emplace(io_thread_.context(),
+                             [this](received_signals received) { on_signals(received); });
+        });
+    }
+
     bool is_stopping() const { return is_stopping_.load(); }
 
     void wait_for_stop() {
@@ -167,18 +177,29 @@
             {error_code::not_found, "unknown path; available: /metrics, /healthz, /readyz"});
     }
 
-    /// Starts the planned stop at the first SIGTERM or SIGINT; it goes on whatever follows.
-    void wait_for_signal() {
-        signals_.async_wait([this](const boost::system::error_code& failure, int number) {
-            if (failure) {
-                return;
-            }
-            logger_.info("Received signal " + std::to_string(number) +
-                         (is_stopping() ? "; the planned stop goes on."
-                                        : "; starting the planned stop."));
-            begin_stop();
-            wait_for_signal();
-        });
+    void on_signals(received_signals received) {
+        if (received.reload) {
+            reload();
+        }
+        if (!received.stop) {
+            return;
+        }
+        if (is_stopping()) {
+            return logger_.info("Received another signal to stop; the planned stop goes on.");
+        }
+        logger_.info("Received a signal to stop; starting the planned stop.");
+        begin_stop();
+    }
+
+    void reload() {
+        logger_.info(std::string{"Received SIGHUP"} +
+                     (is_stopping() ? " during the planned stop." : "."));
+        // Held during the call, so that the handler can be removed together with what it refers to.
+        const std::scoped_lock lock{reload_mutex_};
+        is_reload_pending_ = !on_reload_;
+        if (on_reload_) {
+            on_reload_();
+        }
     }
 
     /// Starts the planned stop on its first call; later calls have no effect.
@@ -201,7 +222,10 @@
 
     logger logger_{"process"};
     io_thread io_thread_{"process"};
-    boost::asio::signal_set signals_{io_thread_.context(), SIGTERM, SIGINT};
+    std::optional<signal_watcher> signals_;
+    std::mutex reload_mutex_;
+    std::function<void()> on_reload_;
+    bool is_reload_pending_ = false;
     std::optional<event_sender> sender_;
     std::optional<http_server> health_server_;
     std::mutex mutex_;
@@ -253,6 +277,14 @@
     state_->request_stop();
 }
 
+void process::on_reload(std::function<void()> handler) {
+    state_->on_reload(std::move(handler));
+}
+
+void process::handle_signals() {
+    state_->handle_signals();
+}
+
 bool process::is_stopping() const {
     return state_->is_stopping();
 }
@@ -306,6 +338,7 @@
     log.info(info.name + " " + std::string{config::program_release} + " is starting in zone " +
              settings.zone + ".");
     process running{settings, settings_file};
+    running.handle_signals();
     const auto completed = running.open().and_then([&] { return body(running); });
     if (!completed) {
         log.error("Exiting because of an error: " + to_string(completed.error()) + ".");
--- a/src/process.h
+++ b/src/process.h
@@ -6,6 +6,7 @@
 #include "log.h"
 #include "metrics.h"
 #include "settings.h"
+#include "signals.h"
 
 #include <functional>
 #include <memory>
@@ -64,6 +65,13 @@
     void on_stop(std::function<void()> handler);
     /// Starts the planned stop, as SIGTERM does. Idempotent.
     void request_stop();
+    /// Sets a function that is called on the thread of this object at each SIGHUP; at once, by this
+    /// call, if one has come before. It must not block or call this object. An empty one ends the
+    /// calls: none is in progress when this returns.
+    void on_reload(std::function<void()> handler);
+    /// Handles the signals of the program, also those that came before: SIGTERM and SIGINT start
+    /// the planned stop. Called once, for one object of the program.
+    void handle_signals();
     /// Whether a planned stop has begun.
     [[nodiscard]] bool is_stopping() const;
     /// Blocks until a planned stop begins.
@@ -107,11 +115,15 @@
 template <class Settings>
 [[nodiscard]] int run_program(int argc, const char* const* argv, const program_info& info,
                               const std::function<result<void>(process&, const Settings&)>& body) {
+    record_signals();
     const auto command = parse_command_line(argc, argv, info);
     if (command.requested == command_line::action::exit) {
         return static_cast<int>(command.code);
     }
     const auto settings = load_settings<Settings>(command.settings_file);
+    if (is_stop_recorded()) {
+        return static_cast<int>(exit_code::ok);
+    }
     if (!settings) {
         print_failure(info, settings.error());
         return static_cast<int>(exit_code::settings);
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -23,7 +23,13 @@
     const auto path = file.string();
     std::vector<const char*> argv{"magnolia-test", "--settings", path.c_str()};
     argv.insert(argv.end(), arguments);
-    return run_program<entry_settings>(static_cast<int>(argv.size()), argv.data(), info, body);
+    const int code =
+        run_program<entry_settings>(static_cast<int>(argv.size()), argv.data(), info, body);
+    // The test program itself can be interrupted.
+    for (const int number : {SIGINT, SIGTERM, SIGHUP}) {
+        std::signal(number, SIG_DFL);
+    }
+    return code;
 }
 
 constexpr const char* valid_settings = "process: {name: a, zone: z, log_level: error}\n"
@@ -83,6 +89,26 @@
     EXPECT_EQ(code, 0);
 }
 
+// Incident FAULT: a signal that came while no handler was registered ended the process; here
+// between the reload of one part of a program and the registration of the next one.
+TEST(process, a_reload_signal_is_kept_until_somebody_handles_it) {
+    std::promise<void> called;
+    const auto code =
+        run({}, valid_settings, [&](process& running, const entry_settings& /*settings*/) {
+            running.on_reload([] {});
+            running.on_reload({});
+            std::raise(SIGHUP);
+            // Signals are handled in one turn, the stop after the reload.
+            std::raise(SIGTERM);
+            running.wait_for_stop();
+            running.on_reload([&] { called.set_value(); });
+            EXPECT_EQ(called.get_future().wait_for(std::chrono::seconds{5}),
+                      std::future_status::ready);
+            return result<void>{};
+        });
+    EXPECT_EQ(code, 0);
+}
+
 TEST(process, a_failure_of_the_body_exits_with_the_failed_code) {
     const auto code =
         run({}, valid_settings, [](process& /*running*/, const entry_settings& /*settings*/) {
