Wait at the start for settings that are being written

Cause: the file was read once. Class: a process that ends itself for a condition that passes by itself, and that a restart does not change.

--- a/src/process.cpp
+++ b/src/process.cpp
@@ -12,11 +12,15 @@
 #include <future>
 #include <iostream>
 #include <random>
+#include <thread>
 
 namespace magnolia {
 namespace {
 
 constexpr std::size_t max_health_connections = 32;
+/// Time between two attempts to read settings that are not valid yet.
+constexpr std::chrono::milliseconds settings_poll_interval{20};
+constexpr double max_settings_wait_s = 3600;
 
 /// Random number that identifies this run of the process.
 std::uint64_t make_boot_number() {
@@ -28,6 +32,9 @@
     cxxopts::Options options{info.name, info.summary};
     auto add = options.add_options();
     add("settings", "YAML file with the settings", cxxopts::value<std::string>(), "FILE");
+    add("settings-wait",
+        "longest time to wait at the start until the settings are valid, in seconds",
+        cxxopts::value<double>()->default_value("0"), "S");
     add("check-settings", "check the settings file, report all errors, and exit");
     add("print-settings", "print the settings including defaults, and exit");
     add("version", "print the version and exit");
@@ -311,13 +318,35 @@
         if (parsed.count("settings") == 0) {
             return usage_error(info, "--settings FILE is required");
         }
+        const auto wait_s = parsed["settings-wait"].as<double>();
+        if (!(wait_s >= 0 && wait_s <= max_settings_wait_s)) {
+            return usage_error(info, "--settings-wait is not between 0 and 3600 s");
+        }
         return {.requested = parse_action(parsed),
-                .settings_file = parsed["settings"].as<std::string>()};
+                .settings_file = parsed["settings"].as<std::string>(),
+                .settings_wait = std::chrono::duration_cast<std::chrono::milliseconds>(
+                    std::chrono::duration<double>{wait_s})};
     } catch (const cxxopts::exceptions::exception& problem) {
         return usage_error(info, problem.what());
     }
 }
 
+settings_wait::settings_wait(const program_info& info, std::chrono::milliseconds longest)
+    : info_{info}, longest_{longest}, begun_at_{steady_now()} {}
+
+bool settings_wait::wait_after(const error& failure) {
+    if (is_stop_recorded() || steady_now() - begun_at_ >= longest_) {
+        return false;
+    }
+    if (!std::exchange(is_reported_, true)) {
+        print_failure(info_, failure);
+        std::cerr << info_.name << ": waits up to " << longest_.count()
+                  << " ms for valid settings\n";
+    }
+    std::this_thread::sleep_for(settings_poll_interval);
+    return true;
+}
+
 void print_failure(const program_info& info, const error& failure) {
     std::cerr << info.name << ": " << to_string(failure.code) << '\n' << failure.subject;
     if (!failure.subject.ends_with('\n')) {
--- a/src/process.h
+++ b/src/process.h
@@ -8,6 +8,7 @@
 #include "settings.h"
 #include "signals.h"
 
+#include <chrono>
 #include <functional>
 #include <memory>
 
@@ -89,6 +90,8 @@
 
     action requested = action::exit;
     std::filesystem::path settings_file{};
+    /// Time for which a program waits at its start until the settings are valid.
+    std::chrono::milliseconds settings_wait{0};
     /// Exit code for action::exit.
     exit_code code = exit_code::ok;
 };
@@ -103,6 +106,37 @@
 /// Prints the document to stdout as YAML.
 void print_document(const nlohmann::json& document);
 
+/// Waits at the start of a program for settings that are missing, incomplete or invalid, as a file
+/// that is being written.
+class settings_wait {
+public:
+    settings_wait(const program_info& info, std::chrono::milliseconds longest);
+
+    /// Waits a moment before the next attempt to read the settings. Returns false if the time is
+    /// over or the program was told to stop. Prints the first failure to stderr.
+    [[nodiscard]] bool wait_after(const error& failure);
+
+private:
+    const program_info& info_;
+    std::chrono::milliseconds longest_;
+    time_point begun_at_;
+    bool is_reported_ = false;
+};
+
+/// Loads the settings with which a program starts. Errors: bad_settings.
+template <class Settings>
+[[nodiscard]] result<Settings> load_first_settings(const command_line& command,
+                                                   const program_info& info) {
+    settings_wait wait{info, command.requested == command_line::action::run
+                                 ? command.settings_wait
+                                 : std::chrono::milliseconds{0}};
+    auto settings = load_settings<Settings>(command.settings_file);
+    while (!settings && wait.wait_after(settings.error())) {
+        settings = load_settings<Settings>(command.settings_file);
+    }
+    return settings;
+}
+
 /// Opens the log and a process object, runs `body` and returns the exit code. An error of open() or
 /// the body is logged.
 [[nodiscard]] exit_code run_process(const program_info& info, const process_settings& settings,
@@ -120,7 +154,7 @@
     if (command.requested == command_line::action::exit) {
         return static_cast<int>(command.code);
     }
-    const auto settings = load_settings<Settings>(command.settings_file);
+    const auto settings = load_first_settings<Settings>(command, info);
     if (is_stop_recorded()) {
         return static_cast<int>(exit_code::ok);
     }
--- a/tests/signal_series_test.cpp
+++ b/tests/signal_series_test.cpp
@@ -246,5 +246,36 @@
     EXPECT_EQ(child_->end(), clean_end);
 }
 
+// Incident FAULT: a process whose settings file was being written ended with exit code 3.
+TEST_F(host_process, waits_for_settings_that_are_being_written) {
+    const auto content = settings_->text(gateways_store_);
+    settings_->write("");
+    start_process({"--settings-wait", "10"});
+    for (const auto size : {std::size_t{0}, content.size() / 4, content.size() / 2}) {
+        settings_->write(content.substr(0, size));
+        wait(milliseconds{150});
+        ASSERT_EQ(child_->end(), std::nullopt) << size << " bytes";
+    }
+    settings_->write(content);
+    wait_until_ready();
+}
+
+TEST_F(host_process, can_be_stopped_while_it_waits_for_settings) {
+    settings_->write("");
+    start_process({"--settings-wait", "10"});
+    // The first failure is reported.
+    poll([this] { return std::filesystem::file_size(output()) > 0; });
+    child_->send_signal(SIGTERM);
+    wait_until_ended();
+    EXPECT_EQ(child_->end(), clean_end);
+}
+
+TEST_F(host_process, reports_settings_that_stay_invalid) {
+    settings_->write("listen: {port: 70000}\n");
+    start_process({"--settings-wait", "0.3"});
+    wait_until_ended();
+    EXPECT_EQ(child_->end(), process_end{.exit_code = static_cast<int>(exit_code::settings)});
+}
+
 } // namespace
 } // namespace magnolia
