Apply settings that change while the process starts

Found by the review of the incident: a settings file that was replaced without a signal between the first read and the first check was never applied, as the first check took it for what the process had. A host whose time for a stop had become shorter was then killed with answers in progress.

Cause: the content at the first check became the baseline, unread. Change: the first check applies what it reads, and a check reads the file once, so that no change between two reads is lost; SIGHUP is such a check at once.

--- a/src/gateway_lifecycle.cpp
+++ b/src/gateway_lifecycle.cpp
@@ -37,16 +37,19 @@
     if (!file || text.empty()) {
         return log_.warn("settings file cannot be read or is empty; keeps the current settings");
     }
-    if (text == settings_text_) {
-        return;
-    }
-    if (const auto previous = std::exchange(settings_text_, std::move(text)); !previous.empty()) {
-        reload_settings();
+    if (text != settings_text_) {
+        settings_text_ = std::move(text);
+        apply_settings(settings_text_);
     }
 }
 
 void gateway::state::reload_settings() {
-    const auto settings = load_settings<gateway_settings>(owner_.settings_file());
+    next_settings_check_ = {};
+    check_settings_file(steady_now());
+}
+
+void gateway::state::apply_settings(const std::string& text) {
+    const auto settings = read_settings<gateway_settings>(parse_yaml(text), owner_.settings_file());
     if (!settings) {
         return log_.error("settings not reloaded, keeps the current ones: " +
                           to_string(settings.error()));
--- a/src/gateway_p.h
+++ b/src/gateway_p.h
@@ -142,11 +142,14 @@
     /// Counts and logs a finished request.
     void on_call_end(const call_summary& summary);
     [[nodiscard]] milliseconds reservation_ttl() const;
-    /// Reloads the settings if the content of the file changed; no signal is needed.
+    /// Applies the settings if the content of the file has changed, also since the process read it
+    /// at its start; no signal is needed.
     void check_settings_file(time_point now);
+    /// Checks the settings file now, on SIGHUP.
+    void reload_settings();
     /// Applies the settings that may change while the process runs. Names, zone, listen addresses
     /// and placement policy need a restart.
-    void reload_settings();
+    void apply_settings(const std::string& text);
     /// Reports not ready and drains; requests are accepted until the load balancer has reacted.
     void begin_stop();
     /// Advances the planned stop; ends it when no request remains or the time is over.
--- a/src/settings.h
+++ b/src/settings.h
@@ -21,11 +21,12 @@
 [[nodiscard]] std::string format_schema_errors(const std::filesystem::path& file,
                                                std::span<const schema_error> errors);
 
-/// Loads the settings of a program from a file. Unknown keys are errors. Errors: bad_settings,
+/// Reads the settings of a program from a document. Unknown keys are errors. Errors: bad_settings,
 /// whose subject lists all errors, one per line.
+/// @param file  named in the errors.
 template <class Settings>
-[[nodiscard]] result<Settings> load_settings(const std::filesystem::path& file) {
-    const auto document = read_yaml(file);
+[[nodiscard]] result<Settings> read_settings(const result<nlohmann::json>& document,
+                                             const std::filesystem::path& file) {
     if (!document) {
         return tl::unexpected{document.error()};
     }
@@ -38,6 +39,12 @@
     return settings;
 }
 
+/// As read_settings(), from a file.
+template <class Settings>
+[[nodiscard]] result<Settings> load_settings(const std::filesystem::path& file) {
+    return read_settings<Settings>(read_yaml(file), file);
+}
+
 /// Formats a JSON document as YAML text.
 [[nodiscard]] std::string print_yaml(const nlohmann::json& document);
 
