Leave signals to programs that handle none, and withdraw handlers with what they refer to

An exception in a gateway left handlers in the process object that referred to the destroyed gateway, and a signal handler could write to a descriptor that was closed meanwhile.

Change: signals are recorded by the programs that run_program() runs, for the action run only; else the default actions are restored. on_stop() and on_reload() call under the lock and can be withdrawn, which the gateway's destructor does; wait_for_stop() returns after the handler has run; the pipe of the signal handler stays open.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -172,6 +172,11 @@
     }
 }
 
+gateway::state::~state() {
+    owner_.on_reload({});
+    owner_.on_stop({});
+}
+
 // Objects from the store.
 
 void gateway::state::apply_config(const stored_object& object) {
@@ -462,7 +467,6 @@
     owner_.on_reload([this] { boost::asio::post(io_, [this] { reload_settings(); }); });
     owner_.on_stop([this] { boost::asio::post(io_, [this] { begin_stop(); }); });
     io_.run();
-    owner_.on_reload({});
     return {};
 }
 
--- a/src/gateway_p.h
+++ b/src/gateway_p.h
@@ -46,6 +46,9 @@
 public:
     state(process& owner, const gateway_settings& settings, const gateway_codec& codec,
           const store_codec& store);
+    ~state();
+    state(const state&) = delete;
+    state& operator=(const state&) = delete;
 
     result<void> run();
 
--- a/src/process.cpp
+++ b/src/process.cpp
@@ -106,14 +106,11 @@
     }
 
     void on_stop(std::function<void()> handler) {
-        {
-            const std::scoped_lock lock{mutex_};
-            if (!is_stopping()) {
-                on_stop_ = std::move(handler);
-                return;
-            }
+        const std::scoped_lock lock{mutex_};
+        on_stop_ = std::move(handler);
+        if (on_stop_ && is_stopping()) {
+            on_stop_();
         }
-        boost::asio::post(io_thread_.context(), std::move(handler));
     }
 
     void request_stop() {
@@ -121,7 +118,7 @@
     }
 
     void on_reload(std::function<void()> handler) {
-        const std::scoped_lock lock{reload_mutex_};
+        const std::scoped_lock lock{mutex_};
         on_reload_ = std::move(handler);
         if (on_reload_ && std::exchange(is_reload_pending_, false)) {
             on_reload_();
@@ -201,8 +198,7 @@
     void reload() {
         logger_.info(std::string{"Received SIGHUP"} +
                      (is_stopping() ? " during the planned stop." : "."));
-        // Held during the call, so that the handler can be removed together with what it refers to.
-        const std::scoped_lock lock{reload_mutex_};
+        const std::scoped_lock lock{mutex_};
         is_reload_pending_ = !on_reload_;
         if (on_reload_) {
             on_reload_();
@@ -211,18 +207,16 @@
 
     /// Starts the planned stop on its first call; later calls have no effect.
     void begin_stop() {
-        std::function<void()> handler;
         {
             const std::scoped_lock lock{mutex_};
             if (is_stopping_.exchange(true)) {
                 return;
             }
-            handler = on_stop_;
-        }
-        is_ready_.store(false);
-        events.emit(event_kind::process_stopping);
-        if (handler) {
-            handler();
+            is_ready_.store(false);
+            events.emit(event_kind::process_stopping);
+            if (on_stop_) {
+                on_stop_();
+            }
         }
         stop_began_.notify_all();
     }
@@ -230,14 +224,14 @@
     logger logger_{"process"};
     io_thread io_thread_{"process"};
     std::optional<signal_watcher> signals_;
-    std::mutex reload_mutex_;
-    std::function<void()> on_reload_;
-    bool is_reload_pending_ = false;
     std::optional<event_sender> sender_;
     std::optional<http_server> health_server_;
+    /// Held while a handler is called, so that it can be withdrawn together with what it refers to.
     std::mutex mutex_;
     std::condition_variable stop_began_;
     std::function<void()> on_stop_;
+    std::function<void()> on_reload_;
+    bool is_reload_pending_ = false;
     std::atomic<bool> is_ready_{false};
     std::atomic<bool> was_ready_{false};
     std::atomic<bool> is_stopping_{false};
--- a/src/process.h
+++ b/src/process.h
@@ -62,13 +62,12 @@
     /// process_started.
     void set_ready(bool is_ready);
     /// Sets a function that is called once, on the thread of this object, when a planned stop
-    /// begins; at once if one has begun.
+    /// begins; at once, by this call, if one has begun. It must not block or call this object. An
+    /// empty one withdraws it: no call is in progress when this returns.
     void on_stop(std::function<void()> handler);
     /// Starts the planned stop, as SIGTERM does. Idempotent.
     void request_stop();
-    /// Sets a function that is called on the thread of this object at each SIGHUP; at once, by this
-    /// call, if one has come before. It must not block or call this object. An empty one ends the
-    /// calls: none is in progress when this returns.
+    /// As on_stop(), for each SIGHUP; at once if one has come before.
     void on_reload(std::function<void()> handler);
     /// Handles the signals of the program, also those that came before: SIGTERM and SIGINT start
     /// the planned stop. Called once, for one object of the program.
@@ -151,12 +150,15 @@
                               const std::function<result<void>(process&, const Settings&)>& body) {
     record_signals();
     const auto command = parse_command_line(argc, argv, info);
+    if (command.requested != command_line::action::run) {
+        restore_signals();
+    }
     if (command.requested == command_line::action::exit) {
         return static_cast<int>(command.code);
     }
     const auto settings = load_first_settings<Settings>(command, info);
     if (is_stop_recorded()) {
-        return static_cast<int>(exit_code::ok);
+        return static_cast<int>(exit_code::ok); // Told to stop before anything was opened.
     }
     if (!settings) {
         print_failure(info, settings.error());
--- a/src/signals.cpp
+++ b/src/signals.cpp
@@ -19,6 +19,10 @@
 std::atomic<int> wake_descriptor{-1};
 static_assert(std::atomic<unsigned>::is_always_lock_free && std::atomic<int>::is_always_lock_free);
 
+constexpr std::array recorded_signals{SIGTERM, SIGINT, SIGHUP};
+// Standard output may be a closed pipe, or a file of limited size.
+constexpr std::array ignored_signals{SIGPIPE, SIGXFSZ};
+
 extern "C" void record_signal(int number) {
     const int previous_errno = errno;
     recorded.fetch_or(number == SIGHUP ? reload_bit : stop_bit);
@@ -30,21 +34,49 @@
     errno = previous_errno;
 }
 
+struct pipe_ends {
+    int read = -1;
+    int write = -1;
+};
+
+/// The pipe that the handler writes to. Never closed: a handler may be about to write.
+pipe_ends wake_pipe() {
+    static const pipe_ends ends = [] {
+        std::array<int, 2> opened{};
+        if (::pipe2(opened.data(), O_CLOEXEC | O_NONBLOCK) != 0) {
+            throw std::system_error{errno, std::generic_category(), "pipe of the signal handler"};
+        }
+        return pipe_ends{opened[0], opened[1]};
+    }();
+    return ends;
+}
+
 } // namespace
 
 void record_signals() {
-    // SIGXFSZ: standard output may be a file of limited size.
-    for (const int ignored : {SIGPIPE, SIGXFSZ}) {
-        std::signal(ignored, SIG_IGN);
+    for (const int number : ignored_signals) {
+        std::signal(number, SIG_IGN);
     }
     struct sigaction action {};
     action.sa_handler = record_signal;
     action.sa_flags = SA_RESTART;
-    for (const int number : {SIGTERM, SIGINT, SIGHUP}) {
+    for (const int number : recorded_signals) {
         ::sigaction(number, &action, nullptr);
     }
 }
 
+void restore_signals() {
+    for (const int number : recorded_signals) {
+        std::signal(number, SIG_DFL);
+    }
+    for (const int number : ignored_signals) {
+        std::signal(number, SIG_DFL);
+    }
+    if (take_signals().stop) {
+        std::raise(SIGTERM);
+    }
+}
+
 received_signals take_signals() {
     const auto taken = recorded.exchange(0);
     return {.stop = (taken & stop_bit) != 0, .reload = (taken & reload_bit) != 0};
@@ -57,22 +89,17 @@
 signal_watcher::signal_watcher(boost::asio::io_context& context,
                                std::function<void(received_signals)> on_signals)
     : on_signals_{std::move(on_signals)}, wake_pipe_{context} {
-    std::array<int, 2> pipe_ends{};
-    if (::pipe2(pipe_ends.data(), O_CLOEXEC | O_NONBLOCK) != 0) {
-        throw std::system_error{errno, std::generic_category(), "pipe of the signal handler"};
-    }
-    wake_pipe_.assign(pipe_ends[0]);
-    write_end_ = pipe_ends[1];
-    wake_descriptor.store(write_end_);
+    const auto [read_end, write_end] = wake_pipe();
+    wake_pipe_.assign(read_end);
+    wake_descriptor.store(write_end);
     wait();
     // Signals from before wrote nothing into the pipe.
     const char wake = 0;
-    [[maybe_unused]] const auto written = ::write(write_end_, &wake, 1);
+    [[maybe_unused]] const auto written = ::write(write_end, &wake, 1);
 }
 
 signal_watcher::~signal_watcher() {
-    wake_descriptor.store(-1);
-    ::close(write_end_);
+    wake_pipe_.release();
 }
 
 void signal_watcher::wait() {
--- a/src/signals.h
+++ b/src/signals.h
@@ -22,6 +22,10 @@
 /// Idempotent. The first statement of a program; may run before main().
 void record_signals();
 
+/// Restores the default actions; a signal to stop that was recorded takes effect now. For a program
+/// that handles no signals after all.
+void restore_signals();
+
 /// The signals since the last call, which are forgotten. Safe to call from any thread.
 [[nodiscard]] received_signals take_signals();
 
@@ -44,7 +48,6 @@
     std::function<void(received_signals)> on_signals_;
     boost::asio::posix::stream_descriptor wake_pipe_;
     std::array<char, 16> wake_bytes_{};
-    int write_end_ = -1;
 };
 
 } // namespace magnolia
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 #include <array>
 #include <csignal>
@@ -18,7 +19,8 @@
 
 int run(std::initializer_list<const char*> arguments, const std::string& settings,
         const std::function<result<void>(process&, const entry_settings&)>& body) {
-    const auto file = std::filesystem::path{testing::TempDir()} / "process_test.yaml";
+    const auto file = std::filesystem::path{testing::TempDir()} /
+                      ("process_test_" + std::to_string(::getpid()) + ".yaml");
     std::ofstream{file} << settings;
     const auto path = file.string();
     std::vector<const char*> argv{"magnolia-test", "--settings", path.c_str()};
@@ -29,6 +31,7 @@
     for (const int number : {SIGINT, SIGTERM, SIGHUP}) {
         std::signal(number, SIG_DFL);
     }
+    std::filesystem::remove(file);
     return code;
 }
 
@@ -98,9 +101,6 @@
             running.on_reload([] {});
             running.on_reload({});
             std::raise(SIGHUP);
-            // Signals are handled in one turn, the stop after the reload.
-            std::raise(SIGTERM);
-            running.wait_for_stop();
             running.on_reload([&] { called.set_value(); });
             EXPECT_EQ(called.get_future().wait_for(std::chrono::seconds{5}),
                       std::future_status::ready);
@@ -109,6 +109,22 @@
     EXPECT_EQ(code, 0);
 }
 
+// Incident FAULT: as above, for a gateway that has ended: nothing calls its handler any more.
+TEST(process, a_withdrawn_handler_is_not_called) {
+    const auto code =
+        run({}, valid_settings, [&](process& running, const entry_settings& /*settings*/) {
+            running.on_reload([] { ADD_FAILURE() << "reload handler called"; });
+            running.on_stop([] { ADD_FAILURE() << "stop handler called"; });
+            running.on_reload({});
+            running.on_stop({});
+            std::raise(SIGHUP);
+            std::raise(SIGTERM);
+            running.wait_for_stop();
+            return result<void>{};
+        });
+    EXPECT_EQ(code, 0);
+}
+
 TEST(process, a_failure_of_the_body_exits_with_the_failed_code) {
     const auto code =
         run({}, valid_settings, [](process& /*running*/, const entry_settings& /*settings*/) {
--- a/tests/programs/test-host.cpp
+++ b/tests/programs/test-host.cpp
@@ -5,6 +5,18 @@
 
 #include <cstdio>
 #include <cstdlib>
+#include <fstream>
+
+namespace {
+
+/// Holds the program before main() until something is written to the pipe that MAGNOLIA_TEST_HOLD
+/// names.
+[[maybe_unused]] const bool was_held = [] {
+    const char* pipe = std::getenv("MAGNOLIA_TEST_HOLD");
+    return pipe != nullptr && std::ifstream{pipe}.get() != EOF;
+}();
+
+} // namespace
 
 int main(int argc, char** argv) {
     using namespace magnolia;
--- a/tests/signal_series_test.cpp
+++ b/tests/signal_series_test.cpp
@@ -51,6 +51,7 @@
             std::cout << std::string{std::istreambuf_iterator<char>{log}, {}};
         }
         child_.reset();
+        std::filesystem::remove(output());
         gateway_cluster::TearDown();
     }
 
@@ -195,40 +196,58 @@
     EXPECT_EQ(child_->end(), clean_end);
 }
 
+/// Opens a pipe for writing once a process reads it.
+class held_pipe {
+public:
+    explicit held_pipe(std::filesystem::path file) : file_{std::move(file)} {
+        std::filesystem::remove(file_);
+        EXPECT_EQ(::mkfifo(file_.c_str(), S_IRUSR | S_IWUSR), 0);
+    }
+    ~held_pipe() {
+        if (descriptor_ >= 0) {
+            ::close(descriptor_);
+        }
+    }
+    held_pipe(const held_pipe&) = delete;
+    held_pipe& operator=(const held_pipe&) = delete;
+
+    [[nodiscard]] bool is_read() {
+        descriptor_ = ::open(file_.c_str(), O_WRONLY | O_NONBLOCK | O_CLOEXEC);
+        return descriptor_ >= 0;
+    }
+    /// Writes the content and its end.
+    void write(const std::string& content) {
+        EXPECT_EQ(::write(descriptor_, content.data(), content.size()),
+                  static_cast<ssize_t>(content.size()));
+        ::close(std::exchange(descriptor_, -1));
+    }
+
+private:
+    std::filesystem::path file_;
+    int descriptor_ = -1;
+};
+
 /// The process waits for the content of its settings file, a pipe, before it handles signals.
 class start_of_a_process : public host_process {
 protected:
     void SetUp() override {
         host_process::SetUp();
-        const auto& file = settings_->file();
         content_ = settings_->text(gateways_store_);
-        std::filesystem::remove(file);
-        ASSERT_EQ(::mkfifo(file.c_str(), S_IRUSR | S_IWUSR), 0);
+        pipe_ = std::make_unique<held_pipe>(settings_->file());
         start_process();
-        poll([&] {
-            pipe_ = ::open(file.c_str(), O_WRONLY | O_NONBLOCK | O_CLOEXEC);
-            return pipe_ >= 0;
-        });
+        poll([this] { return pipe_->is_read(); });
         // Later reads find a regular file.
         settings_->write(content_);
     }
 
-    /// Ends the wait of the process.
-    void write_settings() {
-        ASSERT_EQ(::write(pipe_, content_.data(), content_.size()),
-                  static_cast<ssize_t>(content_.size()));
-        ::close(pipe_);
-    }
-
-private:
     std::string content_;
-    int pipe_ = -1;
+    std::unique_ptr<held_pipe> pipe_;
 };
 
 // Incident FAULT: SIGHUP ended a process that had not registered its handler yet.
 TEST_F(start_of_a_process, survives_a_change_of_the_settings) {
     child_->send_signal(SIGHUP);
-    write_settings();
+    pipe_->write(content_);
     wait_until_ready();
     pending_answers answers;
     send("/unsafe/", answers);
@@ -241,7 +260,34 @@
     child_->send_signal(SIGTERM);
     child_->send_signal(SIGHUP);
     child_->send_signal(SIGTERM);
-    write_settings();
+    pipe_->write(content_);
+    wait_until_ended();
+    EXPECT_EQ(child_->end(), clean_end);
+}
+
+// Found in the review of the incident: settings that changed without a signal while the process
+// started were never applied, so that its planned stop took the time of the old ones.
+TEST_F(start_of_a_process, applies_settings_that_changed_meanwhile) {
+    constexpr double old_stop_timeout_s = 30;
+    pipe_->write(settings_->text(gateways_store_, old_stop_timeout_s));
+    wait_until_ready();
+    child_->send_signal(SIGTERM);
+    wait_until_ended();
+    std::ifstream log{output()};
+    const std::string lines{std::istreambuf_iterator<char>{log}, {}};
+    EXPECT_NE(lines.find("timeout_ms=2000"), std::string::npos) << lines;
+}
+
+// Incident FAULT: signals before main(), while the constructors of static objects run.
+TEST_F(host_process, records_signals_before_its_first_statement) {
+    held_pipe pipe{settings_->file().string() + ".hold"};
+    ::setenv("MAGNOLIA_TEST_HOLD", (settings_->file().string() + ".hold").c_str(), 1);
+    start_process();
+    ::unsetenv("MAGNOLIA_TEST_HOLD");
+    poll([&] { return pipe.is_read(); });
+    child_->send_signal(SIGHUP);
+    child_->send_signal(SIGTERM);
+    pipe.write("x");
     wait_until_ended();
     EXPECT_EQ(child_->end(), clean_end);
 }
@@ -251,6 +297,8 @@
     const auto content = settings_->text(gateways_store_);
     settings_->write("");
     start_process({"--settings-wait", "10"});
+    // The first failure is reported.
+    poll([this] { return std::filesystem::file_size(output()) > 0; });
     for (const auto size : {std::size_t{0}, content.size() / 4, content.size() / 2}) {
         settings_->write(content.substr(0, size));
         wait(milliseconds{150});
--- a/tools/common/early_signals.cpp
+++ b/tools/common/early_signals.cpp
@@ -1,4 +1,4 @@
-/// Linked into every program: records signals before the constructors of the shared libraries run,
+/// Linked into the programs that run_program() runs: records signals before the constructors of the shared libraries run,
 /// which take longer than main() until its first statement.
 #include "signals.h"
 
