Report requests whose connection closes without a complete response

The HTTP server reports each such request with its cause: the peer closed, a write failed or timed out, the response was aborted, the server was closed or destroyed. The gateway logs it with the request's id and counts magnolia_unanswered_requests_total{cause}, for its callers and for the hosts that pass requests on.

--- a/src/forward_call.cpp
+++ b/src/forward_call.cpp
@@ -64,6 +64,7 @@
         return answer_failure(head.error());
     }
     head_ = std::move(*head);
+    responder_.set_request_id(head_.attempt);
     if (relayed_) {
         head_.time_left = relayed_->time_left;
         if (relayed_->is_resumed) {
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -443,7 +443,22 @@
                   (summary.cause.empty() ? "" : " cause=\"" + summary.cause + "\""));
 }
 
+void gateway::state::on_unanswered(const unanswered_request& request, std::string_view source) {
+    metrics_.count(request);
+    log_.info(request.id.empty() ? "-" : request.id,
+              "connection closed without a complete response cause=" +
+                  std::string{to_string(request.cause)} + " source=" + std::string{source} +
+                  " received=" + (request.is_received ? "1" : "0") +
+                  " started=" + (request.is_response_started ? "1" : "0") +
+                  " pending_bytes=" + std::to_string(request.pending_bytes) +
+                  " ms=" + std::to_string(ms_count(request.age)) +
+                  " stopping=" + (is_stopping_ ? "1" : "0"));
+}
+
 result<void> gateway::state::run() {
+    caller_server_.on_unanswered([this](const auto& request) { on_unanswered(request, "caller"); });
+    relay_receiver_.server().on_unanswered(
+        [this](const auto& request) { on_unanswered(request, "host"); });
     for (auto& [server, address] : {std::pair{&caller_server_, settings_.listen},
                                     std::pair{&readiness_server_, settings_.readiness}}) {
         if (auto opened = server->listen(address); !opened) {
--- a/src/gateway_metrics.cpp
+++ b/src/gateway_metrics.cpp
@@ -125,6 +125,17 @@
     }
 }
 
+void gateway_metrics::count(const unanswered_request& request) {
+    const auto [found, is_new] = unanswered_.try_emplace(request.cause);
+    if (is_new) {
+        found->second = registry_.make_counter(
+            "magnolia_unanswered_requests_total",
+            "Requests whose connection closed before their response was sent completely.",
+            {{"cause", std::string{to_string(request.cause)}}});
+    }
+    found->second.add();
+}
+
 void gateway_metrics::set_gauges(const gateway_gauges& gauges) const {
     config_version_.set(static_cast<double>(gauges.config_version));
     config_age_.set(to_seconds(gauges.config_age));
--- a/src/gateway_metrics.h
+++ b/src/gateway_metrics.h
@@ -41,6 +41,8 @@
     void count(const answer_summary& answer);
     /// Adds a finished request.
     void count(const call_summary& summary);
+    /// Adds a request whose connection closed before its response was sent completely.
+    void count(const unanswered_request& request);
     void set_gauges(const gateway_gauges& gauges) const;
 
 private:
@@ -51,6 +53,8 @@
     std::map<std::string, counter> answers_;
     /// By stage; created on first use.
     std::map<answer_stage, counter> lost_answers_;
+    /// By cause; created on first use.
+    std::map<cut_cause, counter> unanswered_;
     counter partial_events_;
     /// Time to the first byte, by class of prompt length.
     std::array<histogram, 4> first_byte_;
--- a/src/gateway_p.h
+++ b/src/gateway_p.h
@@ -141,6 +141,9 @@
     [[nodiscard]] retry_budget make_retry_budget() const;
     /// Counts and logs a finished request.
     void on_call_end(const call_summary& summary);
+    /// Counts and logs a request that got no complete response.
+    /// @param source  "caller" or "host", for the log.
+    void on_unanswered(const unanswered_request& request, std::string_view source);
     [[nodiscard]] milliseconds reservation_ttl() const;
     /// Reloads the settings if the content of the file changed; no signal is needed.
     void check_settings_file(time_point now);
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -70,10 +70,34 @@
     }
 }
 
+void http_responder::set_request_id(std::string id) const {
+    if (!is_closed()) {
+        session_->set_request_id(std::move(id));
+    }
+}
+
 std::size_t http_responder::pending_bytes() const {
     return is_closed() ? 0 : session_->pending_bytes();
 }
 
+std::string_view to_string(cut_cause cause) {
+    switch (cause) {
+    case cut_cause::peer_closed:
+        return "peer_closed";
+    case cut_cause::write_failed:
+        return "write_failed";
+    case cut_cause::write_timeout:
+        return "write_timeout";
+    case cut_cause::aborted:
+        return "aborted";
+    case cut_cause::server_closed:
+        return "server_closed";
+    case cut_cause::server_destroyed:
+        return "server_destroyed";
+    }
+    return "invalid";
+}
+
 http_response error_response(const error& failure) {
     nlohmann::json body{{"type", to_string(failure.code)}, {"subject", failure.subject}};
     if (failure.retry_after.count() > 0) {
@@ -120,13 +144,13 @@
     asio::co_spawn(context, session->run(), asio::detached);
 }
 
-void http_server::state::shut_down() {
+void http_server::state::shut_down(cut_cause cause) {
     system_error ignored;
     acceptor.close(ignored);
     while (!sessions.empty()) {
         auto& session = sessions.front();
         sessions.pop_front();
-        session.detach();
+        session.detach(cause);
     }
     session_count = 0;
 }
@@ -137,7 +161,7 @@
                                      std::move(error_formatter))} {}
 
 http_server::~http_server() {
-    state_->shut_down();
+    state_->shut_down(cut_cause::server_destroyed);
 }
 
 result<void> http_server::listen(const endpoint& local) {
@@ -195,7 +219,11 @@
 }
 
 void http_server::close() {
-    state_->shut_down();
+    state_->shut_down(cut_cause::server_closed);
+}
+
+void http_server::on_unanswered(std::function<void(const unanswered_request&)> handler) {
+    state_->on_unanswered = std::move(handler);
 }
 
 void http_server::set_peer_filter(std::function<bool(const std::string& address)> is_admitted) {
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -42,6 +42,39 @@
     std::chrono::milliseconds write_timeout{30000};
 };
 
+/// Why a connection closed before the response to a request on it was sent completely.
+enum class cut_cause : std::uint8_t {
+    /// The peer closed or reset it.
+    peer_closed,
+    write_failed,
+    /// The peer left the response unread for the write timeout.
+    write_timeout,
+    /// http_responder::abort() was called.
+    aborted,
+    /// http_server::close() was called.
+    server_closed,
+    /// The server was destroyed.
+    server_destroyed,
+};
+
+/// Name of the cause in metrics.
+[[nodiscard]] std::string_view to_string(cut_cause cause);
+
+/// A request that got no complete response.
+struct unanswered_request {
+    cut_cause cause = cut_cause::peer_closed;
+    /// Set by http_responder::set_request_id(); empty if it was not.
+    std::string id;
+    /// Whether it was received to its end, or refused before.
+    bool is_received = false;
+    /// Whether a part of the response was passed to the operating system.
+    bool is_response_started = false;
+    /// Bytes of the response that the operating system has not accepted.
+    std::size_t pending_bytes = 0;
+    /// Time since the first byte of the request.
+    duration age{0};
+};
+
 /// Sends the response to one request. The handler has to call either send() or start(), once.
 /// Copies refer to the same request. Calls have no effect after the response has ended or the peer
 /// has disconnected. Not thread-safe; used on the context's thread.
@@ -65,6 +98,8 @@
     void abort() const;
     /// Sets the function that is called if the peer disconnects before the response has ended.
     void on_disconnect(std::function<void()> handler) const;
+    /// Names the request in the report of an unanswered one.
+    void set_request_id(std::string id) const;
     /// Whether the response has ended or the peer has disconnected.
     [[nodiscard]] bool is_closed() const;
     /// Number of response bytes that the operating system has not accepted yet. Producers use it
@@ -98,6 +133,9 @@
     /// Closes each new connection from an address for which the function returns false. Without a
     /// filter all are served.
     void set_peer_filter(std::function<bool(const std::string& address)> is_admitted);
+    /// Sets the function that is told of each request whose connection closes before its response
+    /// was sent completely.
+    void on_unanswered(std::function<void(const unanswered_request&)> handler);
     /// Opens the listener; with port 0 the operating system chooses the port. Errors: connection.
     [[nodiscard]] result<void> listen(const endpoint& local);
     /// Port that the listener is bound to.
--- a/src/http_session.cpp
+++ b/src/http_session.cpp
@@ -253,6 +253,8 @@
 
 void http_session::open_exchange() {
     ++exchange_;
+    request_id_.clear();
+    has_written_ = false;
     is_open_exchange_ = true;
     is_finished_ = false;
     is_aborted_ = false;
@@ -288,13 +290,25 @@
                                  exchange = exchange_](const system_error& failure) {
                                     if (!failure && self->is_current(exchange) &&
                                         peek_socket(self->stream_.socket()) == peer_state::closed) {
-                                        self->handle_disconnect();
+                                        self->handle_disconnect(cut_cause::peer_closed);
                                     }
                                 });
 }
 
-void http_session::handle_disconnect() {
+void http_session::report_unanswered(cut_cause cause) const {
+    if (server_ != nullptr && server_->on_unanswered) {
+        server_->on_unanswered({.cause = is_aborted_ ? cut_cause::aborted : cause,
+                                .id = request_id_,
+                                .is_received = is_open_exchange_,
+                                .is_response_started = has_written_,
+                                .pending_bytes = pending_bytes(),
+                                .age = steady_now() - received_at_});
+    }
+}
+
+void http_session::handle_disconnect(cut_cause cause) {
     keep_alive_ = false;
+    report_unanswered(cause);
     const auto on_disconnect = std::move(on_disconnect_);
     close_exchange();
     close_socket();
@@ -306,9 +320,6 @@
 void http_session::close() {
     keep_alive_ = false;
     cancel_timeout();
-    if (is_open_exchange_) {
-        handle_disconnect();
-    }
     close_socket();
 }
 
@@ -340,8 +351,13 @@
     }
 }
 
-void http_session::detach() {
+void http_session::detach(cut_cause cause) {
     on_disconnect_ = nullptr;
+    if (is_open_exchange_) {
+        handle_disconnect(cause);
+    } else if (is_receiving_) {
+        report_unanswered(cause);
+    }
     close();
     server_ = nullptr;
 }
@@ -410,6 +426,9 @@
     if (output_.empty() && output_callbacks_.empty()) {
         if (is_finished_) {
             framing_ = is_aborted_ ? framing_ : body_framing::none;
+            if (is_aborted_) {
+                report_unanswered(cut_cause::aborted);
+            }
             close_exchange();
         }
         return;
@@ -419,21 +438,26 @@
     in_flight_callbacks_.swap(output_callbacks_);
     stream_.expires_after(server_->limits.write_timeout);
     asio::async_write(stream_, asio::buffer(in_flight_),
-                      [self = boost::intrusive_ptr<http_session>{this}](
-                          const system_error& failure, std::size_t) { self->on_written(failure); });
+                      [self = boost::intrusive_ptr<http_session>{this}](const system_error& failure,
+                                                                        std::size_t count) {
+                          self->has_written_ = self->has_written_ || count > 0;
+                          self->on_written(failure);
+                      });
 }
 
 void http_session::on_written(const system_error& failure) {
     is_writing_ = false;
     stream_.expires_never();
-    in_flight_.clear();
     const auto callbacks = std::exchange(in_flight_callbacks_, {});
     if (failure) {
         if (is_open_exchange_) {
-            handle_disconnect();
+            handle_disconnect(failure == beast::error::timeout ? cut_cause::write_timeout
+                                                               : cut_cause::write_failed);
         }
+        in_flight_.clear();
         return;
     }
+    in_flight_.clear();
     std::ranges::for_each(callbacks, [](const auto& on_written) { on_written(); });
     flush_output();
 }
--- a/src/http_session_p.h
+++ b/src/http_session_p.h
@@ -33,7 +33,7 @@
     boost::asio::awaitable<void> accept();
     void open_session(boost::asio::ip::tcp::socket socket);
     /// Closes the listener and all connections.
-    void shut_down();
+    void shut_down(cut_cause cause);
 
     boost::asio::io_context& context;
     http_server_limits limits;
@@ -42,6 +42,8 @@
     boost::asio::ip::tcp::acceptor acceptor;
     /// See http_server::set_peer_filter(); empty if all are served.
     std::function<bool(const std::string& address)> is_admitted;
+    /// See http_server::on_unanswered(); may be empty.
+    std::function<void(const unanswered_request&)> on_unanswered;
     /// Memory reserved for the bodies of requests in progress, in bytes.
     std::size_t body_bytes = 0;
     /// Number of requests in progress.
@@ -66,11 +68,9 @@
 
     /// Serves requests until the connection closes.
     boost::asio::awaitable<void> run();
-    /// Closes the connection; calls on_disconnect if a response is in progress.
-    void close();
-    /// Closes the connection without calling on_disconnect; the server is being destroyed or
-    /// closed.
-    void detach();
+    /// Closes the connection without calling on_disconnect.
+    /// @param cause  whether the server is being closed or destroyed.
+    void detach(cut_cause cause);
     /// Closes the connection now if it waits for a request, else after the response in progress.
     void close_if_idle();
     /// As close_if_idle(), but leaves a connection open that has not yet served a request.
@@ -92,6 +92,7 @@
     /// Writes the remaining output for a bounded time, then closes the connection.
     void abort();
     void on_disconnect(std::function<void()> handler) { on_disconnect_ = std::move(handler); }
+    void set_request_id(std::string id) { request_id_ = std::move(id); }
     /// Whether the exchange is in progress.
     [[nodiscard]] bool is_current(std::uint64_t exchange) const {
         return exchange == exchange_ && is_open_exchange_;
@@ -133,7 +134,10 @@
     void watch_peer();
     void flush_output();
     void on_written(const boost::system::error_code& failure);
-    void handle_disconnect();
+    /// Ends the exchange, which has no complete response, and closes the connection.
+    void handle_disconnect(cut_cause cause);
+    void report_unanswered(cut_cause cause) const;
+    void close();
     /// Closes the connection; with a reset if an orderly close would complete a response of which a
     /// part is missing.
     void close_socket();
@@ -157,6 +161,9 @@
     bool is_cut_by_stop_ = false;
     bool has_served_ = false;
     time_point received_at_{};
+    /// Name of the request in reports; empty if it has none.
+    std::string request_id_;
+    bool has_written_ = false;
     bool keep_alive_ = true;
     /// Whether the response has no body: to a HEAD request, or with status 204 or 304.
     bool omits_body_ = false;
--- a/tests/gateway_metrics_test.cpp
+++ b/tests/gateway_metrics_test.cpp
@@ -46,6 +46,17 @@
     }
 }
 
+// Incident LOST: the metrics did not show that requests ended without an answer, nor why.
+TEST(gateway_metrics, unanswered_requests_are_counted_by_cause) {
+    metrics_registry registry;
+    gateway_metrics metrics{registry};
+    metrics.count(unanswered_request{.cause = cut_cause::write_timeout});
+    metrics.count(unanswered_request{.cause = cut_cause::write_timeout});
+    const auto text = registry.text();
+    const std::string line = "magnolia_unanswered_requests_total{cause=\"write_timeout\"} 2\n";
+    EXPECT_NE(text.find(line), std::string::npos) << text;
+}
+
 // Incident LIMIT: what a host may send to servers with a limit could not be summed over the hosts.
 TEST(gateway_metrics, the_share_of_stated_limits_is_shown) {
     metrics_registry registry;
