Answer requests that arrived before their connection or listener closed

Callers saw connections end without an answer at the begin of a planned stop and at the end of the time in which it accepts requests.

Cause: a connection counted as idle until the coroutine that reads its next request ran, though the bytes had arrived or were already taken from the socket, and idle connections were closed at once. The listener was closed with connections in its queue, which resets them, and a connection whose accept had completed by then was dropped.

A stop now ends the wait for the next request instead of closing the connection, and the coroutine looks for bytes once more. The listener accepts what waits in its queue before it closes; connections without a request yet stay open until the server closes. A session that is opened outside of the context's thread is kept alive until its coroutine runs.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -114,22 +114,19 @@
         system_error failure;
         tcp::socket socket{context};
         co_await acceptor.async_accept(socket, asio::redirect_error(asio::use_awaitable, failure));
-        if (!acceptor.is_open()) {
-            co_return;
-        }
-        if (failure) {
+        if (!failure) {
+            open_session(std::move(socket));
+        } else if (acceptor.is_open()) {
             // Most likely the process is out of file descriptors. Retry after a delay, in which
             // connections may close and free some.
             asio::steady_timer retry_timer{context, accept_retry_delay};
             co_await retry_timer.async_wait(asio::redirect_error(asio::use_awaitable, failure));
-            continue;
         }
-        open_session(std::move(socket));
     }
 }
 
 void http_server::state::open_session(tcp::socket socket) {
-    if (session_count >= limits.max_connections) {
+    if (is_shut_down || session_count >= limits.max_connections) {
         return;
     }
     system_error ignored;
@@ -141,11 +138,27 @@
     const boost::intrusive_ptr<http_session> session{new http_session{std::move(socket), *this}};
     sessions.push_back(*session);
     ++session_count;
-    asio::co_spawn(context, session->run(), asio::detached);
+    asio::co_spawn(
+        context, [session] { return session->run(); }, asio::detached);
+}
+
+void http_server::state::close_listener() {
+    system_error failure;
+    acceptor.non_blocking(true, failure);
+    for (int accepted = 0; !failure && accepted < asio::socket_base::max_listen_connections;
+         ++accepted) {
+        tcp::socket socket{context};
+        acceptor.accept(socket, failure);
+        if (!failure) {
+            open_session(std::move(socket));
+        }
+    }
+    acceptor.close(failure);
 }
 
 void http_server::state::shut_down(cut_cause cause) {
     system_error ignored;
+    is_shut_down = true;
     acceptor.close(ignored);
     while (!sessions.empty()) {
         auto& session = sessions.front();
@@ -204,12 +217,10 @@
 }
 
 void http_server::stop_accepting() {
-    system_error ignored;
-    state_->is_draining = true;
-    state_->acceptor.close(ignored);
-    for (auto& session : state_->sessions) {
-        session.close_if_idle();
+    if (state_->acceptor.is_open()) {
+        state_->close_listener();
     }
+    begin_drain();
 }
 
 void http_server::refuse_partial_requests() {
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -147,8 +147,8 @@
     /// Starts to drain: closes idle connections that have served a request. New connections are
     /// still accepted; every connection closes after its next response.
     void begin_drain();
-    /// Closes the listener and all idle connections. Requests in progress continue; their
-    /// connections close after the response.
+    /// Drains and closes the listener. Requests in progress continue; connections close after their
+    /// next response, or with the server.
     void stop_accepting();
     /// Refuses the requests that have not been received completely, with `stopping`.
     void refuse_partial_requests();
--- a/src/http_session.cpp
+++ b/src/http_session.cpp
@@ -121,16 +121,31 @@
     return {error_code::bad_request, failure.message()};
 }
 
-asio::awaitable<system_error> http_session::read_header(body_parser& parser) {
+asio::awaitable<system_error> http_session::read_first_bytes() {
     system_error failure;
-    if (buffer_.size() == 0) {
+    if (!closes_when_idle()) {
         start_timeout(server_->limits.idle_timeout);
         const auto count = co_await stream_.async_read_some(
             buffer_.prepare(read_bytes), asio::redirect_error(asio::use_awaitable, failure));
         buffer_.commit(count);
         cancel_timeout();
     }
-    if (failure || server_ == nullptr) {
+    const bool has_unread_bytes = server_ != nullptr && buffer_.size() == 0 &&
+                                  peek_socket(stream_.socket()) == peer_state::has_data;
+    if (has_unread_bytes) {
+        const auto count = co_await stream_.async_read_some(
+            buffer_.prepare(read_bytes), asio::redirect_error(asio::use_awaitable, failure));
+        buffer_.commit(count);
+    }
+    co_return failure;
+}
+
+asio::awaitable<system_error> http_session::read_header(body_parser& parser) {
+    system_error failure;
+    if (buffer_.size() == 0) {
+        failure = co_await read_first_bytes();
+    }
+    if (failure || server_ == nullptr || buffer_.size() == 0) {
         co_return http::error::end_of_stream;
     }
     is_idle_ = false;
@@ -331,16 +346,9 @@
     stream_.close();
 }
 
-void http_session::close_if_idle() {
-    keep_alive_ = false;
-    if (is_idle_) {
-        close();
-    }
-}
-
 void http_session::close_if_reused() {
-    if (has_served_) {
-        close_if_idle();
+    if (has_served_ && is_idle_) {
+        stream_.cancel();
     }
 }
 
--- a/src/http_session_p.h
+++ b/src/http_session_p.h
@@ -32,6 +32,9 @@
     /// Accepts connections until the listener closes.
     boost::asio::awaitable<void> accept();
     void open_session(boost::asio::ip::tcp::socket socket);
+    /// Closes the listener, once the connections that wait there are accepted: they may have
+    /// brought requests, and would be reset with it.
+    void close_listener();
     /// Closes the listener and all connections.
     void shut_down(cut_cause cause);
 
@@ -49,6 +52,8 @@
     /// Number of requests in progress.
     std::size_t active = 0;
     bool is_draining = false;
+    /// Connections that are accepted from now on have no server.
+    bool is_shut_down = false;
     boost::intrusive::list<http_session, boost::intrusive::base_hook<session_list_hook>,
                            boost::intrusive::constant_time_size<false>>
         sessions;
@@ -71,9 +76,8 @@
     /// Closes the connection without calling on_disconnect.
     /// @param cause  whether the server is being closed or destroyed.
     void detach(cut_cause cause);
-    /// Closes the connection now if it waits for a request, else after the response in progress.
-    void close_if_idle();
-    /// As close_if_idle(), but leaves a connection open that has not yet served a request.
+    /// Closes the connection if it has served a request: now if it waits for another one of which
+    /// nothing has arrived, else after the response.
     void close_if_reused();
     /// Refuses the request that is being received, if there is one, with `stopping`.
     void refuse_partial_request();
@@ -112,6 +116,11 @@
     /// Reads one request. Returns false if the connection has to close; a request that violates a
     /// limit or the protocol has been refused then.
     boost::asio::awaitable<bool> read_request(http_request& request);
+    /// Waits for the first bytes of a request, and takes those that have arrived when the wait ends
+    /// otherwise.
+    boost::asio::awaitable<boost::system::error_code> read_first_bytes();
+    /// Whether the connection closes instead of waiting for a request.
+    [[nodiscard]] bool closes_when_idle() const { return server_->is_draining && has_served_; }
     boost::asio::awaitable<boost::system::error_code> read_header(body_parser& parser);
     boost::asio::awaitable<boost::system::error_code> read_body(body_parser& parser);
     /// Sends an error response and closes the connection for writing.
--- a/tests/http_close_test.cpp
+++ b/tests/http_close_test.cpp
@@ -61,6 +61,8 @@
 class closing_server : public testing::Test {
 protected:
     void serve(http_handler handler, http_server_limits limits = {}) {
+        // The context stops when a server before this one has closed.
+        context_.restart();
         server_.emplace(context_, limits, std::move(handler));
         server_->on_unanswered([this](const auto& request) { reports_.push_back(request); });
         ASSERT_TRUE(server_->listen(endpoint{}));
@@ -82,6 +84,7 @@
     void read_to_end(raw_caller& caller) {
         caller.read_to_end();
         run_until([&] { return caller.end().has_value(); });
+        ASSERT_TRUE(caller.end());
     }
 
     asio::io_context context_{1};
@@ -153,5 +156,55 @@
     EXPECT_TRUE(reports_.empty());
 }
 
+// Incident LOST: the connection of a request that had arrived was closed as idle, at the end of a
+// stop.
+TEST_F(closing_server, a_request_that_was_sent_before_the_listener_closed_is_answered) {
+    for (int steps = 0; steps < max_steps; ++steps) {
+        serve(answer);
+        raw_caller caller{context_, server_->port()};
+        caller.write(request_text);
+        run_steps(steps);
+        server_->stop_accepting();
+        read_to_end(caller);
+        EXPECT_EQ(caller.served(), 1U) << "steps " << steps << ": " << caller.end()->message();
+    }
+}
+
+// As above, for a connection that is kept, when a stop begins.
+TEST_F(closing_server, a_request_on_a_kept_connection_that_was_sent_before_the_drain_is_answered) {
+    for (int steps = 0; steps < max_steps; ++steps) {
+        std::size_t handled = 0;
+        serve([&](const auto& request, const http_responder& responder) {
+            ++handled;
+            answer(request, responder);
+        });
+        raw_caller caller{context_, server_->port()};
+        caller.write(request_text);
+        run_until([&] { return handled == 1 && server_->active_requests() == 0; });
+        run_steps(max_steps);
+        caller.write(request_text);
+        run_steps(steps);
+        server_->begin_drain();
+        read_to_end(caller);
+        EXPECT_EQ(caller.served(), 2U) << "steps " << steps << ": " << caller.end()->message();
+    }
+}
+
+// As above, for a request that was sent before the response to the one before it.
+TEST_F(closing_server, a_pipelined_request_is_answered_unless_the_response_before_it_says_close) {
+    for (int steps = 0; steps < max_steps; ++steps) {
+        serve(answer);
+        raw_caller caller{context_, server_->port()};
+        caller.write(request_text + request_text);
+        run_steps(steps);
+        server_->begin_drain();
+        read_to_end(caller);
+        const bool says_close =
+            caller.received().find("Connection: close") < caller.received().find("\r\n\r\n");
+        EXPECT_EQ(caller.served(), says_close ? 1U : 2U)
+            << "steps " << steps << ": " << caller.received();
+    }
+}
+
 } // namespace
 } // namespace magnolia
