End a planned stop only after the last connections could bring a request

Callers whose connections were made right before the listener closed, or while the process was frozen, were reset.

Cause: the stop ended in the same step in which its listener closed, so that nothing that had just been accepted was read. A request that was read in the last 150 ms could have been sent on to a server whose answer nobody waits for.

The stop closes its listeners first and ends when nothing is in progress one interval (50 ms) later. Requests that arrive after its end are refused as not run.

That requests are refused in the last 150 ms has no test of its own.

--- a/src/gateway_lifecycle.cpp
+++ b/src/gateway_lifecycle.cpp
@@ -95,12 +95,12 @@
     const auto now = steady_now();
     const auto partial =
         caller_server_.partial_requests() + relay_receiver_.server().partial_requests();
-    const bool is_idle = active_requests() + partial == 0;
-    const bool takes_no_more = now >= shared_.stop->accepts_until;
-    if (now >= shared_.stop->aborts_at || (takes_no_more && is_idle)) {
+    // The connections that were accepted last have had one interval to bring their requests.
+    const bool is_idle = has_stopped_accepting_ && active_requests() + partial == 0;
+    if (now >= shared_.stop->aborts_at || is_idle) {
         return end_stop(partial);
     }
-    if (takes_no_more) {
+    if (now >= shared_.stop->accepts_until && !has_stopped_accepting_) {
         stop_accepting();
     }
     stop_timer_.expires_after(stop_poll_interval);
@@ -112,6 +112,7 @@
 }
 
 void gateway::state::stop_accepting() {
+    has_stopped_accepting_ = true;
     caller_server_.stop_accepting();
     relay_receiver_.server().stop_accepting();
 }
@@ -120,6 +121,8 @@
     log_.info("planned stop ends, " + std::to_string(active_requests()) + " requests aborted, " +
               std::to_string(partial_requests) + " of which a part was received refused");
     stop_accepting();
+    // Requests that still arrive are refused, as no server's answer to them would be waited for.
+    shared_.stop->aborts_at = std::min(shared_.stop->aborts_at, steady_now());
     end_calls_of_stop(shared_);
     caller_server_.refuse_partial_requests();
     relay_receiver_.server().refuse_partial_requests();
--- a/src/gateway_p.h
+++ b/src/gateway_p.h
@@ -154,7 +154,7 @@
     void begin_stop();
     /// Advances the planned stop; ends it when no request remains or the time is over.
     void poll_stop();
-    /// Closes the listeners and idle connections.
+    /// Closes the listeners and the idle connections that have served a request.
     void stop_accepting();
     /// Answers the requests that are left, then ends the I/O loop.
     void end_stop(std::size_t partial_requests);
@@ -219,6 +219,8 @@
     /// Content of the settings file at the last check.
     std::string settings_text_;
     bool is_stopping_ = false;
+    /// The listeners were closed by the planned stop.
+    bool has_stopped_accepting_ = false;
     bool was_ready_ = false;
 };
 
--- a/tests/signal_series_test.cpp
+++ b/tests/signal_series_test.cpp
@@ -195,6 +195,47 @@
     EXPECT_EQ(child_->end(), clean_end);
 }
 
+// Incident LOST: settings that name a shorter time for a stop, read during it, may not shorten it.
+TEST_F(host_process, a_reload_does_not_cut_a_stop_short) {
+    start_process();
+    wait_until_ready();
+    pending_answers answers;
+    send_some(answers);
+    child_->send_signal(SIGTERM);
+    wait(milliseconds{30});
+    settings_->write(settings_->text(gateways_store_, 1));
+    child_->send_signal(SIGHUP);
+    poll([&] { return answers.are_all_received(); });
+    EXPECT_EQ(answers.count(200), answers.sent);
+    wait_until_ended();
+    EXPECT_EQ(child_->end(), clean_end);
+}
+
+// Incident LOST: connections that were made while a stopping process was frozen were reset when its
+// listener closed.
+TEST_F(host_process, a_freeze_in_a_stop_cuts_no_answer) {
+    start_process();
+    wait_until_ready();
+    pending_answers answers;
+    send_some(answers);
+    child_->send_signal(SIGTERM);
+    wait(milliseconds{100});
+    child_->send_signal(SIGSTOP);
+    pending_answers late_answers;
+    constexpr int late_calls = 4;
+    for (int call = 0; call < late_calls; ++call) {
+        send("/unsafe/", late_answers);
+    }
+    // Until the host accepts no more requests.
+    wait(milliseconds{900});
+    child_->send_signal(SIGCONT);
+    poll([&] { return answers.are_all_received() && late_answers.are_all_received(); });
+    EXPECT_EQ(answers.count(200), answers.sent);
+    EXPECT_EQ(late_answers.count(503), late_answers.sent);
+    wait_until_ended();
+    EXPECT_EQ(child_->end(), clean_end);
+}
+
 /// The process waits for the content of its settings file, a pipe, before it handles signals.
 class start_of_a_process : public host_process {
 protected:
