Ignore the timeout of an operation that has ended

A request whose first bytes arrived as the idle timeout of its connection expired was answered 408, as slow, though its caller had done nothing wrong. The same could cancel a response that was being written.

Cause: cancelling a timer does not take back a handler that is already queued. It then cancelled whatever the connection did next. This is likely after a freeze, when arrivals and timeouts are noticed together.

Timeouts have numbers, and the handler of an earlier one does nothing.

The case of a response is concluded from the code and has no test.

--- a/src/http_session.cpp
+++ b/src/http_session.cpp
@@ -92,16 +92,17 @@
 void http_session::start_timeout(std::chrono::milliseconds timeout) {
     is_timed_out_ = false;
     timeout_timer_.expires_after(timeout);
-    timeout_timer_.async_wait(
-        [self = boost::intrusive_ptr<http_session>{this}](const auto& failure) {
-            if (!failure) {
-                self->is_timed_out_ = true;
-                self->stream_.cancel();
-            }
-        });
+    timeout_timer_.async_wait([self = boost::intrusive_ptr<http_session>{this},
+                               number = ++timeout_number_](const auto& failure) {
+        if (!failure && self->timeout_number_ == number) {
+            self->is_timed_out_ = true;
+            self->stream_.cancel();
+        }
+    });
 }
 
 void http_session::cancel_timeout() {
+    ++timeout_number_;
     timeout_timer_.cancel();
 }
 
--- a/src/http_session_p.h
+++ b/src/http_session_p.h
@@ -156,6 +156,9 @@
     boost::asio::steady_timer wake_timer_;
     boost::asio::steady_timer timeout_timer_;
     bool is_timed_out_ = false;
+    /// Number of the timeout that is set. The handler of an earlier one may run after it was
+    /// cancelled, if it had expired before.
+    std::uint64_t timeout_number_ = 0;
     /// Null after detach().
     server_state* server_;
     boost::beast::flat_buffer buffer_;
--- a/tests/http_close_test.cpp
+++ b/tests/http_close_test.cpp
@@ -206,5 +206,26 @@
     }
 }
 
+// Incident LOST: a request that began to arrive when its connection had been idle for the idle
+// timeout was refused as slow.
+TEST_F(closing_server, a_timeout_that_expires_with_the_arrival_of_a_request_does_not_cancel_it) {
+    constexpr std::chrono::milliseconds idle_timeout{20};
+    http_server_limits limits;
+    limits.idle_timeout = idle_timeout;
+    serve(answer, limits);
+    raw_caller caller{context_, server_->port()};
+    run_steps(max_steps);
+    const auto half = static_cast<std::ptrdiff_t>(request_text.size() / 2);
+    caller.write({request_text.begin(), request_text.begin() + half});
+    // Arrival and timeout are noticed together.
+    std::this_thread::sleep_for(2 * idle_timeout);
+    run_steps(max_steps);
+    caller.write({request_text.begin() + half, request_text.end()});
+    caller.read_to_end();
+    run_until([&] { return caller.end().has_value() || !caller.received().empty(); });
+    run_steps(max_steps);
+    EXPECT_EQ(caller.served(), 1U) << caller.received();
+}
+
 } // namespace
 } // namespace magnolia
