Read what follows the last request of a connection before closing it

A caller that sends further bytes behind a request whose response says close lost the part of the response that was not delivered yet.

Cause: closing a socket with unread input resets the connection and drops what waits in its send buffer. Refusals already avoided this.

A connection with unread input is closed for writing first, and its input is discarded for up to a second.

--- a/src/http_session.cpp
+++ b/src/http_session.cpp
@@ -23,8 +23,8 @@
 constexpr unsigned status_not_modified = 304;
 /// Read size while waiting for a request header, in bytes.
 constexpr std::size_t read_bytes = 4096;
-/// Maximum time that the connection of a refused request or an aborted response is kept open for
-/// the peer to read what was sent.
+/// Maximum time that the connection of a refused request, an aborted response or a response with
+/// further requests behind it is kept open for the peer to read what was sent.
 constexpr auto lingering_close_timeout = std::chrono::milliseconds{1000};
 constexpr auto overload_retry_after = std::chrono::milliseconds{500};
 
@@ -79,6 +79,13 @@
         server_->handler(std::move(request), http_responder{self, exchange_});
         co_await wait_for_response_end();
     }
+    // Bytes after the last request.
+    const bool has_unread_bytes =
+        framing_ == body_framing::none &&
+        (buffer_.size() > 0 || peek_socket(stream_.socket()) == peer_state::has_data);
+    if (server_ != nullptr && has_unread_bytes) {
+        co_await linger();
+    }
     close();
     if (server_ != nullptr) {
         server_->sessions.erase(server_->sessions.iterator_to(*this));
@@ -224,9 +231,6 @@
     co_return true;
 }
 
-/// Sends an error response to a request that was not read completely, then discards input for a
-/// bounded time, because closing with unread input would reset the connection before the peer reads
-/// the response.
 asio::awaitable<void> http_session::refuse(const error& failure) {
     cancel_timeout();
     if (server_ == nullptr) {
@@ -237,7 +241,12 @@
     const http_responder responder{this, exchange_};
     responder.send(server_->error_formatter(failure));
     co_await wait_for_response_end();
+    co_await linger();
+}
+
+asio::awaitable<void> http_session::linger() {
     system_error ignored;
+    buffer_.clear();
     stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
     start_timeout(lingering_close_timeout);
     std::array<char, 4096> discarded{};
--- a/src/http_session_p.h
+++ b/src/http_session_p.h
@@ -125,6 +125,9 @@
     boost::asio::awaitable<boost::system::error_code> read_body(body_parser& parser);
     /// Sends an error response and closes the connection for writing.
     boost::asio::awaitable<void> refuse(const error& failure);
+    /// Closes the connection for writing and discards input for a bounded time: closing with unread
+    /// input would reset the connection before the peer has the response.
+    boost::asio::awaitable<void> linger();
     /// Maps an error of the parser or the timeout to a typed error.
     error read_error(const boost::system::error_code& failure) const;
     void start_timeout(std::chrono::milliseconds timeout);
--- a/tests/http_close_test.cpp
+++ b/tests/http_close_test.cpp
@@ -227,5 +227,23 @@
     EXPECT_EQ(caller.served(), 1U) << caller.received();
 }
 
+// Bytes behind a request whose response says close were left unread, so that the connection was
+// reset before its caller had the rest of the response.
+TEST_F(closing_server, bytes_after_a_last_request_do_not_cut_its_response) {
+    const std::string body(std::size_t{512} << 10U, 'x');
+    std::optional<http_responder> held;
+    serve([&](const auto&, const http_responder& responder) { held = responder; });
+    raw_caller caller{context_, server_->port()};
+    caller.write("GET /a HTTP/1.1\r\nConnection: close\r\n\r\n");
+    run_until([&] { return held.has_value(); });
+    caller.write(request_text);
+    held->send({200, {}, body});
+    run_until([this] { return server_->active_requests() == 0; });
+    run_steps(max_steps);
+    read_to_end(caller);
+    EXPECT_EQ(caller.end(), asio::error::eof);
+    EXPECT_EQ(std::ranges::count(caller.received(), 'x'), static_cast<std::ptrdiff_t>(body.size()));
+}
+
 } // namespace
 } // namespace magnolia
