--- a/src/gateway_p.h
+++ b/src/gateway_p.h
@@ -144,6 +144,9 @@
     [[nodiscard]] retry_budget make_retry_budget() const;
     /// Counts and logs a finished request.
     void on_call_end(const call_summary& summary);
+    /// Counts and logs a request that got no complete response.
+    /// @param source  "caller" or "host", for the log.
+    void on_unanswered(const unanswered_request& request, std::string_view source);
     [[nodiscard]] milliseconds reservation_ttl() const;
     /// Applies the settings if the content of the file has changed, also since the process read it
     /// at its start; no signal is needed.
@@ -157,7 +160,7 @@
     void begin_stop();
     /// Advances the planned stop; ends it when no request remains or the time is over.
     void poll_stop();
-    /// Closes the listeners and idle connections.
+    /// Closes the listeners and the idle connections that have served a request.
     void stop_accepting();
     /// Answers the requests that are left, then ends the I/O loop.
     void end_stop(std::size_t partial_requests);
@@ -222,6 +225,8 @@
     /// Content of the settings file at the last check.
     std::string settings_text_;
     bool is_stopping_ = false;
+    /// The listeners were closed by the planned stop.
+    bool has_stopped_accepting_ = false;
     bool was_ready_ = false;
 };
 
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -70,10 +70,34 @@
     }
 }
 
+void http_responder::set_request_id(std::string id) const {
+    if (!is_closed()) {
+        session_->set_request_id(std::move(id));
+    }
+}
+
 std::size_t http_responder::pending_bytes() const {
     return is_closed() ? 0 : session_->pending_bytes();
 }
 
+std::string_view to_string(cut_cause cause) {
+    switch (cause) {
+    case cut_cause::peer_closed:
+        return "peer_closed";
+    case cut_cause::write_failed:
+        return "write_failed";
+    case cut_cause::write_timeout:
+        return "write_timeout";
+    case cut_cause::aborted:
+        return "aborted";
+    case cut_cause::server_closed:
+        return "server_closed";
+    case cut_cause::server_destroyed:
+        return "server_destroyed";
+    }
+    return "invalid";
+}
+
 http_response error_response(const error& failure) {
     nlohmann::json body{{"type", to_string(failure.code)}, {"subject", failure.subject}};
     if (failure.retry_after.count() > 0) {
@@ -90,22 +114,19 @@
         system_error failure;
         tcp::socket socket{context};
         co_await acceptor.async_accept(socket, asio::redirect_error(asio::use_awaitable, failure));
-        if (!acceptor.is_open()) {
-            co_return;
-        }
-        if (failure) {
+        if (!failure) {
+            open_session(std::move(socket));
+        } else if (acceptor.is_open()) {
             // Most likely the process is out of file descriptors. Retry after a delay, in which
             // connections may close and free some.
             asio::steady_timer retry_timer{context, accept_retry_delay};
             co_await retry_timer.async_wait(asio::redirect_error(asio::use_awaitable, failure));
-            continue;
         }
-        open_session(std::move(socket));
     }
 }
 
 void http_server::state::open_session(tcp::socket socket) {
-    if (session_count >= limits.max_connections) {
+    if (is_shut_down || session_count >= limits.max_connections) {
         return;
     }
     system_error ignored;
@@ -117,16 +138,32 @@
     const boost::intrusive_ptr<http_session> session{new http_session{std::move(socket), *this}};
     sessions.push_back(*session);
     ++session_count;
-    asio::co_spawn(context, session->run(), asio::detached);
+    asio::co_spawn(
+        context, [session] { return session->run(); }, asio::detached);
 }
 
-void http_server::state::shut_down() {
+void http_server::state::close_listener() {
+    system_error failure;
+    acceptor.non_blocking(true, failure);
+    for (int accepted = 0; !failure && accepted < asio::socket_base::max_listen_connections;
+         ++accepted) {
+        tcp::socket socket{context};
+        acceptor.accept(socket, failure);
+        if (!failure) {
+            open_session(std::move(socket));
+        }
+    }
+    acceptor.close(failure);
+}
+
+void http_server::state::shut_down(cut_cause cause) {
     system_error ignored;
+    is_shut_down = true;
     acceptor.close(ignored);
     while (!sessions.empty()) {
         auto& session = sessions.front();
         sessions.pop_front();
-        session.detach();
+        session.detach(cause);
     }
     session_count = 0;
 }
@@ -137,7 +174,7 @@
                                      std::move(error_formatter))} {}
 
 http_server::~http_server() {
-    state_->shut_down();
+    state_->shut_down(cut_cause::server_destroyed);
 }
 
 result<void> http_server::listen(const endpoint& local) {
@@ -180,12 +217,10 @@
 }
 
 void http_server::stop_accepting() {
-    system_error ignored;
-    state_->is_draining = true;
-    state_->acceptor.close(ignored);
-    for (auto& session : state_->sessions) {
-        session.close_if_idle();
+    if (state_->acceptor.is_open()) {
+        state_->close_listener();
     }
+    begin_drain();
 }
 
 void http_server::refuse_partial_requests() {
@@ -195,7 +230,11 @@
 }
 
 void http_server::close() {
-    state_->shut_down();
+    state_->shut_down(cut_cause::server_closed);
+}
+
+void http_server::on_unanswered(std::function<void(const unanswered_request&)> handler) {
+    state_->on_unanswered = std::move(handler);
 }
 
 void http_server::set_peer_filter(std::function<bool(const std::string& address)> is_admitted) {
--- a/src/http_session.cpp
+++ b/src/http_session.cpp
@@ -23,8 +23,8 @@
 constexpr unsigned status_not_modified = 304;
 /// Read size while waiting for a request header, in bytes.
 constexpr std::size_t read_bytes = 4096;
-/// Maximum time that the connection of a refused request or an aborted response is kept open for
-/// the peer to read what was sent.
+/// Maximum time that the connection of a refused request, an aborted response or a response with
+/// further requests behind it is kept open for the peer to read what was sent.
 constexpr auto lingering_close_timeout = std::chrono::milliseconds{1000};
 constexpr auto overload_retry_after = std::chrono::milliseconds{500};
 
@@ -79,6 +79,13 @@
         server_->handler(std::move(request), http_responder{self, exchange_});
         co_await wait_for_response_end();
     }
+    // Bytes after the last request.
+    const bool has_unread_bytes =
+        framing_ == body_framing::none &&
+        (buffer_.size() > 0 || peek_socket(stream_.socket()) == peer_state::has_data);
+    if (server_ != nullptr && has_unread_bytes) {
+        co_await linger();
+    }
     close();
     if (server_ != nullptr) {
         server_->sessions.erase(server_->sessions.iterator_to(*this));
@@ -92,16 +99,17 @@
 void http_session::start_timeout(std::chrono::milliseconds timeout) {
     is_timed_out_ = false;
     timeout_timer_.expires_after(timeout);
-    timeout_timer_.async_wait(
-        [self = boost::intrusive_ptr<http_session>{this}](const auto& failure) {
-            if (!failure) {
-                self->is_timed_out_ = true;
-                self->stream_.cancel();
-            }
-        });
+    timeout_timer_.async_wait([self = boost::intrusive_ptr<http_session>{this},
+                               number = ++timeout_number_](const auto& failure) {
+        if (!failure && self->timeout_number_ == number) {
+            self->is_timed_out_ = true;
+            self->stream_.cancel();
+        }
+    });
 }
 
 void http_session::cancel_timeout() {
+    ++timeout_number_;
     timeout_timer_.cancel();
 }
 
@@ -121,16 +129,31 @@
     return {error_code::bad_request, failure.message()};
 }
 
-asio::awaitable<system_error> http_session::read_header(body_parser& parser) {
+asio::awaitable<system_error> http_session::read_first_bytes() {
     system_error failure;
-    if (buffer_.size() == 0) {
+    if (!closes_when_idle()) {
         start_timeout(server_->limits.idle_timeout);
         const auto count = co_await stream_.async_read_some(
             buffer_.prepare(read_bytes), asio::redirect_error(asio::use_awaitable, failure));
         buffer_.commit(count);
         cancel_timeout();
     }
-    if (failure || server_ == nullptr) {
+    const bool has_unread_bytes = server_ != nullptr && buffer_.size() == 0 &&
+                                  peek_socket(stream_.socket()) == peer_state::has_data;
+    if (has_unread_bytes) {
+        const auto count = co_await stream_.async_read_some(
+            buffer_.prepare(read_bytes), asio::redirect_error(asio::use_awaitable, failure));
+        buffer_.commit(count);
+    }
+    co_return failure;
+}
+
+asio::awaitable<system_error> http_session::read_header(body_parser& parser) {
+    system_error failure;
+    if (buffer_.size() == 0) {
+        failure = co_await read_first_bytes();
+    }
+    if (failure || server_ == nullptr || buffer_.size() == 0) {
         co_return http::error::end_of_stream;
     }
     is_idle_ = false;
@@ -208,9 +231,6 @@
     co_return true;
 }
 
-/// Sends an error response to a request that was not read completely, then discards input for a
-/// bounded time, because closing with unread input would reset the connection before the peer reads
-/// the response.
 asio::awaitable<void> http_session::refuse(const error& failure) {
     cancel_timeout();
     if (server_ == nullptr) {
@@ -221,7 +241,12 @@
     const http_responder responder{this, exchange_};
     responder.send(server_->error_formatter(failure));
     co_await wait_for_response_end();
+    co_await linger();
+}
+
+asio::awaitable<void> http_session::linger() {
     system_error ignored;
+    buffer_.clear();
     stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
     start_timeout(lingering_close_timeout);
     std::array<char, 4096> discarded{};
@@ -253,6 +278,8 @@
 
 void http_session::open_exchange() {
     ++exchange_;
+    request_id_.clear();
+    has_written_ = false;
     is_open_exchange_ = true;
     is_finished_ = false;
     is_aborted_ = false;
@@ -288,13 +315,25 @@
                                  exchange = exchange_](const system_error& failure) {
                                     if (!failure && self->is_current(exchange) &&
                                         peek_socket(self->stream_.socket()) == peer_state::closed) {
-                                        self->handle_disconnect();
+                                        self->handle_disconnect(cut_cause::peer_closed);
                                     }
                                 });
 }
 
-void http_session::handle_disconnect() {
+void http_session::report_unanswered(cut_cause cause) const {
+    if (server_ != nullptr && server_->on_unanswered) {
+        server_->on_unanswered({.cause = is_aborted_ ? cut_cause::aborted : cause,
+                                .id = request_id_,
+                                .is_received = is_open_exchange_,
+                                .is_response_started = has_written_,
+                                .pending_bytes = pending_bytes(),
+                                .age = steady_now() - received_at_});
+    }
+}
+
+void http_session::handle_disconnect(cut_cause cause) {
     keep_alive_ = false;
+    report_unanswered(cause);
     const auto on_disconnect = std::move(on_disconnect_);
     close_exchange();
     close_socket();
@@ -306,9 +345,6 @@
 void http_session::close() {
     keep_alive_ = false;
     cancel_timeout();
-    if (is_open_exchange_) {
-        handle_disconnect();
-    }
     close_socket();
 }
 
@@ -320,16 +356,9 @@
     stream_.close();
 }
 
-void http_session::close_if_idle() {
-    keep_alive_ = false;
-    if (is_idle_) {
-        close();
-    }
-}
-
 void http_session::close_if_reused() {
-    if (has_served_) {
-        close_if_idle();
+    if (has_served_ && is_idle_) {
+        stream_.cancel();
     }
 }
 
@@ -340,8 +369,13 @@
     }
 }
 
-void http_session::detach() {
+void http_session::detach(cut_cause cause) {
     on_disconnect_ = nullptr;
+    if (is_open_exchange_) {
+        handle_disconnect(cause);
+    } else if (is_receiving_) {
+        report_unanswered(cause);
+    }
     close();
     server_ = nullptr;
 }
@@ -410,6 +444,9 @@
     if (output_.empty() && output_callbacks_.empty()) {
         if (is_finished_) {
             framing_ = is_aborted_ ? framing_ : body_framing::none;
+            if (is_aborted_) {
+                report_unanswered(cut_cause::aborted);
+            }
             close_exchange();
         }
         return;
@@ -419,21 +456,26 @@
     in_flight_callbacks_.swap(output_callbacks_);
     stream_.expires_after(server_->limits.write_timeout);
     asio::async_write(stream_, asio::buffer(in_flight_),
-                      [self = boost::intrusive_ptr<http_session>{this}](
-                          const system_error& failure, std::size_t) { self->on_written(failure); });
+                      [self = boost::intrusive_ptr<http_session>{this}](const system_error& failure,
+                                                                        std::size_t count) {
+                          self->has_written_ = self->has_written_ || count > 0;
+                          self->on_written(failure);
+                      });
 }
 
 void http_session::on_written(const system_error& failure) {
     is_writing_ = false;
     stream_.expires_never();
-    in_flight_.clear();
     const auto callbacks = std::exchange(in_flight_callbacks_, {});
     if (failure) {
         if (is_open_exchange_) {
-            handle_disconnect();
+            handle_disconnect(failure == beast::error::timeout ? cut_cause::write_timeout
+                                                               : cut_cause::write_failed);
         }
+        in_flight_.clear();
         return;
     }
+    in_flight_.clear();
     std::ranges::for_each(callbacks, [](const auto& on_written) { on_written(); });
     flush_output();
 }
--- a/src/http_session_p.h
+++ b/src/http_session_p.h
@@ -32,8 +32,11 @@
     /// Accepts connections until the listener closes.
     boost::asio::awaitable<void> accept();
     void open_session(boost::asio::ip::tcp::socket socket);
+    /// Closes the listener, once the connections that wait there are accepted: they may have
+    /// brought requests, and would be reset with it.
+    void close_listener();
     /// Closes the listener and all connections.
-    void shut_down();
+    void shut_down(cut_cause cause);
 
     boost::asio::io_context& context;
     http_server_limits limits;
@@ -42,11 +45,15 @@
     boost::asio::ip::tcp::acceptor acceptor;
     /// See http_server::set_peer_filter(); empty if all are served.
     std::function<bool(const std::string& address)> is_admitted;
+    /// See http_server::on_unanswered(); may be empty.
+    std::function<void(const unanswered_request&)> on_unanswered;
     /// Memory reserved for the bodies of requests in progress, in bytes.
     std::size_t body_bytes = 0;
     /// Number of requests in progress.
     std::size_t active = 0;
     bool is_draining = false;
+    /// Connections that are accepted from now on have no server.
+    bool is_shut_down = false;
     boost::intrusive::list<http_session, boost::intrusive::base_hook<session_list_hook>,
                            boost::intrusive::constant_time_size<false>>
         sessions;
@@ -66,14 +73,11 @@
 
     /// Serves requests until the connection closes.
     boost::asio::awaitable<void> run();
-    /// Closes the connection; calls on_disconnect if a response is in progress.
-    void close();
-    /// Closes the connection without calling on_disconnect; the server is being destroyed or
-    /// closed.
-    void detach();
-    /// Closes the connection now if it waits for a request, else after the response in progress.
-    void close_if_idle();
-    /// As close_if_idle(), but leaves a connection open that has not yet served a request.
+    /// Closes the connection without calling on_disconnect.
+    /// @param cause  whether the server is being closed or destroyed.
+    void detach(cut_cause cause);
+    /// Closes the connection if it has served a request: now if it waits for another one of which
+    /// nothing has arrived, else after the response.
     void close_if_reused();
     /// Refuses the request that is being received, if there is one, with `stopping`.
     void refuse_partial_request();
@@ -92,6 +96,7 @@
     /// Writes the remaining output for a bounded time, then closes the connection.
     void abort();
     void on_disconnect(std::function<void()> handler) { on_disconnect_ = std::move(handler); }
+    void set_request_id(std::string id) { request_id_ = std::move(id); }
     /// Whether the exchange is in progress.
     [[nodiscard]] bool is_current(std::uint64_t exchange) const {
         return exchange == exchange_ && is_open_exchange_;
@@ -111,10 +116,18 @@
     /// Reads one request. Returns false if the connection has to close; a request that violates a
     /// limit or the protocol has been refused then.
     boost::asio::awaitable<bool> read_request(http_request& request);
+    /// Waits for the first bytes of a request, and takes those that have arrived when the wait ends
+    /// otherwise.
+    boost::asio::awaitable<boost::system::error_code> read_first_bytes();
+    /// Whether the connection closes instead of waiting for a request.
+    [[nodiscard]] bool closes_when_idle() const { return server_->is_draining && has_served_; }
     boost::asio::awaitable<boost::system::error_code> read_header(body_parser& parser);
     boost::asio::awaitable<boost::system::error_code> read_body(body_parser& parser);
     /// Sends an error response and closes the connection for writing.
     boost::asio::awaitable<void> refuse(const error& failure);
+    /// Closes the connection for writing and discards input for a bounded time: closing with unread
+    /// input would reset the connection before the peer has the response.
+    boost::asio::awaitable<void> linger();
     /// Maps an error of the parser or the timeout to a typed error.
     error read_error(const boost::system::error_code& failure) const;
     void start_timeout(std::chrono::milliseconds timeout);
@@ -133,7 +146,10 @@
     void watch_peer();
     void flush_output();
     void on_written(const boost::system::error_code& failure);
-    void handle_disconnect();
+    /// Ends the exchange, which has no complete response, and closes the connection.
+    void handle_disconnect(cut_cause cause);
+    void report_unanswered(cut_cause cause) const;
+    void close();
     /// Closes the connection; with a reset if an orderly close would complete a response of which a
     /// part is missing.
     void close_socket();
@@ -143,6 +159,9 @@
     boost::asio::steady_timer wake_timer_;
     boost::asio::steady_timer timeout_timer_;
     bool is_timed_out_ = false;
+    /// Number of the timeout that is set. The handler of an earlier one may run after it was
+    /// cancelled, if it had expired before.
+    std::uint64_t timeout_number_ = 0;
     /// Null after detach().
     server_state* server_;
     boost::beast::flat_buffer buffer_;
@@ -157,6 +176,9 @@
     bool is_cut_by_stop_ = false;
     bool has_served_ = false;
     time_point received_at_{};
+    /// Name of the request in reports; empty if it has none.
+    std::string request_id_;
+    bool has_written_ = false;
     bool keep_alive_ = true;
     /// Whether the response has no body: to a HEAD request, or with status 204 or 304.
     bool omits_body_ = false;
