--- a/tests/child_process.cpp
+++ b/tests/child_process.cpp
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <fstream>
 #include <ostream>
 #include <system_error>
 
@@ -21,6 +22,7 @@
     std::vector<std::string> texts{program.string()};
     texts.insert(texts.end(), arguments.begin(), arguments.end());
     std::vector<char*> argv;
+    argv.reserve(texts.size() + 1);
     for (auto& text : texts) {
         argv.push_back(text.data());
     }
@@ -53,6 +55,17 @@
     }
 }
 
+bool child_process::handles_signal(int number) const {
+    std::ifstream status{"/proc/" + std::to_string(pid_) + "/status"};
+    std::string field;
+    while (status >> field && field != "SigCgt:") {
+    }
+    // Bit 0 stands for signal 1.
+    std::uint64_t handled = 0;
+    status >> std::hex >> handled;
+    return ((handled >> static_cast<unsigned>(number - 1)) & 1U) != 0;
+}
+
 std::optional<process_end> child_process::end() {
     int status = 0;
     if (!end_ && ::waitpid(pid_, &status, WNOHANG) == pid_) {
--- a/tests/child_process.h
+++ b/tests/child_process.h
@@ -36,6 +36,8 @@
 
     /// Has no effect once the process was found to have ended.
     void send_signal(int number);
+    /// Whether the process handles the signal by now; a program that has just started does not.
+    [[nodiscard]] bool handles_signal(int number) const;
     /// How the process ended; empty while it runs.
     [[nodiscard]] std::optional<process_end> end();
 
