Wait at the start for ports that other sockets still have

A process whose port was taken at its start, by an earlier process in its planned stop or an outgoing connection, ended with exit code 1: nobody was served until the port was free at a later start by chance.

The readiness listener comes first and says that the host is not ready, the one for callers last. A stop that is asked for meanwhile ends the process with exit code 0. Other failures, as an address that is not the machine's, still end it at once.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -1,9 +1,12 @@
 #include "gateway_p.h"
+#include "port_wait.h"
 
+#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 #include <nlohmann/json.hpp>
 #include <xxhash.h>
 
+#include <array>
 #include <ranges>
 
 namespace magnolia {
@@ -443,18 +446,35 @@
                   (summary.cause.empty() ? "" : " cause=\"" + summary.cause + "\""));
 }
 
-result<void> gateway::state::run() {
-    for (auto& [server, address] : {std::pair{&caller_server_, settings_.listen},
-                                    std::pair{&readiness_server_, settings_.readiness}}) {
-        if (auto opened = server->listen(address); !opened) {
+result<void> gateway::state::open_listeners() {
+    // Without a listener the context would run out of work and stop.
+    const auto work = boost::asio::make_work_guard(io_);
+    const auto wait = [this](milliseconds delay) {
+        bool has_expired = false;
+        boost::asio::steady_timer pause{io_, delay};
+        pause.async_wait([&](const auto& /*failure*/) { has_expired = true; });
+        while (!has_expired) {
+            io_.run_one();
+        }
+        return !owner_.is_stopping();
+    };
+    // Callers last, as nothing answers them before all others are open.
+    const std::array<std::function<result<void>()>, 4> listeners{
+        [this] { return readiness_server_.listen(settings_.readiness); },
+        [this] { return relay_receiver_.listen(settings_.peer_listen); },
+        [this] { return gossip_.open(settings_.peer_listen); },
+        [this] { return caller_server_.listen(settings_.listen); }};
+    for (const auto& open : listeners) {
+        if (auto opened = open_when_free(log_, open, wait); !opened) {
             return opened;
         }
     }
-    if (auto opened = relay_receiver_.listen(settings_.peer_listen); !opened) {
-        return opened;
-    }
-    if (auto opened = gossip_.open(settings_.peer_listen); !opened) {
-        return opened;
+    return {};
+}
+
+result<void> gateway::state::run() {
+    if (auto opened = open_listeners(); !opened) {
+        return owner_.is_stopping() ? result<void>{} : opened;
     }
     store_.on_restored([this] { on_store_restored(); });
     started_at_ = steady_now();
--- a/src/gateway_p.h
+++ b/src/gateway_p.h
@@ -50,6 +50,9 @@
     result<void> run();
 
 private:
+    /// Opens the listeners. While it waits for a port, the host says that it is not ready; a stop
+    /// that is asked for ends the wait. Errors: connection.
+    result<void> open_listeners();
     /// Activates the configuration if it is readable and newer than the active one. Another content
     /// of the same version is newer, as the store reports objects in the order of their writes.
     void apply_config(const stored_object& object);
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -1,6 +1,8 @@
 #include "http_server.h"
 
 #include "http_session_p.h"
+#include "log.h"
+#include "port_wait.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -156,8 +158,10 @@
         acceptor.listen(asio::socket_base::max_listen_connections, failure);
     }
     if (failure) {
-        return fail(error_code::connection,
-                    local.address + ":" + std::to_string(local.port) + ": " + failure.message());
+        system_error ignored;
+        acceptor.close(ignored);
+        return tl::unexpected{
+            listen_failure(local.address + ":" + std::to_string(local.port), failure)};
     }
     asio::co_spawn(state_->context, state_->accept(), asio::detached);
     return {};
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -98,7 +98,8 @@
     /// Closes each new connection from an address for which the function returns false. Without a
     /// filter all are served.
     void set_peer_filter(std::function<bool(const std::string& address)> is_admitted);
-    /// Opens the listener; with port 0 the operating system chooses the port. Errors: connection.
+    /// Opens the listener; with port 0 the operating system chooses the port. Errors: connection,
+    /// with a retry delay if another socket has the port.
     [[nodiscard]] result<void> listen(const endpoint& local);
     /// Port that the listener is bound to.
     [[nodiscard]] std::uint16_t port() const;
--- a/src/peer_gossip.cpp
+++ b/src/peer_gossip.cpp
@@ -2,6 +2,7 @@
 
 #include "log.h"
 #include "peer_codec.h"
+#include "port_wait.h"
 
 #include <boost/asio/ip/address.hpp>
 
@@ -52,8 +53,10 @@
         socket_.non_blocking(true, failure);
     }
     if (failure) {
-        return fail(error_code::connection, address.address + ":" + std::to_string(address.port) +
-                                                "/udp: " + failure.message());
+        boost::system::error_code ignored;
+        socket_.close(ignored);
+        return tl::unexpected{
+            listen_failure(address.address + ":" + std::to_string(address.port) + "/udp", failure)};
     }
     receive();
     return {};
--- a/src/process.cpp
+++ b/src/process.cpp
@@ -2,6 +2,7 @@
 
 #include "http_server.h"
 #include "io_thread.h"
+#include "port_wait.h"
 
 #include <magnolia/config.h>
 
@@ -141,12 +142,23 @@
     event_log events{settings.name, settings.zone, boot, config::max_queued_events};
 
 private:
-    /// Opens the listener on the I/O thread and waits for the result.
+    /// Opens the listener once its port is free. Has no effect if a stop began meanwhile.
     result<void> open_health_server() {
         std::promise<result<void>> opened;
         boost::asio::post(io_thread_.context(), [this, &opened] {
             http_server_limits limits;
             limits.max_body_bytes = 0;
+        const auto opened = open_when_free(
+            logger_, [this] { return try_open_health_server(); },
+            [this](std::chrono::milliseconds delay) {
+                std::unique_lock lock{mutex_};
+                return !stop_began_.wait_for(lock, delay, [this] { return is_stopping(); });
+            });
+        return is_stopping() ? result<void>{} : opened;
+    }
+
+    /// Opens the listener on the I/O thread and waits for the result.
+    result<void> try_open_health_server() {
             limits.max_connections = max_health_connections;
             health_server_.emplace(
                 io_thread_.context(), limits,
--- a/src/relay_receiver.h
+++ b/src/relay_receiver.h
@@ -17,7 +17,7 @@
     relay_receiver(shared_call_state& shared, object_relay& reads,
                    std::function<bool(const std::string& address)> is_peer);
 
-    /// Errors: connection.
+    /// Errors: as http_server::listen().
     [[nodiscard]] result<void> listen(const endpoint& local) { return server_.listen(local); }
     /// @param max_relayed  maximum number of requests in progress.
     void set_limits(const http_server_limits& limits, std::size_t max_relayed);
--- a/tests/child_process.h
+++ b/tests/child_process.h
@@ -34,6 +34,7 @@
     child_process(const child_process&) = delete;
     child_process& operator=(const child_process&) = delete;
 
+    [[nodiscard]] pid_t pid() const { return pid_; }
     /// Has no effect once the process was found to have ended.
     void send_signal(int number);
     /// How the process ended; empty while it runs.
