Keep the settings if their file cannot be read

The check of the settings file read it by iterators of the stream's buffer, which throw if a read fails: the exception left the I/O loop and ended the process by signal 6. The file is read by a function that reports the failure.

The test replaces the file by a directory under a running process; on it ended within a second ("basic_filebuf::underflow error reading the file: Is a directory"), now it goes on and stops with exit code 0.

--- a/src/gateway_lifecycle.cpp
+++ b/src/gateway_lifecycle.cpp
@@ -1,9 +1,6 @@
 /// Second part of the gateway: reload of the settings and planned stop.
 #include "gateway_p.h"
 
-#include <fstream>
-#include <iterator>
-
 namespace magnolia {
 namespace {
 
@@ -32,15 +29,14 @@
         return;
     }
     next_settings_check_ = now + settings_check_interval;
-    std::ifstream file{owner_.settings_file()};
-    std::string text{std::istreambuf_iterator<char>{file}, {}};
-    if (!file || text.empty()) {
+    auto text = read_text_file(owner_.settings_file());
+    if (!text || text->empty()) {
         return log_.warn("settings file cannot be read or is empty; keeps the current settings");
     }
-    if (text == settings_text_) {
+    if (*text == settings_text_) {
         return;
     }
-    if (const auto previous = std::exchange(settings_text_, std::move(text)); !previous.empty()) {
+    if (const auto previous = std::exchange(settings_text_, std::move(*text)); !previous.empty()) {
         reload_settings();
     }
 }
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -4,6 +4,7 @@
 
 #include <fstream>
 #include <sstream>
+#include <array>
 
 namespace magnolia {
 namespace {
@@ -79,14 +80,26 @@
     }
 }
 
-result<nlohmann::json> read_yaml(const std::filesystem::path& file) {
+std::optional<std::string> read_text_file(const std::filesystem::path& file) {
     std::ifstream stream{file};
     if (!stream) {
-        return fail(error_code::bad_settings, file.string() + ": cannot be opened");
+        return std::nullopt;
     }
-    std::ostringstream text;
-    text << stream.rdbuf();
-    auto document = parse_yaml(text.str());
+    std::string text;
+    std::array<char, 4096> block{};
+    // Iterators of the stream's buffer would throw if a read fails.
+    while (stream.read(block.data(), block.size()) || stream.gcount() > 0) {
+        text.append(block.data(), static_cast<std::size_t>(stream.gcount()));
+    }
+    return stream.bad() ? std::nullopt : std::optional{std::move(text)};
+}
+
+result<nlohmann::json> read_yaml(const std::filesystem::path& file) {
+    const auto text = read_text_file(file);
+    if (!text) {
+        return fail(error_code::bad_settings, file.string() + ": cannot be read");
+    }
+    auto document = parse_yaml(*text);
     if (!document) {
         return fail(error_code::bad_settings, file.string() + ": " + document.error().subject);
     }
--- a/src/settings.h
+++ b/src/settings.h
@@ -11,6 +11,9 @@
 
 namespace magnolia {
 
+/// Content of a file; empty if it cannot be read.
+[[nodiscard]] std::optional<std::string> read_text_file(const std::filesystem::path& file);
+
 /// Reads a YAML file and converts it to JSON. Errors: bad_settings with the file, line and column.
 [[nodiscard]] result<nlohmann::json> read_yaml(const std::filesystem::path& file);
 
--- a/tests/process_ends_test.cpp
+++ b/tests/process_ends_test.cpp
@@ -168,5 +168,21 @@
     expect_clean_stop();
 }
 
+// Incident FAULT: a failed read of the settings file, as of a directory or a broken disk, threw an
+// exception out of the I/O loop.
+TEST_F(lone_process, goes_on_with_its_settings_if_the_file_cannot_be_read) {
+    start_process();
+    wait_until_ready();
+    std::filesystem::remove(settings_->file());
+    std::filesystem::create_directory(settings_->file());
+    wait_for_output("settings file cannot be read");
+    child_->send_signal(SIGHUP);
+    wait_for_output("settings not reloaded");
+    std::filesystem::remove(settings_->file());
+    settings_->write(settings_->text(gateways_store_));
+    expect_served();
+    expect_clean_stop();
+}
+
 } // namespace
 } // namespace magnolia
