Refuse settings that contain themselves

The conversion bounds the depth and the number of nodes, which also bounds aliases that multiply, and reports invalid settings.

Both tests ended by signal 11 on and pass now.

--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -1,10 +1,12 @@
 #include "settings.h"
 
+#include "json_text.h"
+
 #include <yaml-cpp/yaml.h>
 
+#include <array>
 #include <fstream>
 #include <sstream>
-#include <array>
 
 namespace magnolia {
 namespace {
@@ -26,28 +28,41 @@
     return node.Scalar();
 }
 
-nlohmann::json yaml_to_json(const YAML::Node& node) {
-    switch (node.Type()) {
-    case YAML::NodeType::Map: {
-        auto object = nlohmann::json::object();
-        for (const auto& item : node) {
-            object[item.first.Scalar()] = yaml_to_json(item.second);
+/// Converts a document of bounded size: aliases can make it endless, or larger than its text.
+class yaml_converter {
+public:
+    /// Throws YAML::Exception if the document is too large.
+    nlohmann::json convert(const YAML::Node& node, std::size_t depth = 0) {
+        if (depth > max_json_depth || ++nodes_ > max_nodes) {
+            throw YAML::Exception{node.Mark(), "document too large or nested too deeply"};
         }
-        return object;
-    }
-    case YAML::NodeType::Sequence: {
-        auto list = nlohmann::json::array();
-        for (const auto& item : node) {
-            list.push_back(yaml_to_json(item));
+        switch (node.Type()) {
+        case YAML::NodeType::Map: {
+            auto object = nlohmann::json::object();
+            for (const auto& item : node) {
+                object[item.first.Scalar()] = convert(item.second, depth + 1);
+            }
+            return object;
+        }
+        case YAML::NodeType::Sequence: {
+            auto list = nlohmann::json::array();
+            for (const auto& item : node) {
+                list.push_back(convert(item, depth + 1));
+            }
+            return list;
+        }
+        case YAML::NodeType::Scalar:
+            return scalar_to_json(node);
+        default:
+            return nullptr;
         }
-        return list;
-    }
-    case YAML::NodeType::Scalar:
-        return scalar_to_json(node);
-    default:
-        return nullptr;
     }
-}
+
+private:
+    static constexpr std::size_t max_nodes = 100000;
+
+    std::size_t nodes_ = 0;
+};
 
 void emit_value(YAML::Emitter& out, const nlohmann::json& value) {
     if (value.is_object()) {
@@ -74,7 +89,7 @@
 
 result<nlohmann::json> parse_yaml(const std::string& text) {
     try {
-        return yaml_to_json(YAML::Load(text));
+        return yaml_converter{}.convert(YAML::Load(text));
     } catch (const YAML::Exception& failure) {
         return fail(error_code::bad_settings, failure.what());
     }
--- a/tests/process_ends_test.cpp
+++ b/tests/process_ends_test.cpp
@@ -184,5 +184,15 @@
     expect_clean_stop();
 }
 
+// Incident FAULT: a node that contains itself was followed until the stack overflowed.
+TEST_F(lone_process, refuses_settings_that_contain_themselves) {
+    start_process();
+    wait_until_ready();
+    settings_->write("process: &loop\n  name: [*loop]\n");
+    child_->send_signal(SIGHUP);
+    wait_for_output("settings not reloaded");
+    expect_served();
+}
+
 } // namespace
 } // namespace magnolia
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -45,5 +45,13 @@
     EXPECT_EQ(reread, settings);
 }
 
+// Incident FAULT: such settings, read at a SIGHUP, ended the process by a stack overflow.
+TEST(settings, endless_and_deeply_nested_documents_are_refused) {
+    EXPECT_FALSE(parse_yaml("a: &loop\n  b: [*loop]\n"));
+    EXPECT_FALSE(parse_yaml("a: &loop [*loop, *loop]\n"));
+    constexpr std::size_t levels = 100000;
+    EXPECT_FALSE(parse_yaml(std::string(levels, '[')));
+}
+
 } // namespace
 } // namespace magnolia
