Refuse headers that the parser cannot hold

Beast stores the length of a field in 16 bits and throws at a longer one, in its own handler: the exception leaves the I/O loop and ends the process. A configuration that allows headers of over 64 KB let each caller do that. The default is 32 KB, so that only such deployments were concerned. The limit of a header is 64 KB at most now; larger ones are answered with 431.

--- a/src/http_server.h
+++ b/src/http_server.h
@@ -21,7 +21,8 @@
 
 /// Timeouts and limits of a server.
 struct http_server_limits {
-    /// Maximum size of a request header, in bytes; a larger one is refused with header_too_large.
+    /// Maximum size of a request header, in bytes; a larger one, or one of 64 KB, is refused with
+    /// header_too_large.
     std::uint32_t max_header_bytes = 32U << 10U;
     /// Maximum size of a request body, in bytes; a larger one is refused with too_large.
     std::size_t max_body_bytes = config::max_body_bytes;
--- a/src/http_session.cpp
+++ b/src/http_session.cpp
@@ -24,6 +24,8 @@
 /// Read size while waiting for a request header, in bytes.
 constexpr std::size_t read_bytes = 4096;
 /// Maximum time that the connection of a refused request or an aborted response is kept open for
+/// Beast stores the length of a field in 16 bits and throws out of the I/O loop at a longer one.
+constexpr std::uint32_t max_parsed_header_bytes = UINT16_MAX - 2;
 /// the peer to read what was sent.
 constexpr auto lingering_close_timeout = std::chrono::milliseconds{1000};
 constexpr auto overload_retry_after = std::chrono::milliseconds{500};
@@ -165,7 +167,7 @@
 
 asio::awaitable<bool> http_session::read_request(http_request& request) {
     body_parser parser;
-    parser.header_limit(server_->limits.max_header_bytes);
+    parser.header_limit(std::min(server_->limits.max_header_bytes, max_parsed_header_bytes));
     parser.body_limit(server_->limits.max_body_bytes);
     stream_.expires_never();
     auto failure = co_await read_header(parser);
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -7,6 +7,7 @@
 #include <gtest/gtest.h>
 
 #include <optional>
+#include <stdexcept>
 
 namespace magnolia {
 namespace {
@@ -385,5 +386,26 @@
     EXPECT_EQ(find_header(response->headers, "Connection"), "close");
 }
 
+// Incident FAULT: a header field of over 64 KB, which the configuration may allow, ended the
+// process some time later.
+TEST_F(http_client_server, a_field_larger_than_the_parser_can_hold_is_refused) {
+    http_server_limits limits;
+    limits.max_header_bytes = 1U << 20U;
+    limits.header_timeout = std::chrono::milliseconds{200};
+    serve(echo, limits);
+    asio::ip::tcp::socket raw{context_};
+    raw.connect({asio::ip::make_address("127.0.0.1"), peer_.port});
+    constexpr std::size_t value_bytes = 70000;
+    std::optional<std::string> received;
+    std::string answer;
+    const auto text =
+        "GET / HTTP/1.1\r\nHost: a\r\nX-Large: " + std::string(value_bytes, 'x') + "\r\n\r\n";
+    asio::async_write(raw, asio::buffer(text), [](const auto&, auto) {});
+    asio::async_read(raw, asio::dynamic_buffer(answer),
+                     [&](const auto&, auto) { received = answer; });
+    run_until([&] { return received.has_value(); });
+    EXPECT_TRUE(received->starts_with("HTTP/1.1 431 ")) << *received;
+}
+
 } // namespace
 } // namespace magnolia
