Contain an exception of a request's handler in its connection

An exception in a handler ended the connection's coroutine, which drops it without a line: the caller had no answer, and the connection stayed in the server's list and its counts, where its destruction is a failed assertion. An exception in the accept loop ended that.

The request is answered with 500, not 503, as it may have run; a relayed one is in doubt; an answer that began is aborted. Exceptions of timers still end the process: they may have cut a chain that the host lives by.

Exceptions of the accept loop were not tried.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -22,6 +22,11 @@
 /// Delay before the next accept after a failed one.
 constexpr auto accept_retry_delay = std::chrono::milliseconds{50};
 
+const logger& log_of() {
+    static const logger log{"http"};
+    return log;
+}
+
 } // namespace
 
 http_responder::http_responder(boost::intrusive_ptr<http_session> session, std::uint64_t exchange)
@@ -102,7 +107,11 @@
             co_await retry_timer.async_wait(asio::redirect_error(asio::use_awaitable, failure));
             continue;
         }
-        open_session(std::move(socket));
+        try {
+            open_session(std::move(socket));
+        } catch (const std::exception& problem) {
+            log_of().error(std::string{"connection not served: "} + problem.what());
+        }
     }
 }
 
@@ -117,9 +126,9 @@
     }
     socket.set_option(tcp::no_delay{true}, ignored);
     const boost::intrusive_ptr<http_session> session{new http_session{std::move(socket), *this}};
+    asio::co_spawn(context, session->run(), asio::detached);
     sessions.push_back(*session);
     ++session_count;
-    asio::co_spawn(context, session->run(), asio::detached);
 }
 
 void http_server::state::shut_down() {
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -77,11 +77,13 @@
     std::uint64_t exchange_;
 };
 
-/// Called with each complete request, on the context's thread.
+/// Called with each complete request, on the context's thread. If it throws, the request is
+/// answered with `internal`; what has been written of an answer is aborted.
 using http_handler = std::function<void(http_request request, http_responder responder)>;
 
 /// Makes the response to a request that the server refuses by itself. Errors: bad_request,
-/// header_too_large, too_large, slow_body, overloaded, stopping.
+/// header_too_large, too_large, slow_body, overloaded, stopping; internal if the request may have
+/// been handled.
 using http_error_formatter = std::function<http_response(const error& failure)>;
 
 /// Makes a response with the HTTP status of the error and a JSON body with its type, subject and,
--- a/src/http_session.cpp
+++ b/src/http_session.cpp
@@ -1,5 +1,6 @@
 #include "http_p.h"
 #include "http_session_p.h"
+#include "log.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -23,13 +24,18 @@
 constexpr unsigned status_not_modified = 304;
 /// Read size while waiting for a request header, in bytes.
 constexpr std::size_t read_bytes = 4096;
-/// Maximum time that the connection of a refused request or an aborted response is kept open for
 /// Beast stores the length of a field in 16 bits and throws out of the I/O loop at a longer one.
 constexpr std::uint32_t max_parsed_header_bytes = UINT16_MAX - 2;
+/// Maximum time that the connection of a refused request or an aborted response is kept open for
 /// the peer to read what was sent.
 constexpr auto lingering_close_timeout = std::chrono::milliseconds{1000};
 constexpr auto overload_retry_after = std::chrono::milliseconds{500};
 
+const logger& log_of() {
+    static const logger log{"http"};
+    return log;
+}
+
 /// Whether the message uses a transfer coding other than chunked. Such a message is refused,
 /// because a backend server might determine another end of its body (request smuggling).
 bool has_unsupported_transfer_coding(const http::fields& fields) {
@@ -67,6 +73,20 @@
 
 asio::awaitable<void> http_session::run() {
     const boost::intrusive_ptr<http_session> self{this};
+    try {
+        co_await serve_requests();
+    } catch (const std::exception& failure) {
+        log_of().error(std::string{"connection closed after an exception: "} + failure.what());
+    }
+    close();
+    if (server_ != nullptr) {
+        server_->sessions.erase(server_->sessions.iterator_to(*this));
+        --server_->session_count;
+        server_ = nullptr;
+    }
+}
+
+asio::awaitable<void> http_session::serve_requests() {
     while (server_ != nullptr && keep_alive_ && stream_.socket().is_open()) {
         http_request request;
         is_idle_ = true;
@@ -78,14 +98,33 @@
         has_served_ = true;
         open_exchange();
         watch_peer();
-        server_->handler(std::move(request), http_responder{self, exchange_});
+        handle(std::move(request));
         co_await wait_for_response_end();
     }
-    close();
-    if (server_ != nullptr) {
-        server_->sessions.erase(server_->sessions.iterator_to(*this));
-        --server_->session_count;
-        server_ = nullptr;
+}
+
+void http_session::handle(http_request request) {
+    const http_responder responder{this, exchange_};
+    try {
+        server_->handler(std::move(request), responder);
+    } catch (const std::exception& failure) {
+        log_of().error(std::string{"request failed by an exception: "} + failure.what());
+        fail_exchange(responder);
+    }
+}
+
+void http_session::fail_exchange(const http_responder& responder) {
+    if (responder.is_closed()) {
+        return;
+    }
+    const auto on_disconnect = std::exchange(on_disconnect_, nullptr);
+    if (is_response_started_ || server_ == nullptr) {
+        responder.abort();
+    } else {
+        responder.send(server_->error_formatter({error_code::internal, "request handler"}));
+    }
+    if (on_disconnect) {
+        on_disconnect();
     }
 }
 
@@ -258,6 +297,7 @@
     is_open_exchange_ = true;
     is_finished_ = false;
     is_aborted_ = false;
+    is_response_started_ = false;
     wake_timer_.expires_at(asio::steady_timer::time_point::max());
     ++server_->active;
 }
@@ -349,6 +389,7 @@
 }
 
 void http_session::start(unsigned status, http_headers headers, std::optional<std::size_t> length) {
+    is_response_started_ = true;
     const bool has_no_body = status == status_no_content || status == status_not_modified;
     if (has_no_body) {
         omits_body_ = true;
--- a/src/http_session_p.h
+++ b/src/http_session_p.h
@@ -64,7 +64,7 @@
         : stream_{std::move(socket)}, wake_timer_{stream_.get_executor()},
           timeout_timer_{stream_.get_executor()}, server_{&server} {}
 
-    /// Serves requests until the connection closes.
+    /// Serves requests until the connection closes. An exception ends this connection only.
     boost::asio::awaitable<void> run();
     /// Closes the connection; calls on_disconnect if a response is in progress.
     void close();
@@ -108,6 +108,11 @@
 private:
     using body_parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+    boost::asio::awaitable<void> serve_requests();
+    /// Passes a request to the server's handler; answers it with `internal` if that throws.
+    void handle(http_request request);
+    /// Ends the response in progress, after an exception in the middle of it.
+    void fail_exchange(const http_responder& responder);
     /// Reads one request. Returns false if the connection has to close; a request that violates a
     /// limit or the protocol has been refused then.
     boost::asio::awaitable<bool> read_request(http_request& request);
@@ -150,6 +155,7 @@
     std::uint64_t exchange_ = 0;
     bool is_open_exchange_ = false;
     bool is_finished_ = false;
+    bool is_response_started_ = false;
     bool is_idle_ = true;
     /// A part of a request was received, and neither its end nor an error.
     bool is_receiving_ = false;
--- a/src/relay_receiver.h
+++ b/src/relay_receiver.h
@@ -31,7 +31,7 @@
 
 private:
     void on_request(http_request request, const http_responder& responder);
-    /// Refusal of a request that was not run.
+    /// Refusal of a request that was not run, or, after an exception, perhaps was.
     [[nodiscard]] http_response refusal(const error& failure) const;
 
     shared_call_state& shared_;
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -386,6 +386,35 @@
     EXPECT_EQ(find_header(response->headers, "Connection"), "close");
 }
 
+// Incident FAULT: an exception of a request's handler left the connection in the server's list, and
+// the end of the process followed; its caller got no answer.
+TEST_F(http_client_server, an_exception_of_a_handler_fails_its_request_only) {
+    serve([](const http_request& request, const http_responder& responder) {
+        if (request.target == "/throws") {
+            throw std::length_error{"handler"};
+        }
+        echo(request, responder);
+    });
+    const auto failed = call({"GET", "/throws", {}, {}, {}});
+    ASSERT_TRUE(failed);
+    EXPECT_EQ(failed->status, 500U);
+    EXPECT_EQ(server_->active_requests(), 0U);
+    const auto served = call({"GET", "/", {}, {}, {}});
+    ASSERT_TRUE(served);
+    EXPECT_EQ(served->status, 200U);
+}
+
+// As above, after a part of the answer: it must not look complete.
+TEST_F(http_client_server, an_exception_in_the_middle_of_an_answer_aborts_it) {
+    serve([](const http_request& /*request*/, const http_responder& responder) {
+        responder.start(200, {});
+        responder.write("part");
+        throw std::length_error{"handler"};
+    });
+    EXPECT_FALSE(call({"GET", "/", {}, {}, {}}));
+    EXPECT_EQ(server_->active_requests(), 0U);
+}
+
 // Incident FAULT: a header field of over 64 KB, which the configuration may allow, ended the
 // process some time later.
 TEST_F(http_client_server, a_field_larger_than_the_parser_can_hold_is_refused) {
