Fail a call whose coroutine throws

Exceptions of a call's handlers, or while its request is written, were dropped by the detached coroutine: the call never ended, its connection stayed open and the request behind it waited for its own time limit. They fail the call now and are logged. An exception of the handler of the end itself is only logged.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -1,6 +1,7 @@
 #include "http_client.h"
 
 #include "http_p.h"
+#include "log.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -30,6 +31,11 @@
 
 constexpr unsigned http_11 = 11;
 
+const logger& log_of() {
+    static const logger log{"http"};
+    return log;
+}
+
 /// A pooled connection that was idle for longer is not reused. Shorter than the servers' idle
 /// timeout, so that a server rarely closes a connection just as it is reused.
 constexpr auto max_idle_time = std::chrono::seconds{20};
@@ -137,8 +143,13 @@
 
     /// Takes a connection from the pool or opens one.
     asio::awaitable<system_error> connect();
-    /// Writes the request; runs concurrently with read_response().
+    /// Writes the request; runs concurrently with read_response(). An exception fails the call.
     asio::awaitable<void> write_request();
+    asio::awaitable<void> write_message();
+    /// Connects, and exchanges the messages of the call.
+    asio::awaitable<system_error> perform();
+    /// Reports the end of the call to its handlers.
+    void report_end(const system_error& failure);
     /// Reads responses until one belongs to this call, at most max_skipped_responses + 1.
     asio::awaitable<system_error> read_response();
     /// Reads one response message and delivers its parts unless it is skipped.
@@ -229,6 +240,21 @@
 
 asio::awaitable<void> http_exchange::write_request() {
     const boost::intrusive_ptr<http_exchange> self{this};
+    try {
+        co_await write_message();
+    } catch (const std::exception& failure) {
+        log_of().error(std::string{"request not written because of an exception: "} +
+                       failure.what());
+        write_failure_ = asio::error::invalid_argument;
+        if (connection_) {
+            connection_->stream.close();
+        }
+    }
+    is_writing_ = false;
+    wake_timer_.cancel();
+}
+
+asio::awaitable<void> http_exchange::write_message() {
     http::request<http::string_body> message;
     message.version(http_11);
     message.method_string(request_.method);
@@ -249,8 +275,6 @@
             asio::redirect_error(asio::use_awaitable, write_failure_));
         is_request_written_ = is_request_written_ || count > 0;
     }
-    is_writing_ = false;
-    wake_timer_.cancel();
 }
 
 asio::awaitable<void> http_exchange::wait_while_paused() {
@@ -363,11 +387,20 @@
     if (client_->is_closed) {
         co_return;
     }
+    report_end(failure);
+}
+
+void http_exchange::report_end(const system_error& failure) {
     const auto error_report = make_failure(failure);
-    handlers_.on_end(failure ? &error_report : nullptr);
+    try {
+        handlers_.on_end(failure || is_cancelled_ ? &error_report : nullptr);
+    } catch (const std::exception& problem) {
+        log_of().error(std::string{"end of a call not handled because of an exception: "} +
+                       problem.what());
+    }
 }
 
-asio::awaitable<void> http_exchange::run(http_call_id id) {
+asio::awaitable<system_error> http_exchange::perform() {
     const boost::intrusive_ptr<http_exchange> self{this};
     auto failure =
         is_cancelled_ ? system_error{asio::error::operation_aborted} : co_await connect();
@@ -394,22 +427,31 @@
             // Connections may go silent together, when a network path or the peer is lost.
             client_->pool.discard(peer_);
         }
-        while (is_writing_) {
-            system_error ignored;
-            wake_timer_.expires_at(steady_clock::time_point::max());
-            co_await wake_timer_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    co_return failure;
+}
+
+asio::awaitable<void> http_exchange::run(http_call_id id) {
+    const boost::intrusive_ptr<http_exchange> self{this};
+    system_error failure;
+    try {
+        failure = co_await perform();
+    } catch (const std::exception& problem) {
+        log_of().error(std::string{"call failed by an exception: "} + problem.what());
+        failure = asio::error::invalid_argument;
+        if (connection_) {
+            connection_->stream.close();
         }
     }
+    while (is_writing_) {
+        system_error ignored;
+        wake_timer_.expires_at(steady_clock::time_point::max());
+        co_await wake_timer_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
     client_->calls.erase(id.value);
     connection_.reset();
-    if (client_->is_closed) {
-        co_return;
-    }
-    if (failure || is_cancelled_) {
-        const auto error_report = make_failure(failure);
-        handlers_.on_end(&error_report);
-    } else {
-        handlers_.on_end(nullptr);
+    if (!client_->is_closed) {
+        report_end(failure);
     }
 }
 
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -436,5 +436,30 @@
     EXPECT_TRUE(received->starts_with("HTTP/1.1 431 ")) << *received;
 }
 
+// As above, for a request to another process: the call ended never.
+TEST_F(http_client_server, a_call_that_cannot_be_written_fails) {
+    serve(echo);
+    constexpr std::size_t value_bytes = 70000;
+    EXPECT_FALSE(call({"GET", "/", {{"X-Large", std::string(value_bytes, 'x')}}, {}, {}},
+                      {.inactivity_timeout = std::chrono::milliseconds{500}}));
+}
+
+// Incident LOST: an exception while an answer was read was dropped, and its call ended never.
+TEST_F(http_client_server, an_exception_of_a_response_handler_fails_its_call) {
+    serve(echo);
+    bool is_failed = false;
+    http_stream_handlers handlers;
+    handlers.on_header = [](const auto& /*head*/) { throw std::length_error{"handler"}; };
+    handlers.on_body = [](auto) {};
+    handlers.on_end = [&](const http_failure* failure) { is_failed = failure != nullptr; };
+    client_.stream(peer_, {"GET", "/", {}, {}, {}}, {}, std::move(handlers));
+    constexpr std::size_t max_steps = 100;
+    for (std::size_t step = 0; step < max_steps && client_.active_calls() > 0; ++step) {
+        context_.run_one_for(std::chrono::milliseconds{100});
+    }
+    EXPECT_EQ(client_.active_calls(), 0U);
+    EXPECT_TRUE(is_failed);
+}
+
 } // namespace
 } // namespace magnolia
