Replace bytes that are not UTF-8 where JSON is written

The JSON library throws at such text. Segments that peers tell and names of hosts are written to the store and to other hosts without a check. They are replaced now, as elsewhere.

The test of a relayed request threw type_error 316 with the line before the change and passes now. The registration and the stored quarantine have the same cause by reading; a play with a peer's datagram did not reach them.

--- a/src/gateway_exchange.cpp
+++ b/src/gateway_exchange.cpp
@@ -88,10 +88,9 @@
     is_registering_ = true;
     next_registration_ = now + registration_retry_interval;
     const object_id id{gateway_kind, settings_.process.name};
-    const auto value = nlohmann::json(registered_host{.address = settings_.peer_listen,
-                                                      .zone = settings_.process.zone,
-                                                      .capacity = capacity_of(settings_)})
-                           .dump();
+    const auto value = write_json(registered_host{.address = settings_.peer_listen,
+                                                  .zone = settings_.process.zone,
+                                                  .capacity = capacity_of(settings_)});
     const auto on_written = [this](const result<platform_reply>& written) {
         is_registering_ = false;
         is_registered_ = written.has_value();
--- a/src/host_relay.cpp
+++ b/src/host_relay.cpp
@@ -23,7 +23,7 @@
 http_request make_relay_request(const http_request& request, const relay_context& context) {
     http_request relayed{request.method, request.target, request.headers, request.body, {}};
     drop_field(relayed.headers, context_field);
-    relayed.headers.push_back({std::string{context_field}, nlohmann::json(context).dump()});
+    relayed.headers.push_back({std::string{context_field}, write_json(context)});
     return relayed;
 }
 
--- a/src/json_text.cpp
+++ b/src/json_text.cpp
@@ -119,6 +119,10 @@
 
 } // namespace
 
+std::string write_json(const json& document) {
+    return document.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
 json parse_json(std::string_view text) {
     json_scanner scanner{text};
     static_cast<void>(scanner.take_value());
--- a/src/quarantine_exchange.cpp
+++ b/src/quarantine_exchange.cpp
@@ -306,7 +306,7 @@
     const auto known = stored_.find(name);
     const auto version = known == stored_.end() ? 0 : known->second.version;
     store_.execute(
-        object_put{{quarantine_kind, name}, version, nlohmann::json(value).dump()},
+        object_put{{quarantine_kind, name}, version, write_json(value)},
         call_priority::configuration, [this, name, value](const result<platform_reply>& reply) {
             pending_writes_.erase(name);
             if (reply) {
--- a/tests/host_relay_test.cpp
+++ b/tests/host_relay_test.cpp
@@ -31,6 +31,12 @@
     EXPECT_TRUE(relayed.headers.empty());
 }
 
+// Incident FAULT: a name that is not UTF-8 threw an exception.
+TEST(host_relay, a_name_in_any_encoding_is_carried) {
+    auto relayed = make_relay_request({"GET", "/", {}, {}, {}}, {.sender = "g\xff"});
+    EXPECT_EQ(take_relay_context(relayed.headers)->sender, "g\uFFFD");
+}
+
 TEST(host_relay, unreadable_contexts_are_none) {
     for (const auto* text : {"", "x", "[", "{}", "[1]", R"(["g1"])", R"(["g1",-5])"}) {
         http_headers headers{{"Magnolia-Relay", text}};
