--- a/src/process.cpp
+++ b/src/process.cpp
@@ -8,7 +8,11 @@
 
 #include <boost/asio/ip/address.hpp>
 #include <cxxopts.hpp>
+#include <fcntl.h>
+#include <unistd.h>
 
+#include <algorithm>
+#include <array>
 #include <condition_variable>
 #include <future>
 #include <iostream>
@@ -144,10 +148,6 @@
 private:
     /// Opens the listener once its port is free. Has no effect if a stop began meanwhile.
     result<void> open_health_server() {
-        std::promise<result<void>> opened;
-        boost::asio::post(io_thread_.context(), [this, &opened] {
-            http_server_limits limits;
-            limits.max_body_bytes = 0;
         const auto opened = open_when_free(
             logger_, [this] { return try_open_health_server(); },
             [this](std::chrono::milliseconds delay) {
@@ -159,6 +159,10 @@
 
     /// Opens the listener on the I/O thread and waits for the result.
     result<void> try_open_health_server() {
+        std::promise<result<void>> opened;
+        boost::asio::post(io_thread_.context(), [this, &opened] {
+            http_server_limits limits;
+            limits.max_body_bytes = 0;
             limits.max_connections = max_health_connections;
             health_server_.emplace(
                 io_thread_.context(), limits,
@@ -305,6 +309,14 @@
     state_->wait_for_stop();
 }
 
+void open_standard_descriptors() {
+    constexpr std::array descriptors{STDIN_FILENO, STDOUT_FILENO, STDERR_FILENO};
+    // The lowest free number is used, so that each closed one is filled.
+    const auto is_closed = [](int number) { return ::fcntl(number, F_GETFD) < 0; };
+    while (std::ranges::any_of(descriptors, is_closed) && ::open("/dev/null", O_RDWR) >= 0) {
+    }
+}
+
 command_line parse_command_line(int argc, const char* const* argv, const program_info& info) {
     auto options = common_options(info);
     try {
--- a/src/process.h
+++ b/src/process.h
@@ -83,6 +83,10 @@
     std::filesystem::path settings_file_;
 };
 
+/// Opens /dev/null in place of standard descriptors that are closed: otherwise a socket would get
+/// the number, and the output of the log with it.
+void open_standard_descriptors();
+
 /// Result of parsing the command line.
 struct command_line {
     enum class action : std::uint8_t { run, check_settings, print_settings, exit };
@@ -116,6 +120,7 @@
 [[nodiscard]] int run_program(int argc, const char* const* argv, const program_info& info,
                               const std::function<result<void>(process&, const Settings&)>& body) {
     record_signals();
+    open_standard_descriptors();
     const auto command = parse_command_line(argc, argv, info);
     if (command.requested == command_line::action::exit) {
         return static_cast<int>(command.code);
--- a/tests/process_ends_test.cpp
+++ b/tests/process_ends_test.cpp
@@ -194,5 +194,20 @@
     expect_served();
 }
 
+// Lines of the log went to whichever descriptor had the number of a closed standard output.
+TEST_F(lone_process, runs_without_standard_output) {
+    auto text = settings_->text(gateways_store_);
+    text.insert(text.find('{') + 1, "log_to_output: true, ");
+    settings_->write(text);
+    start_by_shell("exec \"$0\" --settings \"$1\" 0<&- 1>&- 2>&-");
+    wait_until_ready();
+    const auto descriptors = std::filesystem::path{"/proc"} / std::to_string(child_->pid()) / "fd";
+    for (const auto* number : {"0", "1", "2"}) {
+        EXPECT_EQ(std::filesystem::read_symlink(descriptors / number), "/dev/null");
+    }
+    expect_served();
+    expect_clean_stop();
+}
+
 } // namespace
 } // namespace magnolia
