--- a/tests/process_ends_test.cpp
+++ b/tests/process_ends_test.cpp
@@ -209,5 +209,27 @@
     expect_clean_stop();
 }
 
+// Few descriptors and a file of limited size for the log.
+TEST_F(lone_process, runs_at_the_limits_of_descriptors_and_of_its_log_file) {
+    auto text = settings_->text(gateways_store_);
+    text.insert(text.find('{') + 1, "log_to_output: true, ");
+    settings_->write(text);
+    start_by_shell("ulimit -n 40; ulimit -f 1; exec \"$0\" --settings \"$1\"");
+    wait_until_ready();
+    std::vector<tcp::socket> connections;
+    constexpr int more_than_descriptors = 80;
+    for (int count = 0; count < more_than_descriptors; ++count) {
+        connections.emplace_back(context_);
+        connections.back().connect(
+            {boost::asio::ip::make_address("127.0.0.1"), settings_->get().listen.port});
+    }
+    connections.clear();
+    poll([this] {
+        const auto answer = get(settings_->get().listen.port, "/safe/");
+        return child_->end() || (answer && answer->status == 200);
+    });
+    expect_clean_stop();
+}
+
 } // namespace
 } // namespace magnolia
