--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -1,6 +1,8 @@
 #include "http_server.h"
 
 #include "http_session_p.h"
+#include "log.h"
+#include "port_wait.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -20,6 +22,11 @@
 /// Delay before the next accept after a failed one.
 constexpr auto accept_retry_delay = std::chrono::milliseconds{50};
 
+const logger& log_of() {
+    static const logger log{"http"};
+    return log;
+}
+
 } // namespace
 
 http_responder::http_responder(boost::intrusive_ptr<http_session> session, std::uint64_t exchange)
@@ -115,7 +122,11 @@
         tcp::socket socket{context};
         co_await acceptor.async_accept(socket, asio::redirect_error(asio::use_awaitable, failure));
         if (!failure) {
-            open_session(std::move(socket));
+            try {
+                open_session(std::move(socket));
+            } catch (const std::exception& problem) {
+                log_of().error(std::string{"connection not served: "} + problem.what());
+            }
         } else if (acceptor.is_open()) {
             // Most likely the process is out of file descriptors. Retry after a delay, in which
             // connections may close and free some.
@@ -136,10 +147,10 @@
     }
     socket.set_option(tcp::no_delay{true}, ignored);
     const boost::intrusive_ptr<http_session> session{new http_session{std::move(socket), *this}};
-    sessions.push_back(*session);
-    ++session_count;
     asio::co_spawn(
         context, [session] { return session->run(); }, asio::detached);
+    sessions.push_back(*session);
+    ++session_count;
 }
 
 void http_server::state::close_listener() {
@@ -193,8 +204,10 @@
         acceptor.listen(asio::socket_base::max_listen_connections, failure);
     }
     if (failure) {
-        return fail(error_code::connection,
-                    local.address + ":" + std::to_string(local.port) + ": " + failure.message());
+        system_error ignored;
+        acceptor.close(ignored);
+        return tl::unexpected{
+            listen_failure(local.address + ":" + std::to_string(local.port), failure)};
     }
     asio::co_spawn(state_->context, state_->accept(), asio::detached);
     return {};
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -21,7 +21,8 @@
 
 /// Timeouts and limits of a server.
 struct http_server_limits {
-    /// Maximum size of a request header, in bytes; a larger one is refused with header_too_large.
+    /// Maximum size of a request header, in bytes; a larger one, or one of 64 KB, is refused with
+    /// header_too_large.
     std::uint32_t max_header_bytes = 32U << 10U;
     /// Maximum size of a request body, in bytes; a larger one is refused with too_large.
     std::size_t max_body_bytes = config::max_body_bytes;
@@ -111,11 +112,13 @@
     std::uint64_t exchange_;
 };
 
-/// Called with each complete request, on the context's thread.
+/// Called with each complete request, on the context's thread. If it throws, the request is
+/// answered with `internal`; what has been written of an answer is aborted.
 using http_handler = std::function<void(http_request request, http_responder responder)>;
 
 /// Makes the response to a request that the server refuses by itself. Errors: bad_request,
-/// header_too_large, too_large, slow_body, overloaded, stopping.
+/// header_too_large, too_large, slow_body, overloaded, stopping; internal if the request may have
+/// been handled.
 using http_error_formatter = std::function<http_response(const error& failure)>;
 
 /// Makes a response with the HTTP status of the error and a JSON body with its type, subject and,
@@ -136,7 +139,8 @@
     /// Sets the function that is told of each request whose connection closes before its response
     /// was sent completely.
     void on_unanswered(std::function<void(const unanswered_request&)> handler);
-    /// Opens the listener; with port 0 the operating system chooses the port. Errors: connection.
+    /// Opens the listener; with port 0 the operating system chooses the port. Errors: connection,
+    /// with a retry delay if another socket has the port.
     [[nodiscard]] result<void> listen(const endpoint& local);
     /// Port that the listener is bound to.
     [[nodiscard]] std::uint16_t port() const;
--- a/src/process.cpp
+++ b/src/process.cpp
@@ -2,12 +2,17 @@
 
 #include "http_server.h"
 #include "io_thread.h"
+#include "port_wait.h"
 
 #include <magnolia/config.h>
 
 #include <boost/asio/ip/address.hpp>
 #include <cxxopts.hpp>
+#include <fcntl.h>
+#include <unistd.h>
 
+#include <algorithm>
+#include <array>
 #include <condition_variable>
 #include <future>
 #include <iostream>
@@ -145,8 +150,19 @@
     event_log events{settings.name, settings.zone, boot, config::max_queued_events};
 
 private:
-    /// Opens the listener on the I/O thread and waits for the result.
+    /// Opens the listener once its port is free. Has no effect if a stop began meanwhile.
     result<void> open_health_server() {
+        const auto opened = open_when_free(
+            logger_, [this] { return try_open_health_server(); },
+            [this](std::chrono::milliseconds delay) {
+                std::unique_lock lock{mutex_};
+                return !stop_began_.wait_for(lock, delay, [this] { return is_stopping(); });
+            });
+        return is_stopping() ? result<void>{} : opened;
+    }
+
+    /// Opens the listener on the I/O thread and waits for the result.
+    result<void> try_open_health_server() {
         std::promise<result<void>> opened;
         boost::asio::post(io_thread_.context(), [this, &opened] {
             http_server_limits limits;
@@ -294,6 +310,14 @@
     state_->wait_for_stop();
 }
 
+void open_standard_descriptors() {
+    constexpr std::array descriptors{STDIN_FILENO, STDOUT_FILENO, STDERR_FILENO};
+    // The lowest free number is used, so that each closed one is filled.
+    const auto is_closed = [](int number) { return ::fcntl(number, F_GETFD) < 0; };
+    while (std::ranges::any_of(descriptors, is_closed) && ::open("/dev/null", O_RDWR) >= 0) {
+    }
+}
+
 command_line parse_command_line(int argc, const char* const* argv, const program_info& info) {
     auto options = common_options(info);
     try {
--- a/src/relay_receiver.h
+++ b/src/relay_receiver.h
@@ -17,7 +17,7 @@
     relay_receiver(shared_call_state& shared, object_relay& reads,
                    std::function<bool(const std::string& address)> is_peer);
 
-    /// Errors: connection.
+    /// Errors: as http_server::listen().
     [[nodiscard]] result<void> listen(const endpoint& local) { return server_.listen(local); }
     /// @param max_relayed  maximum number of requests in progress.
     void set_limits(const http_server_limits& limits, std::size_t max_relayed);
@@ -31,7 +31,7 @@
 
 private:
     void on_request(http_request request, const http_responder& responder);
-    /// Refusal of a request that was not run.
+    /// Refusal of a request that was not run, or, after an exception, perhaps was.
     [[nodiscard]] http_response refusal(const error& failure) const;
 
     shared_call_state& shared_;
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -1,7 +1,10 @@
 #include "settings.h"
 
+#include "json_text.h"
+
 #include <yaml-cpp/yaml.h>
 
+#include <array>
 #include <fstream>
 #include <sstream>
 
@@ -25,28 +28,41 @@
     return node.Scalar();
 }
 
-nlohmann::json yaml_to_json(const YAML::Node& node) {
-    switch (node.Type()) {
-    case YAML::NodeType::Map: {
-        auto object = nlohmann::json::object();
-        for (const auto& item : node) {
-            object[item.first.Scalar()] = yaml_to_json(item.second);
+/// Converts a document of bounded size: aliases can make it endless, or larger than its text.
+class yaml_converter {
+public:
+    /// Throws YAML::Exception if the document is too large.
+    nlohmann::json convert(const YAML::Node& node, std::size_t depth = 0) {
+        if (depth > max_json_depth || ++nodes_ > max_nodes) {
+            throw YAML::Exception{node.Mark(), "document too large or nested too deeply"};
         }
-        return object;
-    }
-    case YAML::NodeType::Sequence: {
-        auto list = nlohmann::json::array();
-        for (const auto& item : node) {
-            list.push_back(yaml_to_json(item));
+        switch (node.Type()) {
+        case YAML::NodeType::Map: {
+            auto object = nlohmann::json::object();
+            for (const auto& item : node) {
+                object[item.first.Scalar()] = convert(item.second, depth + 1);
+            }
+            return object;
+        }
+        case YAML::NodeType::Sequence: {
+            auto list = nlohmann::json::array();
+            for (const auto& item : node) {
+                list.push_back(convert(item, depth + 1));
+            }
+            return list;
+        }
+        case YAML::NodeType::Scalar:
+            return scalar_to_json(node);
+        default:
+            return nullptr;
         }
-        return list;
-    }
-    case YAML::NodeType::Scalar:
-        return scalar_to_json(node);
-    default:
-        return nullptr;
     }
-}
+
+private:
+    static constexpr std::size_t max_nodes = 100000;
+
+    std::size_t nodes_ = 0;
+};
 
 void emit_value(YAML::Emitter& out, const nlohmann::json& value) {
     if (value.is_object()) {
@@ -73,20 +89,32 @@
 
 result<nlohmann::json> parse_yaml(const std::string& text) {
     try {
-        return yaml_to_json(YAML::Load(text));
+        return yaml_converter{}.convert(YAML::Load(text));
     } catch (const YAML::Exception& failure) {
         return fail(error_code::bad_settings, failure.what());
     }
 }
 
-result<nlohmann::json> read_yaml(const std::filesystem::path& file) {
+std::optional<std::string> read_text_file(const std::filesystem::path& file) {
     std::ifstream stream{file};
     if (!stream) {
-        return fail(error_code::bad_settings, file.string() + ": cannot be opened");
+        return std::nullopt;
     }
-    std::ostringstream text;
-    text << stream.rdbuf();
-    auto document = parse_yaml(text.str());
+    std::string text;
+    std::array<char, 4096> block{};
+    // Iterators of the stream's buffer would throw if a read fails.
+    while (stream.read(block.data(), block.size()) || stream.gcount() > 0) {
+        text.append(block.data(), static_cast<std::size_t>(stream.gcount()));
+    }
+    return stream.bad() ? std::nullopt : std::optional{std::move(text)};
+}
+
+result<nlohmann::json> read_yaml(const std::filesystem::path& file) {
+    const auto text = read_text_file(file);
+    if (!text) {
+        return fail(error_code::bad_settings, file.string() + ": cannot be read");
+    }
+    auto document = parse_yaml(*text);
     if (!document) {
         return fail(error_code::bad_settings, file.string() + ": " + document.error().subject);
     }
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -7,6 +7,7 @@
 #include <gtest/gtest.h>
 
 #include <optional>
+#include <stdexcept>
 
 namespace magnolia {
 namespace {
@@ -385,5 +386,80 @@
     EXPECT_EQ(find_header(response->headers, "Connection"), "close");
 }
 
+// Incident FAULT: an exception of a request's handler left the connection in the server's list, and
+// the end of the process followed; its caller got no answer.
+TEST_F(http_client_server, an_exception_of_a_handler_fails_its_request_only) {
+    serve([](const http_request& request, const http_responder& responder) {
+        if (request.target == "/throws") {
+            throw std::length_error{"handler"};
+        }
+        echo(request, responder);
+    });
+    const auto failed = call({"GET", "/throws", {}, {}, {}});
+    ASSERT_TRUE(failed);
+    EXPECT_EQ(failed->status, 500U);
+    EXPECT_EQ(server_->active_requests(), 0U);
+    const auto served = call({"GET", "/", {}, {}, {}});
+    ASSERT_TRUE(served);
+    EXPECT_EQ(served->status, 200U);
+}
+
+// As above, after a part of the answer: it must not look complete.
+TEST_F(http_client_server, an_exception_in_the_middle_of_an_answer_aborts_it) {
+    serve([](const http_request& /*request*/, const http_responder& responder) {
+        responder.start(200, {});
+        responder.write("part");
+        throw std::length_error{"handler"};
+    });
+    EXPECT_FALSE(call({"GET", "/", {}, {}, {}}));
+    EXPECT_EQ(server_->active_requests(), 0U);
+}
+
+// Incident FAULT: a header field of over 64 KB, which the configuration may allow, ended the
+// process some time later.
+TEST_F(http_client_server, a_field_larger_than_the_parser_can_hold_is_refused) {
+    http_server_limits limits;
+    limits.max_header_bytes = 1U << 20U;
+    limits.header_timeout = std::chrono::milliseconds{200};
+    serve(echo, limits);
+    asio::ip::tcp::socket raw{context_};
+    raw.connect({asio::ip::make_address("127.0.0.1"), peer_.port});
+    constexpr std::size_t value_bytes = 70000;
+    std::optional<std::string> received;
+    std::string answer;
+    const auto text =
+        "GET / HTTP/1.1\r\nHost: a\r\nX-Large: " + std::string(value_bytes, 'x') + "\r\n\r\n";
+    asio::async_write(raw, asio::buffer(text), [](const auto&, auto) {});
+    asio::async_read(raw, asio::dynamic_buffer(answer),
+                     [&](const auto&, auto) { received = answer; });
+    run_until([&] { return received.has_value(); });
+    EXPECT_TRUE(received->starts_with("HTTP/1.1 431 ")) << *received;
+}
+
+// As above, for a request to another process: the call ended never.
+TEST_F(http_client_server, a_call_that_cannot_be_written_fails) {
+    serve(echo);
+    constexpr std::size_t value_bytes = 70000;
+    EXPECT_FALSE(call({"GET", "/", {{"X-Large", std::string(value_bytes, 'x')}}, {}, {}},
+                      {.inactivity_timeout = std::chrono::milliseconds{500}}));
+}
+
+// Incident LOST: an exception while an answer was read was dropped, and its call ended never.
+TEST_F(http_client_server, an_exception_of_a_response_handler_fails_its_call) {
+    serve(echo);
+    bool is_failed = false;
+    http_stream_handlers handlers;
+    handlers.on_header = [](const auto& /*head*/) { throw std::length_error{"handler"}; };
+    handlers.on_body = [](auto) {};
+    handlers.on_end = [&](const http_failure* failure) { is_failed = failure != nullptr; };
+    client_.stream(peer_, {"GET", "/", {}, {}, {}}, {}, std::move(handlers));
+    constexpr std::size_t max_steps = 100;
+    for (std::size_t step = 0; step < max_steps && client_.active_calls() > 0; ++step) {
+        context_.run_one_for(std::chrono::milliseconds{100});
+    }
+    EXPECT_EQ(client_.active_calls(), 0U);
+    EXPECT_TRUE(is_failed);
+}
+
 } // namespace
 } // namespace magnolia
