Bound the bytes of all answers that wait in a host

Each answer had a limit of its own (64 KB without a use, 256 KB for an event, 256 KB and a read for a caller), and nothing bounded their sum: many calls at once to servers that send without end, or for callers that do not read, could take the memory of a host. What calls keep and what servers have not written are now summed; past an eighth of the host's memory (8 to 32 MB) answer_memory chooses what to free: answers without a use first, then events and bodies that have not ended or the output, whichever takes more. Once half of the limit is in use a caller is given 16 KB ahead instead of 256. Metric magnolia_answer_bytes, lines `gives the answer up` and `closes the connection of a caller that does not read`.

What an attempt received is freed as soon as it has failed, no longer at the start of the next one.

The bytes of one read of a connection are not part of the sum.

--- a/src/forward_answer.cpp
+++ b/src/forward_answer.cpp
@@ -4,6 +4,8 @@
 #include "log.h"
 
 #include <algorithm>
+#include <functional>
+#include <numeric>
 
 namespace magnolia {
 namespace {
@@ -19,9 +21,6 @@
 /// Size of an incomplete event past which the answer counts as none. Events of models and services
 /// have a few KB.
 constexpr std::size_t max_event_bytes = std::size_t{256} << 10U;
-/// Bytes that may wait for a slow caller before reading from the backend server is paused
-/// (backpressure).
-constexpr std::size_t max_unsent_bytes = std::size_t{256} << 10U;
 
 /// Rest of a backend server that asks for one of a time that cannot be read.
 constexpr milliseconds unreadable_rest{1000};
@@ -112,13 +111,76 @@
     shared_.fleet.on_rest_asked(process_, rest, steady_now());
 }
 
+bool forward_call::is_body_for_caller() const {
+    return answer_.is_signed && !answer_.is_not_run && !answer_.is_other_backend &&
+           !relay_outcome_ && !has_response_started_;
+}
+
+kept_answer forward_call::kept() const {
+    return {form_ == answer_form::events ? answer_wait::event_end
+            : is_body_for_caller()       ? answer_wait::body_end
+                                         : answer_wait::no_use,
+            body_.size() + splitter_.pending().size()};
+}
+
+void forward_call::count_kept() {
+    const auto bytes = is_complete_ ? 0 : kept().bytes;
+    shared_.kept_bytes += bytes;
+    shared_.kept_bytes -= std::exchange(counted_bytes_, bytes);
+}
+
+void forward_call::drop_answer() {
+    is_event_missing_ = splitter_.is_inside_event() || (is_event_missing_ && !has_new_event());
+    is_resuming_ = has_response_started_;
+    splitter_ = {};
+    body_ = {};
+    count_kept();
+}
+
+std::size_t answer_bytes(const shared_call_state& shared) {
+    return std::transform_reduce(shared.servers.begin(), shared.servers.end(), shared.kept_bytes,
+                                 std::plus{},
+                                 [](const auto* server) { return server->unread_bytes(); });
+}
+
+void limit_answer_bytes(shared_call_state& shared) {
+    if (answer_bytes(shared) <= shared.max_answer_bytes) {
+        return;
+    }
+    const auto calls = pending_calls(shared);
+    std::vector<kept_answer> kept;
+    std::ranges::transform(calls, std::back_inserter(kept),
+                           [](const auto& call) { return call->kept(); });
+    const auto relief =
+        choose_relief(kept, answer_bytes(shared) - shared.kept_bytes, shared.max_answer_bytes);
+    for (const auto index : relief.answers) {
+        calls[index]->give_up_answer("too many bytes of answers wait in this host");
+    }
+    for (std::size_t freed = 0; freed < relief.unread_bytes;) {
+        const auto server = std::ranges::max_element(
+            shared.servers, {}, [](const auto* item) { return item->unread_bytes(); });
+        const auto bytes = (*server)->close_least_read();
+        if (bytes == 0) {
+            return;
+        }
+        freed += bytes;
+        log_of().warn(
+            "closes the connection of a caller that does not read bytes=" + std::to_string(bytes) +
+            " reason=\"too many bytes of answers wait in this host\"");
+    }
+}
+
 void forward_call::on_body(std::string_view text) {
+    take_body(text);
+    count_kept();
+    limit_answer_bytes(shared_);
+}
+
+void forward_call::take_body(std::string_view text) {
     if (form_ == answer_form::events) {
         return on_events(text);
     }
-    const bool is_for_caller =
-        answer_.is_signed && !answer_.is_not_run && !answer_.is_other_backend && !relay_outcome_;
-    if (form_ == answer_form::buffered && (!is_for_caller || has_response_started_)) {
+    if (form_ == answer_form::buffered && !is_body_for_caller()) {
         // Such bytes may come without end, and are no sign of life.
         body_ += text;
         return body_.size() > max_buffered_bytes
@@ -140,6 +202,9 @@
 }
 
 void forward_call::give_up_answer(std::string_view reason) {
+    if (is_complete_) {
+        return;
+    }
     log_of().info(head_.attempt,
                   "gives the answer up backend=" + backend_ + " reason=\"" + std::string{reason} +
                       "\" bytes=" + std::to_string(body_.size() + splitter_.pending().size()));
@@ -170,7 +235,8 @@
 }
 
 bool forward_call::is_caller_behind() const {
-    return responder_.pending_bytes() >= max_unsent_bytes;
+    return responder_.pending_bytes() >=
+           unread_allowance(answer_bytes(shared_), shared_.max_answer_bytes);
 }
 
 void forward_call::start_response() {
@@ -340,6 +406,7 @@
         spend_retry_budget()) {
         is_in_doubt_ = true;
         end_attempt(attempt_result::failed, "status " + std::to_string(status_));
+        drop_answer();
         return next_attempt();
     }
     end_attempt(is_failure ? attempt_result::failed : attempt_result::done,
@@ -384,6 +451,7 @@
         return;
     }
     is_complete_ = true;
+    count_kept();
     unlink();
     timer_.cancel();
     const auto now = steady_now();
--- a/src/forward_call.cpp
+++ b/src/forward_call.cpp
@@ -352,12 +352,9 @@
     is_resend_barred_ = false;
     tried_backends_.push_back(backend);
     last_progress_ = now;
+    drop_answer();
     form_ = answer_form::none;
-    is_event_missing_ = splitter_.is_inside_event() || (is_event_missing_ && !has_new_event());
-    splitter_ = {};
     answer_summary_ = {};
-    body_.clear();
-    is_resuming_ = has_response_started_;
     ++attempt_number_;
     ++sends_made_;
 }
@@ -413,6 +410,7 @@
 void forward_call::fail_attempt(run_evidence evidence, attempt_result result,
                                 const error& failure) {
     end_attempt(result, to_string(failure));
+    drop_answer();
     if (!relay_host_.empty() && evidence != run_evidence::in_doubt) {
         sends_made_ = sends_before_relay_ + 1;
     }
--- a/src/forward_call.h
+++ b/src/forward_call.h
@@ -3,6 +3,7 @@
 /// of events, or an error that states whether the request may have run.
 #pragma once
 
+#include "answer_memory.h"
 #include "attempt_policy.h"
 #include "backend_fleet.h"
 #include "dispatch_policy.h"
@@ -146,8 +147,21 @@
     std::function<bool()> is_state_known{};
     /// Calls in progress.
     call_list calls{};
+    /// Servers to whose peers the answers go; their unread output counts with kept_bytes.
+    std::vector<http_server*> servers{};
+    /// Maximum sum of the bytes of answers that wait in this host.
+    std::size_t max_answer_bytes = answer_memory_limit(0);
+    /// Sum of what the calls keep of incomplete answers, in bytes.
+    std::size_t kept_bytes = 0;
 };
 
+/// Bytes of answers that wait in this host: kept_bytes and the unread output.
+[[nodiscard]] std::size_t answer_bytes(const shared_call_state& shared);
+
+/// Gives answers up, and closes connections that are not read, until answer_bytes() is within its
+/// limit.
+void limit_answer_bytes(shared_call_state& shared);
+
 /// Calls in progress, kept alive so that they may end while the list is used.
 [[nodiscard]] std::vector<std::shared_ptr<forward_call>> pending_calls(shared_call_state& shared);
 
@@ -177,6 +191,10 @@
     /// Ends the request at the end of a planned stop, whatever it waits for: as not run if no
     /// backend server can have it, else as failed; breaks a started answer off.
     void end_for_stop();
+    /// What is kept of the answer of the current attempt.
+    [[nodiscard]] kept_answer kept() const;
+    /// Ends an attempt whose answer grows without getting a meaning, or is too large for the host.
+    void give_up_answer(std::string_view reason);
     /// Host that has passed the request on; empty if none has.
     [[nodiscard]] std::string_view relayed_from() const {
         return relayed_ ? std::string_view{relayed_->sender} : std::string_view{};
@@ -257,8 +275,14 @@
     void on_body(std::string_view text);
     void on_end(const http_failure* failure);
     void on_events(std::string_view text);
-    /// Ends an attempt whose answer grows without getting a meaning.
-    void give_up_answer(std::string_view reason);
+    /// Passes bytes of the body on, or keeps them.
+    void take_body(std::string_view text);
+    /// The bytes are for the caller: signed, and no refusal.
+    [[nodiscard]] bool is_body_for_caller() const;
+    /// Updates the sum of what the calls keep.
+    void count_kept();
+    /// Frees what was received of an answer that is not used.
+    void drop_answer();
     /// Sends bytes to the caller; a slow caller slows the backend server down.
     void write(std::string_view text);
     /// So much waits for the caller that nothing more is read from the backend server.
@@ -382,6 +406,8 @@
     std::optional<relay_outcome> relay_outcome_;
     std::string body_;
     event_splitter splitter_;
+    /// Bytes of both that are part of the host's sum.
+    std::size_t counted_bytes_ = 0;
     /// Answer of the current or last attempt.
     answer_summary answer_summary_;
     /// Id of the last event that the caller has.
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/post.hpp>
 #include <nlohmann/json.hpp>
+#include <sys/sysinfo.h>
 #include <xxhash.h>
 
 #include <ranges>
@@ -42,6 +43,12 @@
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_unavailable = 503;
 
+/// Memory of this host, in bytes; 0 if it is not known.
+std::uint64_t host_memory() {
+    struct sysinfo info {};
+    return ::sysinfo(&info) == 0 ? std::uint64_t{info.totalram} * info.mem_unit : 0;
+}
+
 long ms_count(duration span) {
     return std::chrono::duration_cast<milliseconds>(span).count();
 }
@@ -161,6 +168,8 @@
     reader_.set_max_age(settings.contact_ms);
     reader_.set_probe(codec.config_object());
     shared_.is_state_known = [this] { return is_state_known(steady_now()); };
+    shared_.servers = {&caller_server_, &relay_receiver_.server()};
+    shared_.max_answer_bytes = answer_memory_limit(host_memory());
     object_relay_.add(config_watcher_, [this] {
         return std::max(config_watcher_.confirmed_at(), config_confirmed_by_peers_);
     });
@@ -336,6 +345,7 @@
     resync_if_behind(now);
     quarantine_exchange_.tick(now);
     check_settings_file(now);
+    limit_answer_bytes(shared_);
     // Peers that were discovered since the last tick reduce this gateway's share of the reserve.
     for (auto& budget : shared_.retry_budgets | std::views::values) {
         budget.set_reserve(budget_reserve(), now);
@@ -353,7 +363,8 @@
                          .reservations = reservations_.size(),
                          .evacuated_zones = fleet_.evacuation().zones(now).size(),
                          .limited_backends = fleet_.limited_count(),
-                         .limited_share = fleet_.limited_share()});
+                         .limited_share = fleet_.limited_share(),
+                         .answer_bytes = answer_bytes(shared_)});
     const bool became_ready = is_ready() && !std::exchange(was_ready_, is_ready());
     if (became_ready) {
         owner_.set_ready(true);
--- a/src/gateway_metrics.cpp
+++ b/src/gateway_metrics.cpp
@@ -65,7 +65,10 @@
           registry.make_gauge("magnolia_limited_backends", "Backend servers that state a limit.")},
       limited_share_{registry.make_gauge(
           "magnolia_limited_share_per_second",
-          "Requests per second that this host may send to backend servers with a limit.")} {
+          "Requests per second that this host may send to backend servers with a limit.")},
+      answer_bytes_{registry.make_gauge(
+          "magnolia_answer_bytes",
+          "Bytes of answers that wait in this host: incomplete, or not read by their callers.")} {
     for (std::size_t class_index = 0; class_index < first_byte_.size(); ++class_index) {
         first_byte_[class_index] = registry.make_histogram(
             "magnolia_first_byte_seconds", "Time from arrival to the first byte sent.",
@@ -139,6 +142,7 @@
     evacuated_zones_.set(static_cast<double>(gauges.evacuated_zones));
     limited_backends_.set(static_cast<double>(gauges.limited_backends));
     limited_share_.set(gauges.limited_share);
+    answer_bytes_.set(static_cast<double>(gauges.answer_bytes));
 }
 
 } // namespace magnolia
--- a/src/gateway_metrics.h
+++ b/src/gateway_metrics.h
@@ -30,6 +30,8 @@
     std::size_t limited_backends = 0;
     /// Requests per second that this host may send to them.
     double limited_share = 0;
+    /// Bytes of answers that wait in this host.
+    std::size_t answer_bytes = 0;
 };
 
 /// Registers and updates the metrics of one gateway; owned by it. Not thread-safe.
@@ -71,6 +73,7 @@
     gauge evacuated_zones_;
     gauge limited_backends_;
     gauge limited_share_;
+    gauge answer_bytes_;
 };
 
 } // namespace magnolia
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -206,6 +206,22 @@
     return state_->active;
 }
 
+std::size_t http_server::unread_bytes() const {
+    return state_->unread_bytes;
+}
+
+std::size_t http_server::close_least_read() {
+    auto& sessions = state_->sessions;
+    const auto most = std::ranges::max_element(
+        sessions, {}, [](const auto& session) { return session.unread_bytes(); });
+    const auto bytes = most == sessions.end() ? 0 : most->unread_bytes();
+    if (bytes > 0) {
+        const boost::intrusive_ptr<http_session> session{&*most};
+        session->close();
+    }
+    return bytes;
+}
+
 std::size_t http_server::partial_requests() const {
     return static_cast<std::size_t>(std::ranges::count_if(
         state_->sessions, [](const auto& session) { return session.has_partial_request(); }));
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -121,6 +121,11 @@
     [[nodiscard]] std::size_t active_requests() const;
     /// Number of requests of which a part was received.
     [[nodiscard]] std::size_t partial_requests() const;
+    /// Bytes of responses that the operating system has not accepted, over all connections.
+    [[nodiscard]] std::size_t unread_bytes() const;
+    /// Closes the connection that has the most of unread_bytes(); returns its bytes, or 0 if there
+    /// are none.
+    std::size_t close_least_read();
 
 private:
     friend class http_session;
--- a/src/http_session.cpp
+++ b/src/http_session.cpp
@@ -275,6 +275,7 @@
     on_disconnect_ = nullptr;
     output_.clear();
     output_callbacks_.clear();
+    count_unread();
     release_body_memory();
     if (server_ != nullptr) {
         --server_->active;
@@ -402,8 +403,17 @@
     }
 }
 
+void http_session::count_unread() {
+    const auto counted = std::exchange(unread_bytes_, is_open_exchange_ ? pending_bytes() : 0);
+    if (server_ != nullptr) {
+        server_->unread_bytes += unread_bytes_;
+        server_->unread_bytes -= counted;
+    }
+}
+
 /// Writes all output that has accumulated since the last write.
 void http_session::flush_output() {
+    count_unread();
     if (is_writing_ || !is_open_exchange_) {
         return;
     }
@@ -427,6 +437,7 @@
     is_writing_ = false;
     stream_.expires_never();
     in_flight_.clear();
+    count_unread();
     const auto callbacks = std::exchange(in_flight_callbacks_, {});
     if (failure) {
         if (is_open_exchange_) {
--- a/src/http_session_p.h
+++ b/src/http_session_p.h
@@ -44,6 +44,8 @@
     std::function<bool(const std::string& address)> is_admitted;
     /// Memory reserved for the bodies of requests in progress, in bytes.
     std::size_t body_bytes = 0;
+    /// See http_server::unread_bytes().
+    std::size_t unread_bytes = 0;
     /// Number of requests in progress.
     std::size_t active = 0;
     bool is_draining = false;
@@ -101,6 +103,8 @@
         return is_current(exchange) && !is_finished_;
     }
     [[nodiscard]] std::size_t pending_bytes() const { return output_.size() + in_flight_.size(); }
+    /// Bytes that the server counts for this connection; see http_server::unread_bytes().
+    [[nodiscard]] std::size_t unread_bytes() const { return unread_bytes_; }
 
     /// Count for intrusive_ptr.
     mutable std::atomic<std::uint32_t> references{0};
@@ -131,6 +135,8 @@
     /// peer sends bytes of a further request; a later disconnect is then noticed by a failed write
     /// only.
     void watch_peer();
+    /// Updates the server's sum of unread bytes.
+    void count_unread();
     void flush_output();
     void on_written(const boost::system::error_code& failure);
     void handle_disconnect();
@@ -171,6 +177,8 @@
     /// Bytes to send with the next write, and bytes of the write in progress.
     std::string output_;
     std::string in_flight_;
+    /// Bytes of both that the server counts.
+    std::size_t unread_bytes_ = 0;
     std::vector<std::function<void()>> output_callbacks_;
     std::vector<std::function<void()>> in_flight_callbacks_;
     std::function<void()> on_disconnect_;
--- a/tests/endless_answers_test.cpp
+++ b/tests/endless_answers_test.cpp
@@ -108,6 +108,129 @@
     EXPECT_LT(peak - before, call_count * max_bytes_of_call);
 }
 
+/// Many calls at once, with a small limit for all of them together.
+class endless_answers_in_sum : public endless_answers {
+protected:
+    static constexpr std::size_t max_bytes = std::size_t{1} << 20U;
+
+    endless_answers_in_sum() {
+        shared_.servers = {&gateway_server_};
+        shared_.max_answer_bytes = max_bytes;
+    }
+
+    /// Sends the head and the part of a body, and keeps the connection open.
+    static http_handler send_part(http_headers headers, std::string part) {
+        return [headers = std::move(headers),
+                part = std::move(part)](const http_request&, const http_responder& responder) {
+            responder.start(200, headers);
+            responder.write(part);
+        };
+    }
+
+    void add_backends(std::size_t count, const std::string& service, const http_handler& handler) {
+        for (std::size_t number = 0; number < count; ++number) {
+            add_backend(service + std::to_string(number), service).add_handler(handler);
+        }
+    }
+
+    void call(http_client& caller, const std::string& path, http_response_handler done) {
+        caller.call(
+            {"127.0.0.1", gateway_server_.port()},
+            {"POST", path, {{"Host", "shop.example"}, {"attempt", "a1"}, {"key", "k1"}}, {}, {}},
+            {}, std::move(done));
+    }
+
+    /// Runs until the condition holds, and records the largest sum.
+    template <class Condition>
+    void run_and_measure(Condition condition) {
+        run_until([&] {
+            peak_ = std::max(peak_, answer_bytes(shared_));
+            return condition();
+        });
+    }
+
+    [[nodiscard]] std::size_t given_up() const {
+        return static_cast<std::size_t>(std::ranges::count_if(summaries_, [](const auto& call) {
+            return call.cause.find("too many bytes of answers wait") != std::string::npos;
+        }));
+    }
+
+    std::size_t peak_ = 0;
+};
+
+// Each answer was within its own limit, and nothing bounded their sum.
+TEST_F(endless_answers_in_sum, answers_without_use_are_given_up_past_the_sum) {
+    constexpr std::size_t call_count = 64;
+    constexpr std::size_t part_bytes = std::size_t{40} << 10U;
+    constexpr std::size_t max_calls = max_bytes / part_bytes;
+    add_backends(16, "desk", send_part({}, std::string(part_bytes, 'x')));
+    http_client caller{context_, 0};
+    std::size_t answered = 0;
+    for (std::size_t number = 0; number < call_count; ++number) {
+        call(caller, "/unsafe/", [&](const auto& answer) {
+            EXPECT_TRUE(answer && answer->status == 502);
+            ++answered;
+        });
+    }
+    run_and_measure([&] { return answered >= call_count - max_calls; });
+    EXPECT_LE(peak_, max_bytes);
+    EXPECT_EQ(given_up(), answered);
+    EXPECT_EQ(shared_.calls.size(), max_calls);
+}
+
+// What is for a caller outlasts what is not.
+TEST_F(endless_answers_in_sum, an_event_under_way_outlasts_answers_without_use) {
+    const auto event = event_text(1, std::string(200'000, 'x'));
+    std::optional<http_responder> stream;
+    add_backend("b1", "llm").add_handler([&](const http_request&, const http_responder& responder) {
+        responder.start(200, {{"signature", "s"}, {"Content-Type", "text/event-stream"}});
+        responder.write(event.substr(0, event.size() / 2));
+        stream = responder;
+    });
+    add_backends(16, "desk", send_part({}, std::string(60'000, 'x')));
+    http_client caller{context_, 0};
+    std::optional<std::string> answer;
+    call(caller, "/once-stream/", [&](const auto& received) {
+        EXPECT_TRUE(received);
+        answer = received ? received->body : "";
+    });
+    run_and_measure([&] { return shared_.kept_bytes > 90'000; });
+    for (int number = 0; number < 32; ++number) {
+        call(caller, "/unsafe/", [](const auto&) {});
+    }
+    run_and_measure([&] { return given_up() >= 16; });
+    stream->write(std::string_view{event}.substr(event.size() / 2));
+    stream->finish();
+    run_and_measure([&] { return answer.has_value(); });
+    EXPECT_EQ(answer, event);
+    EXPECT_LE(peak_, max_bytes);
+}
+
+// Back-pressure bounded what waits for one caller; many of them were not bounded.
+TEST_F(endless_answers_in_sum, callers_that_do_not_read_stay_within_the_sum) {
+    constexpr std::size_t caller_count = 24;
+    // Events without numbers, as none is forwarded twice.
+    std::string block;
+    while (block.size() < block_bytes) {
+        block += "data: " + std::string(1000, 'x') + "\n\n";
+    }
+    add_backends(
+        8, "llm",
+        send_without_end(200, {{"signature", "s"}, {"Content-Type", "text/event-stream"}}, block));
+    const std::string request = "POST /once-stream/ HTTP/1.1\r\nHost: shop.example\r\nattempt: "
+                                "a1\r\nkey: k1\r\nContent-Length: 0\r\n\r\n";
+    std::vector<boost::asio::ip::tcp::socket> callers;
+    for (std::size_t number = 0; number < caller_count; ++number) {
+        auto& caller = callers.emplace_back(context_);
+        caller.connect({boost::asio::ip::make_address("127.0.0.1"), gateway_server_.port()});
+        caller.write_some(boost::asio::buffer(request));
+    }
+    run_and_measure([&] { return !summaries_.empty(); });
+    EXPECT_LE(peak_, max_bytes);
+    EXPECT_EQ(summaries_.front().cause, "caller left");
+    EXPECT_GT(peak_, max_bytes / 2);
+}
+
 // The head is whole: what it proves is not lost with the body.
 TEST_F(endless_answers, a_refusal_stays_one_whatever_follows_it) {
     const auto [status, cause] =
