Bound the headers of chunks and the trailers of messages

The parser limits header and body, but looks for the end of a chunk's extensions and of the trailers in all that was received, and the buffers of client and server had no limit. A peer that sent an extension of a chunk without end was read until the call's time was over or memory was. Buffers now hold 64 KB; past it a call fails as too_large, a request gets 413.

Before: the extension of a chunk ended the test of responses with bad_alloc after 94 s, and a request with 200 KB of extension or trailer was answered with 408 after its time limit. After: both tests pass, each part of a response (head, interim answers, body, chunks, extension, trailers) is given up before 32 MB are sent.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -34,6 +34,10 @@
 /// timeout, so that a server rarely closes a connection just as it is reused.
 constexpr auto max_idle_time = std::chrono::seconds{20};
 
+/// Maximum number of bytes that are kept until their meaning is complete: a header, the header of a
+/// chunk with its extensions, the trailers.
+constexpr std::size_t max_buffer_bytes = std::size_t{64} << 10U;
+
 /// Number of responses to other calls and of interim (1xx) responses that are skipped before a call
 /// fails.
 constexpr std::size_t max_skipped_responses = 4;
@@ -43,7 +47,7 @@
     explicit connection(const asio::any_io_executor& executor) : stream{executor} {}
 
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{max_buffer_bytes};
 };
 
 /// Connection in the pool.
@@ -347,7 +351,8 @@
         result.failure = {error_code::caller_gone, "withdrawn before it was written"};
     } else if (is_cancelled_) {
         result.failure = {error_code::caller_gone, "cancelled"};
-    } else if (failure == http::error::body_limit || failure == http::error::header_limit) {
+    } else if (failure == http::error::body_limit || failure == http::error::header_limit ||
+               failure == http::error::buffer_overflow) {
         result.failure.code = error_code::too_large;
     } else if (failure.category() == http::make_error_code(http::error::bad_version).category() &&
                failure != http::error::end_of_stream && failure != http::error::partial_message) {
--- a/src/http_session.cpp
+++ b/src/http_session.cpp
@@ -21,6 +21,9 @@
 constexpr unsigned http_11 = 11;
 constexpr unsigned status_no_content = 204;
 constexpr unsigned status_not_modified = 304;
+/// Minimum of the number of bytes that are kept until their meaning is complete: a header, the
+/// header of a chunk with its extensions, the trailers.
+constexpr std::size_t min_buffer_bytes = std::size_t{64} << 10U;
 /// Read size while waiting for a request header, in bytes.
 constexpr std::size_t read_bytes = 4096;
 /// Maximum time that the connection of a refused request or an aborted response is kept open for
@@ -109,7 +112,7 @@
     if (failure == http::error::header_limit) {
         return {error_code::header_too_large, failure.message()};
     }
-    if (failure == http::error::body_limit) {
+    if (failure == http::error::body_limit || failure == http::error::buffer_overflow) {
         return {error_code::too_large, failure.message()};
     }
     if (is_cut_by_stop_) {
@@ -167,6 +170,7 @@
     body_parser parser;
     parser.header_limit(server_->limits.max_header_bytes);
     parser.body_limit(server_->limits.max_body_bytes);
+    buffer_.max_size(std::max<std::size_t>(min_buffer_bytes, server_->limits.max_header_bytes));
     stream_.expires_never();
     auto failure = co_await read_header(parser);
     if (server_ == nullptr || failure == http::error::end_of_stream) {
