Ignore lines without end on standard input of magnoliactl explain

A line of 8 MB ended the process: the search of the standard library recurses with the length of what it matches. Lines longer than 2 KB, four times the longest message, are no log lines and are skipped.

Before: the test ended with a segmentation fault (exit code 139); after: it passes.

--- a/src/explain.cpp
+++ b/src/explain.cpp
@@ -1,5 +1,7 @@
 #include "explain.h"
 
+#include <magnolia/config.h>
+
 #include <algorithm>
 #include <istream>
 #include <optional>
@@ -9,6 +11,34 @@
 namespace magnolia {
 namespace {
 
+/// Maximum length of a line, in bytes; longer ones are no log lines. The search of the standard
+/// library recurses with the length of what it matches.
+constexpr std::size_t max_line_bytes = 4 * config::max_log_message_bytes;
+
+/// Reads the next line that is not too long; false at the end of the input.
+bool read_line(std::istream& in, std::string& line) {
+    line.clear();
+    bool is_too_long = false;
+    bool has_text = false;
+    for (auto byte = in.get(); byte != std::istream::traits_type::eof(); byte = in.get()) {
+        if (byte != '\n') {
+            has_text = true;
+            is_too_long = is_too_long || line.size() >= max_line_bytes;
+            if (!is_too_long) {
+                line.push_back(static_cast<char>(byte));
+            }
+            continue;
+        }
+        if (!is_too_long) {
+            return true;
+        }
+        line.clear();
+        is_too_long = false;
+        has_text = false;
+    }
+    return has_text && !is_too_long;
+}
+
 /// Fields of a line that decide whether it belongs to a request.
 struct log_line {
     std::string time;
@@ -32,7 +62,7 @@
 std::vector<std::string> explain_request(std::istream& log, std::string_view request) {
     std::vector<log_line> request_lines;
     std::vector<log_line> host_lines;
-    for (std::string text; std::getline(log, text);) {
+    for (std::string text; read_line(log, text);) {
         auto line = parse_line(text);
         if (line && line->request == request) {
             request_lines.push_back(std::move(*line));
--- a/tests/explain_test.cpp
+++ b/tests/explain_test.cpp
@@ -25,6 +25,16 @@
     EXPECT_NE(lines[3].find("end status=502"), std::string::npos);
 }
 
+// The process ended with a stack overflow at a line of 200 KB.
+TEST(explain, a_line_without_end_is_ignored) {
+    const std::string sound = "2026-01-01T00:00:01.000Z INFO  [call      ] host=g1 req=a1 send\n";
+    const std::string start = "2026-01-01T00:00:01.000Z INFO  [call      ] host=";
+    const std::string filler(8'000'000, 'x');
+    std::istringstream log{start + filler + " req=a1 end\n" + sound + start + "g1 req=a1 " +
+                           filler};
+    EXPECT_EQ(explain_request(log, "a1").size(), 1U);
+}
+
 TEST(explain, an_unknown_request_has_no_lines) {
     std::istringstream log{"2026-01-01T00:00:03.000Z INFO  [gateway   ] host=g1 req=a1 end\n"};
     EXPECT_TRUE(explain_request(log, "a9").empty());
