Limit replies of the store and relayed reads to 8 MB

Up to 64 MB of a reply were kept, of each call at once. A page of the store has about 1 MB, an object 1 MB at most; a relayed list is one page, of up to 16,000 servers here. Past 8 MB the call fails as platform_down (a write may have taken effect) with a line that names the limit; a relayed read is made at the store.

--- a/src/platform_client.cpp
+++ b/src/platform_client.cpp
@@ -21,6 +21,16 @@
     return log;
 }
 
+/// Error of a call without a reply. A write may have taken effect.
+error reply_failure(const http_failure& failure) {
+    if (failure.failure.code == error_code::too_large) {
+        log_of().warn("gives a reply of the store up, which is larger than any: " +
+                      to_string(failure.failure) + " max_bytes=" + std::to_string(max_reply_bytes));
+        return {error_code::platform_down, to_string(failure.failure)};
+    }
+    return {error_code::platform_down, failure.failure.subject};
+}
+
 /// Sets the epoch of a page's position.
 void set_epoch(result<platform_reply>& reply, std::uint64_t epoch) {
     if (!reply) {
@@ -57,16 +67,14 @@
     // After a failure, idle connections may be as dead as the one that failed; each would cost a
     // further failure and a longer pause.
     limits.may_reuse_connection = !has_failed_ && (list == nullptr || !list->after.empty());
-    // The platform bounds the number of items and the bytes of a page.
-    limits.max_body_bytes = std::size_t{64} << 20U;
+    limits.max_body_bytes = max_reply_bytes;
     client_.call(address_, codec_ != nullptr ? codec_->encode(call) : encode_call(call), limits,
                  [this, call, done = std::move(done)](const auto& answer) {
                      has_failed_ = !answer;
                      if (answer) {
                          done(decode(call, *answer));
                      } else {
-                         done({fail(error_code::platform_down, answer.error().failure.subject),
-                               std::nullopt});
+                         done({tl::unexpected{reply_failure(answer.error())}, std::nullopt});
                      }
                  });
 }
--- a/src/platform_wire.h
+++ b/src/platform_wire.h
@@ -4,8 +4,14 @@
 #include "http_types.h"
 #include "platform_port.h"
 
+#include <magnolia/config.h>
+
 namespace magnolia {
 
+/// Maximum size of a reply, in bytes. A page of the store has about 1 MB and an object at most as
+/// much; a relayed list is one page, here of up to 16,000 backend servers with 500 bytes each.
+inline constexpr std::size_t max_reply_bytes = 8 * config::max_object_bytes;
+
 /// Encodes a call as an HTTP request.
 [[nodiscard]] http_request encode_call(const platform_call& call);
 
--- a/src/store_reader.cpp
+++ b/src/store_reader.cpp
@@ -28,6 +28,13 @@
     return is_number ? std::optional<duration>{milliseconds{ms}} : std::nullopt;
 }
 
+/// Why there is no reply, for the log.
+std::string describe(const http_failure& failure) {
+    return failure.failure.code == error_code::too_large
+               ? to_string(failure.failure) + " max_bytes=" + std::to_string(max_reply_bytes)
+               : failure.failure.subject;
+}
+
 void set_epoch(platform_reply& reply, std::uint64_t epoch) {
     if (auto* page = std::get_if<object_page>(&reply)) {
         page->position.epoch = epoch;
@@ -149,7 +156,7 @@
     limits.connect_timeout = connect_timeout;
     limits.total_timeout = timeout_ + (watch != nullptr ? watch->wait : milliseconds{0});
     limits.inactivity_timeout = limits.total_timeout;
-    limits.max_body_bytes = std::size_t{64} << 20U;
+    limits.max_body_bytes = max_reply_bytes;
     auto request = encode_call(call);
     if (watch != nullptr) {
         request.headers.push_back(
@@ -159,22 +166,23 @@
         request.headers.push_back({std::string{report_loss_field}, "1"});
     }
     const auto number = next_read_++;
-    relayed_reads_[number] = client_.call(
-        target.address, std::move(request), limits,
-        [this, lifetime = std::weak_ptr{lifetime_}, number, host = target.host,
-         accepts_loss = choice.accepts_loss, call = std::move(call),
-         done = std::move(done)](const auto& answer) mutable {
-            if (lifetime.expired()) {
-                return;
-            }
-            const bool is_withdrawn = relayed_reads_.erase(number) == 0;
-            if (is_withdrawn) {
-                return read(std::move(call), done);
-            }
-            auto reply = answer ? decode(call, *answer)
-                                : fail(error_code::platform_down, answer.error().failure.subject);
-            on_relayed(host, accepts_loss, std::move(call), std::move(reply), done);
-        });
+    relayed_reads_[number] =
+        client_.call(target.address, std::move(request), limits,
+                     [this, lifetime = std::weak_ptr{lifetime_}, number, host = target.host,
+                      accepts_loss = choice.accepts_loss, call = std::move(call),
+                      done = std::move(done)](const auto& answer) mutable {
+                         if (lifetime.expired()) {
+                             return;
+                         }
+                         const bool is_withdrawn = relayed_reads_.erase(number) == 0;
+                         if (is_withdrawn) {
+                             return read(std::move(call), done);
+                         }
+                         auto reply =
+                             answer ? decode(call, *answer)
+                                    : fail(error_code::platform_down, describe(answer.error()));
+                         on_relayed(host, accepts_loss, std::move(call), std::move(reply), done);
+                     });
     probe_store();
 }
 
--- a/tests/endless_messages_test.cpp
+++ b/tests/endless_messages_test.cpp
@@ -2,6 +2,9 @@
 #include "endless_server.h"
 #include "http_client.h"
 #include "http_server.h"
+#include "platform_client.h"
+#include "platform_server.h"
+#include "store_reader.h"
 
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
@@ -101,5 +104,55 @@
     }
 }
 
+platform_budget patient_budget() {
+    platform_budget budget;
+    budget.timeout = std::chrono::seconds{20};
+    return budget;
+}
+
+// Up to 64 MB of a reply were kept.
+TEST_F(endless_messages, a_reply_of_the_store_is_given_up_in_each_of_its_parts) {
+    for (const auto& part : endless_parts()) {
+        endless_server server{context_, part.beginning, part.block};
+        platform_client store{context_, {"127.0.0.1", server.port()}, patient_budget(), 1};
+        for (const auto& call :
+             {platform_call{object_list{"servers", "", 0}}, platform_call{object_get{{"k", "n"}}},
+              platform_call{object_watch{"servers", {}, std::chrono::milliseconds{100}}}}) {
+            std::optional<error> failure;
+            const auto sent_before = server.sent_bytes();
+            const auto closed = server.closed_connections();
+            store.execute(call, call_priority::configuration, [&](const auto& reply) {
+                ASSERT_FALSE(reply);
+                failure = reply.error();
+            });
+            run_until([&] { return failure && server.closed_connections() > closed; });
+            EXPECT_EQ(failure->code, error_code::platform_down) << part.name;
+            EXPECT_LT(server.sent_bytes() - sent_before, max_sent_bytes) << part.name;
+        }
+    }
+}
+
+// The same from another host; the store is read instead.
+TEST_F(endless_messages, a_relayed_read_is_given_up_and_made_at_the_store) {
+    platform_server platform{context_, 1};
+    ASSERT_TRUE(platform.listen(endpoint{}));
+    ASSERT_TRUE(platform.model().store().put({{"servers", "a"}, 0, "1"}));
+    for (const auto& part : endless_parts()) {
+        endless_server relay{context_, part.beginning, part.block};
+        platform_client store{context_, {"127.0.0.1", platform.port()}, patient_budget(), 1};
+        store_reader reader{context_, store, 1, std::chrono::seconds{20}};
+        reader.set_max_age(std::chrono::seconds{1});
+        reader.set_relays({{"relay", {"127.0.0.1", relay.port()}}}, {}, 1);
+        ASSERT_FALSE(reader.reads_from_store());
+        std::optional<sourced_reply> answer;
+        reader.read(object_list{"servers", "", 0},
+                    [&](const sourced_reply& reply) { answer = reply; });
+        run_until([&] { return answer && relay.closed_connections() == 1; });
+        ASSERT_TRUE(answer->reply) << part.name;
+        EXPECT_TRUE(answer->is_from_store) << part.name;
+        EXPECT_LT(relay.sent_bytes(), max_sent_bytes) << part.name;
+    }
+}
+
 } // namespace
 } // namespace magnolia
