Ignore datagrams with a name of more than 256 bytes

The gossip keeps the name and the address of each sender, 4,096 at most, and a name could have nearly 64 KB: 256 MB in all. Names of processes have 64 characters at most.

Before: the message of a sender with a name of 60,000 bytes was taken and its address kept; after: it is not.

--- a/src/peer_gossip.cpp
+++ b/src/peer_gossip.cpp
@@ -14,6 +14,8 @@
 constexpr std::size_t frame_length_bytes = 4;
 /// Maximum number of hosts. Bounds the tables, since any datagram can add one.
 constexpr std::size_t max_hosts = 4096;
+/// Maximum length of a host's name, in bytes. Names are kept, and a datagram could be one of 64 KB.
+constexpr std::size_t max_name_bytes = 256;
 
 const logger& log_of() {
     static const logger log{"peers"};
@@ -149,6 +151,10 @@
     if (sender == nullptr || sender->empty() || *sender == host_) {
         return;
     }
+    if (sender->size() > max_name_bytes) {
+        return log_of().warn("ignored a datagram with a name of " + std::to_string(sender->size()) +
+                             " bytes from " + source_.address().to_string());
+    }
     if (record_address(*sender, source_)) {
         on_message_(*sender, *frame->message);
     }
--- a/tests/peer_gossip_test.cpp
+++ b/tests/peer_gossip_test.cpp
@@ -1,3 +1,4 @@
+#include "peer_codec.h"
 #include "peer_gossip.h"
 
 #include <boost/asio/buffer.hpp>
@@ -87,6 +88,22 @@
     EXPECT_EQ(second_.address_of("one"), (endpoint{"127.0.0.1", first_port}));
 }
 
+// Names of hosts are kept: 4,096 of them with 60 KB each would be 240 MB.
+TEST_F(gossip_pair, a_datagram_with_a_name_without_end_is_ignored) {
+    udp::socket stranger{context_, udp::v4()};
+    const udp::endpoint second{boost::asio::ip::make_address("127.0.0.1"), first_port + 1};
+    auto message = update_from(7);
+    message.sender = std::string(60'000, 'n');
+    std::string frame;
+    ASSERT_TRUE(append_frame(message, frame));
+    stranger.send_to(boost::asio::buffer(frame), second);
+    first_.add_address("two", {"127.0.0.1", first_port + 1});
+    first_.send(update_from(8), to_two_);
+    run_until([&] { return !received_by_second_.empty(); });
+    EXPECT_EQ(received_by_second_.front().sender, "one");
+    EXPECT_FALSE(second_.address_of(message.sender));
+}
+
 TEST_F(gossip_pair, unreadable_datagrams_and_those_without_a_sender_are_ignored) {
     udp::socket stranger{context_, udp::v4()};
     const udp::endpoint second{boost::asio::ip::make_address("127.0.0.1"), first_port + 1};
