--- a/tests/endless_answers_test.cpp
+++ b/tests/endless_answers_test.cpp
@@ -1,4 +1,5 @@
 /// Backend servers that send bytes which are no answer, without end, until their connection closes.
+#include "endless_server.h"
 #include "event_stream.h"
 #include "gateway_fixture.h"
 
@@ -288,6 +289,21 @@
     EXPECT_EQ(sent_, sent);
 }
 
+// Answers to probes and orders have no meaning past a few fields.
+TEST_F(endless_answers, an_answer_to_a_probe_or_an_order_is_given_up) {
+    endless_server server{context_, "HTTP/1.1 200 OK\r\n\r\n", std::string(block_bytes, 'x')};
+    list_backend("b1", "llm", server.port());
+    const endpoint address{"127.0.0.1", server.port()};
+    prober_.probe_at_once("b1", address, steady_now());
+    run_until([&] { return server.closed_connections() == 1; });
+    EXPECT_LT(server.sent_bytes(), config::max_body_bytes);
+    std::optional<bool> is_granted;
+    reservations_.reserve("r1", {{address, 100}}, [&](bool granted) { is_granted = granted; });
+    run_until([&] { return is_granted.has_value() && server.closed_connections() >= 2; });
+    EXPECT_EQ(is_granted, false);
+    EXPECT_LT(server.sent_bytes(), 2 * config::max_body_bytes);
+}
+
 TEST(event_stream, a_line_is_found_whatever_pieces_it_comes_in) {
     const auto event = event_text(7, std::string(3000, 'x'));
     for (const std::size_t piece : {1, 2, 7, 1000}) {
--- a/tests/relay_receiver_test.cpp
+++ b/tests/relay_receiver_test.cpp
@@ -76,6 +76,20 @@
     EXPECT_EQ(first, 200U);
 }
 
+TEST_F(relay_receiver_test, requests_larger_than_the_limits_are_refused_as_not_run) {
+    receiver_.set_limits({.max_header_bytes = 1024, .max_body_bytes = 16}, 1);
+    add_backend("b1", "desk").add_handler(respond_with(200));
+    auto request = relayed(context());
+    request.body = std::string(17, 'x');
+    const auto too_large = send(request);
+    EXPECT_EQ(too_large->status, 413U);
+    EXPECT_EQ(read_relay_outcome(too_large->headers), relay_outcome::not_run);
+    // Above the space for the relay's own field.
+    request.headers.push_back({"big", std::string(4096, 'x')});
+    EXPECT_EQ(send(request)->status, 431U);
+    EXPECT_TRUE(backends_.front()->requests().empty());
+}
+
 TEST_F(relay_receiver_test, requests_without_a_context_and_of_unknown_hosts_are_not_served) {
     add_backend("b1", "desk").add_handler(respond_with(200));
     auto request = relayed(context());
