--- a/src/http_session.cpp
+++ b/src/http_session.cpp
@@ -22,6 +22,9 @@
 constexpr unsigned http_11 = 11;
 constexpr unsigned status_no_content = 204;
 constexpr unsigned status_not_modified = 304;
+/// Minimum of the number of bytes that are kept until their meaning is complete: a header, the
+/// header of a chunk with its extensions, the trailers.
+constexpr std::size_t min_buffer_bytes = std::size_t{64} << 10U;
 /// Read size while waiting for a request header, in bytes.
 constexpr std::size_t read_bytes = 4096;
 /// Beast stores the length of a field in 16 bits and throws out of the I/O loop at a longer one.
@@ -158,7 +161,7 @@
     if (failure == http::error::header_limit) {
         return {error_code::header_too_large, failure.message()};
     }
-    if (failure == http::error::body_limit) {
+    if (failure == http::error::body_limit || failure == http::error::buffer_overflow) {
         return {error_code::too_large, failure.message()};
     }
     if (is_cut_by_stop_) {
@@ -231,6 +234,7 @@
     body_parser parser;
     parser.header_limit(std::min(server_->limits.max_header_bytes, max_parsed_header_bytes));
     parser.body_limit(server_->limits.max_body_bytes);
+    buffer_.max_size(std::max<std::size_t>(min_buffer_bytes, server_->limits.max_header_bytes));
     stream_.expires_never();
     auto failure = co_await read_header(parser);
     if (server_ == nullptr || failure == http::error::end_of_stream) {
@@ -344,6 +348,7 @@
     on_disconnect_ = nullptr;
     output_.clear();
     output_callbacks_.clear();
+    count_unread();
     release_body_memory();
     if (server_ != nullptr) {
         --server_->active;
@@ -479,8 +484,17 @@
     }
 }
 
+void http_session::count_unread() {
+    const auto counted = std::exchange(unread_bytes_, is_open_exchange_ ? pending_bytes() : 0);
+    if (server_ != nullptr) {
+        server_->unread_bytes += unread_bytes_;
+        server_->unread_bytes -= counted;
+    }
+}
+
 /// Writes all output that has accumulated since the last write.
 void http_session::flush_output() {
+    count_unread();
     if (is_writing_ || !is_open_exchange_) {
         return;
     }
@@ -519,6 +533,7 @@
         return;
     }
     in_flight_.clear();
+    count_unread();
     std::ranges::for_each(callbacks, [](const auto& on_written) { on_written(); });
     flush_output();
 }
