--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -97,6 +97,8 @@
         return "write_timeout";
     case cut_cause::aborted:
         return "aborted";
+    case cut_cause::memory:
+        return "memory";
     case cut_cause::server_closed:
         return "server_closed";
     case cut_cause::server_destroyed:
@@ -269,7 +271,7 @@
     const auto bytes = most == sessions.end() ? 0 : most->unread_bytes();
     if (bytes > 0) {
         const boost::intrusive_ptr<http_session> session{&*most};
-        session->close();
+        session->give_up_output();
     }
     return bytes;
 }
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -50,8 +50,10 @@
     write_failed,
     /// The peer left the response unread for the write timeout.
     write_timeout,
-    /// http_responder::abort() was called.
+    /// http_responder::abort() was called, or an exception ended the connection.
     aborted,
+    /// http_server::close_least_read() was called.
+    memory,
     /// http_server::close() was called.
     server_closed,
     /// The server was destroyed.
--- a/src/http_session.cpp
+++ b/src/http_session.cpp
@@ -80,6 +80,9 @@
         co_await serve_requests();
     } catch (const std::exception& failure) {
         log_of().error(std::string{"connection closed after an exception: "} + failure.what());
+        if (is_open_exchange_) {
+            handle_disconnect(cut_cause::aborted);
+        }
     }
     close();
     if (server_ != nullptr) {
--- a/src/http_session_p.h
+++ b/src/http_session_p.h
@@ -81,6 +81,8 @@
     /// Closes the connection if it has served a request: now if it waits for another one of which
     /// nothing has arrived, else after the response.
     void close_if_reused();
+    /// Ends the response in progress and closes the connection, as memory is short.
+    void give_up_output() { handle_disconnect(cut_cause::memory); }
     /// Refuses the request that is being received, if there is one, with `stopping`.
     void refuse_partial_request();
     [[nodiscard]] bool has_partial_request() const { return is_receiving_; }
--- a/tests/endless_answers_test.cpp
+++ b/tests/endless_answers_test.cpp
@@ -298,11 +298,12 @@
     endless_server server{context_, "HTTP/1.1 200 OK\r\n\r\n", std::string(block_bytes, 'x')};
     list_backend("b1", "llm", server.port());
     const endpoint address{"127.0.0.1", server.port()};
-    prober_.probe_at_once("b1", address, steady_now());
+    prober_.probe_at_once({.id = "b1"}, address, steady_now());
     run_until([&] { return server.closed_connections() == 1; });
     EXPECT_LT(server.sent_bytes(), config::max_body_bytes);
     std::optional<bool> is_granted;
-    reservations_.reserve("r1", {{address, 100}}, [&](bool granted) { is_granted = granted; });
+    reservations_.reserve("r1", {{"b1", address, 100}},
+                          [&](bool granted) { is_granted = granted; });
     run_until([&] { return is_granted.has_value() && server.closed_connections() >= 2; });
     EXPECT_EQ(is_granted, false);
     EXPECT_LT(server.sent_bytes(), 2 * config::max_body_bytes);
