--- a/tools/common/early_signals.cpp
+++ b/tools/common/early_signals.cpp
@@ -1,5 +1,5 @@
-/// Linked into the programs that run_program() runs: records signals before the constructors of the shared libraries run,
-/// which take longer than main() until its first statement.
+/// Linked into the programs that run_program() runs: records signals before the constructors of the
+/// shared libraries run, which take longer than main() until its first statement.
 #include "signals.h"
 
 namespace {
