Say at SIGHUP that unreadable settings were not reloaded, and nothing where they are equal

Change: the read of the file is a function of its own with both callers' lines; equal settings are not applied.

--- a/src/gateway_lifecycle.cpp
+++ b/src/gateway_lifecycle.cpp
@@ -1,6 +1,8 @@
 /// Second part of the gateway: reload of the settings and planned stop.
 #include "gateway_p.h"
 
+#include <nlohmann/json.hpp>
+
 namespace magnolia {
 namespace {
 
@@ -29,19 +31,28 @@
         return;
     }
     next_settings_check_ = now + settings_check_interval;
+    if (!read_settings_file()) {
+        log_.warn("settings file cannot be read or is empty; keeps the current settings");
+    }
+}
+
+void gateway::state::reload_settings() {
+    if (!read_settings_file()) {
+        log_.error("settings not reloaded, keeps the current ones: the file cannot be read or is "
+                   "empty");
+    }
+}
+
+bool gateway::state::read_settings_file() {
     auto text = read_text_file(owner_.settings_file());
     if (!text || text->empty()) {
-        return log_.warn("settings file cannot be read or is empty; keeps the current settings");
+        return false;
     }
     if (*text != settings_text_) {
         settings_text_ = std::move(*text);
         apply_settings(settings_text_);
     }
-}
-
-void gateway::state::reload_settings() {
-    next_settings_check_ = {};
-    check_settings_file(steady_now());
+    return true;
 }
 
 void gateway::state::apply_settings(const std::string& text) {
@@ -50,6 +61,9 @@
         return log_.error("settings not reloaded, keeps the current ones: " +
                           to_string(settings.error()));
     }
+    if (nlohmann::json(*settings) == nlohmann::json(settings_)) {
+        return;
+    }
     settings_.retry = settings->retry;
     settings_.quarantine = settings->quarantine;
     quarantine_.set_settings(settings_.quarantine);
--- a/src/gateway_p.h
+++ b/src/gateway_p.h
@@ -154,8 +154,11 @@
     /// Applies the settings if the content of the file has changed, also since the process read it
     /// at its start; no signal is needed.
     void check_settings_file(time_point now);
-    /// Checks the settings file now, on SIGHUP.
+    /// As check_settings_file(), now, on SIGHUP.
     void reload_settings();
+    /// Applies the content of the settings file if it is another one. Returns false if there is
+    /// none.
+    bool read_settings_file();
     /// Applies the settings that may change while the process runs. Names, zone, listen addresses
     /// and placement policy need a restart.
     void apply_settings(const std::string& text);
