--- a/review/worker_2.cc
+++ b/review/worker_2.cc
@@ -1,6 +1,8 @@
 // A model server as a process: reads prompts in pieces, all that it has in turn, and writes a stream
 // of events. Arguments: IP PORT ID TOKENS_PER_S EVENT_MS RUNS_FILE BORN. It writes a line for each request
 // that it runs into the file.
+// SIGUSR1 makes it grey, SIGUSR2 sound: a grey one fails two of five requests without a prompt after it
+// has run them, while its health answers stay good.
 #include "stand_ins_2.hpp"
 
 #include <set>
@@ -61,10 +63,15 @@
     return size + text + "\r\n";
 }
 
+std::atomic<bool> is_grey{false};
+std::atomic<int> plain_requests{0};
+
 } // namespace
 
 int main(int, char** argv) {
     signal(SIGPIPE, SIG_IGN);
+    signal(SIGUSR1, [](int) { is_grey = true; });
+    signal(SIGUSR2, [](int) { is_grey = false; });
     const std::string ip = argv[1];
     const std::string id = argv[3];
     const double tokens_per_s = std::atof(argv[4]);
@@ -121,7 +128,8 @@
         const auto usage = request.header("X-Token-Usage");
         if (usage.empty()) {
             std::this_thread::sleep_for(std::chrono::milliseconds(event_ms));
-            peer.write(answer_text(200, echo, "plain " + attempt));
+            const bool fails = plain_requests++ % 5 < 2 && is_grey;
+            peer.write(fails ? answer_text(503, echo, "failed " + attempt) : answer_text(200, echo, "plain " + attempt));
             return;
         }
         std::vector<std::string> helpers;
