--- a/review/stand_ins_2.hpp
+++ b/review/stand_ins_2.hpp
@@ -576,7 +576,7 @@
         command.push_back(word == "/etc/magnoliachute/node.toml" ? host.settings_file : word);
     }
     host.pid = all.start(host.name, command, host.log,
-                         {"PATH=/usr/bin:/bin", "HOME=/tmp", "LANG=C.UTF-8",
+                         {"PATH=/usr/bin:/bin", "HOME=" + folder, "LANG=C.UTF-8",
                           "MAGNOLIACHUTE_BOOT=" + host.settings_file});
 }
 
