--- a/src/forward_answer.cpp
+++ b/src/forward_answer.cpp
@@ -3,6 +3,8 @@
 #include "forward_call.h"
 #include "log.h"
 
+#include <boost/algorithm/string/predicate.hpp>
+
 #include <algorithm>
 #include <functional>
 #include <numeric>
@@ -34,12 +36,6 @@
     return log;
 }
 
-/// Whether a failure of this status states that the request was not run.
-bool promises_not_run(unsigned status) {
-    constexpr unsigned status_unavailable = 503;
-    return status < first_server_error || status == status_unavailable;
-}
-
 bool is_success(unsigned status) {
     return status >= first_success && status < first_redirect;
 }
@@ -91,9 +87,22 @@
     }
     if (!has_response_started_) {
         headers_ = end_to_end_headers(head.headers);
+        drop_relay_outcome(headers_);
     }
 }
 
+bool forward_call::states_not_run() const {
+    // Another host speaks for all its sends by relay_outcome_, a backend server only for its own. A
+    // success contradicts the statement.
+    return relay_host_.empty() && !is_success(status_) &&
+           (answer_.is_not_run || answer_.is_other_backend);
+}
+
+run_knowledge forward_call::knowledge() const {
+    const bool is_sent = call_.value != 0;
+    return is_in_doubt_ || is_sent ? run_knowledge::may_have_run : run_knowledge::not_run;
+}
+
 void forward_call::take_statements() {
     if (answer_.is_limit_unreadable) {
         log_of().info(head_.attempt,
@@ -112,8 +121,7 @@
 }
 
 bool forward_call::is_body_for_caller() const {
-    return answer_.is_signed && !answer_.is_not_run && !answer_.is_other_backend &&
-           !relay_outcome_ && !has_response_started_;
+    return answer_.is_signed && !states_not_run() && !relay_outcome_ && !has_response_started_;
 }
 
 kept_answer forward_call::kept() const {
@@ -213,7 +221,7 @@
     if (relay_outcome_) {
         return on_relay_failure();
     }
-    if (answer_.is_not_run || answer_.is_other_backend) {
+    if (states_not_run()) {
         return on_refusal();
     }
     fail_attempt(run_evidence::in_doubt, attempt_result::failed,
@@ -246,9 +254,25 @@
     has_response_started_ = true;
     started_as_events_ = form_ == answer_form::events;
     first_byte_at_ = steady_now();
+    settle_status();
     responder_.start(status_, headers_);
 }
 
+void forward_call::settle_status() {
+    const auto status = status_to_forward(status_, route_->repeat);
+    if (status == status_) {
+        return;
+    }
+    status_cause_ = to_string(
+        error{error_code::backend_failed, "status " + std::to_string(status_) +
+                                              " without a statement that the request was not run"});
+    status_ = status;
+    headers_ = shared_.codec.without_signature(std::move(headers_));
+    // It would invite callers to repeat what may have run.
+    std::erase_if(headers_,
+                  [](const auto& field) { return boost::iequals(field.name, "Retry-After"); });
+}
+
 void forward_call::on_events(std::string_view text) {
     const auto events = splitter_.append(text);
     if (!events.empty()) {
@@ -337,7 +361,7 @@
     case answer_form::streamed:
         end_attempt(attempt_result::done);
         responder_.finish();
-        return complete(status_, {});
+        return complete(status_, status_cause_);
     case answer_form::buffered:
     case answer_form::none:
         return on_complete_answer();
@@ -390,7 +414,7 @@
     if (relay_outcome_) {
         return on_relay_failure();
     }
-    if (answer_.is_not_run || answer_.is_other_backend) {
+    if (states_not_run()) {
         return on_refusal();
     }
     if (is_success(status_) && !answer_.is_signed) {
@@ -411,7 +435,7 @@
     }
     end_attempt(is_failure ? attempt_result::failed : attempt_result::done,
                 is_failure ? "status " + std::to_string(status_) : "");
-    answer_buffered(status_, {});
+    answer_buffered();
 }
 
 error forward_call::with_retry_after(error failure) {
@@ -425,7 +449,9 @@
     return failure;
 }
 
-void forward_call::answer_failure(const error& failure) {
+void forward_call::answer_failure(const error& cause) {
+    const auto known = knowledge();
+    const auto failure = truthful_failure(cause, known);
     if (has_response_started_) {
         responder_.abort();
         return complete(status_, "broken off: " + to_string(failure));
@@ -433,17 +459,17 @@
     status_ = http_status(failure.code);
     auto response = shared_.codec.write_failure(head_, with_retry_after(failure));
     if (relayed_) {
-        set_relay_outcome(response, promises_not_run(status_) ? relay_outcome::not_run
-                                                              : relay_outcome::in_doubt);
+        set_relay_outcome(response, known);
     }
     responder_.send(std::move(response));
     complete(status_, to_string(failure));
 }
 
-void forward_call::answer_buffered(unsigned status, std::string cause) {
+void forward_call::answer_buffered() {
     first_byte_at_ = steady_now();
-    responder_.send({status, std::move(headers_), std::move(body_)});
-    complete(status, std::move(cause));
+    settle_status();
+    responder_.send({status_, std::move(headers_), std::move(body_)});
+    complete(status_, status_cause_);
 }
 
 void forward_call::complete(unsigned status, std::string cause) {
--- a/src/forward_call.cpp
+++ b/src/forward_call.cpp
@@ -240,9 +240,6 @@
 }
 
 void forward_call::refuse_with_retry_after(error failure) {
-    if (is_in_doubt_) {
-        return answer_failure({error_code::backend_lost, failure.subject});
-    }
     const auto delay = to_milliseconds(retry_delay(deadline_ - steady_now()));
     failure.retry_after = std::max(failure.retry_after, delay);
     answer_failure(failure);
@@ -547,9 +544,7 @@
 
 void forward_call::on_deadline() {
     const bool was_sent = sends_made_ > 0;
-    if (call_.value != 0) {
-        shared_.client.cancel(call_);
-    }
+    cancel_call();
     end_attempt(attempt_result::cancelled);
     if (has_response_started_) {
         responder_.abort();
@@ -564,11 +559,16 @@
     if (is_complete_) {
         return;
     }
+    cancel_call();
+    end_attempt(attempt_result::cancelled);
+    complete(http_status(error_code::caller_gone), "caller left");
+}
+
+void forward_call::cancel_call() {
     if (call_.value != 0) {
         shared_.client.cancel(call_);
+        is_in_doubt_ = true;
     }
-    end_attempt(attempt_result::cancelled);
-    complete(http_status(error_code::caller_gone), "caller left");
 }
 
 } // namespace magnolia
--- a/src/forward_call.h
+++ b/src/forward_call.h
@@ -21,6 +21,7 @@
 #include "reservations.h"
 #include "retry_budget.h"
 #include "route_table.h"
+#include "run_promise.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/intrusive/list.hpp>
@@ -247,7 +248,7 @@
     [[nodiscard]] bool refuse_if_quarantined();
     /// Tries again after the pause, or refuses with the failure if there is no time to wait.
     void wait_for_capacity(const error& failure, milliseconds pause);
-    /// Answers with the failure and a time to retry; reports a request that may have run as failed.
+    /// Answers with the failure and a time to retry.
     void refuse_with_retry_after(error failure);
     /// Reserves memory on all chosen engines that need it, then sends; retries if not all grant it.
     void reserve_and_send(chosen_backends chosen);
@@ -279,6 +280,10 @@
     void take_body(std::string_view text);
     /// The bytes are for the caller: signed, and no refusal.
     [[nodiscard]] bool is_body_for_caller() const;
+    /// The backend server states that it has not run the request.
+    [[nodiscard]] bool states_not_run() const;
+    /// What is known of the request over all its attempts, the current one included.
+    [[nodiscard]] run_knowledge knowledge() const;
     /// Updates the sum of what the calls keep.
     void count_kept();
     /// Frees what was received of an answer that is not used.
@@ -304,6 +309,9 @@
     void forward_event(const stream_event& event);
     /// Sends status and header to the caller; only the first call has an effect.
     void start_response();
+    /// Changes status and header of the answer that is forwarded if they promise more than is
+    /// known.
+    void settle_status();
     /// Ends the attempt, then retries, aborts the answer or reports the failure.
     void fail_attempt(run_evidence evidence, attempt_result result, const error& failure);
     /// Removes the job from the fleet and releases its reservation.
@@ -322,13 +330,16 @@
     [[nodiscard]] bool is_attempt_lost(time_point now) const;
     void on_deadline();
     void on_caller_disconnected();
+    /// Cancels the call of the attempt, if there is one. Its backend server may still run it.
+    void cancel_call();
 
     /// Adds a time to retry, with jitter, to failures that are answered with status 503.
     [[nodiscard]] error with_retry_after(error failure);
-    /// Ends the request with an error response, or aborts an answer that has started.
-    void answer_failure(const error& failure);
+    /// Ends the request with an error response, or aborts an answer that has started. A failure
+    /// that promises more than is known is reported as backend_lost.
+    void answer_failure(const error& cause);
     /// Ends the request with the buffered answer.
-    void answer_buffered(unsigned status, std::string cause);
+    void answer_buffered();
     /// Ends the request and reports its summary; only the first call has an effect.
     void complete(unsigned status, std::string cause);
 
@@ -400,10 +411,12 @@
     /// The response to the caller is a stream of events.
     bool started_as_events_ = false;
     unsigned status_ = 0;
+    /// Why the answer is forwarded with another status than the backend server's; usually empty.
+    std::string status_cause_;
     http_headers headers_;
     answer_head answer_;
     /// Set if the host that took the request failed it.
-    std::optional<relay_outcome> relay_outcome_;
+    std::optional<run_knowledge> relay_outcome_;
     std::string body_;
     event_splitter splitter_;
     /// Bytes of both that are part of the host's sum.
--- a/src/forward_quarantine.cpp
+++ b/src/forward_quarantine.cpp
@@ -38,12 +38,8 @@
         return false;
     }
     const auto segments = join(verdict->segments);
-    if (is_in_doubt_) {
-        answer_failure({error_code::backend_lost, "prompt is blocked, segments " + segments});
-    } else {
-        answer_failure({error_code::prompt_quarantined, segments,
-                        std::chrono::duration_cast<milliseconds>(verdict->blocked_until - now)});
-    }
+    answer_failure({error_code::prompt_quarantined, segments,
+                    std::chrono::duration_cast<milliseconds>(verdict->blocked_until - now)});
     return true;
 }
 
@@ -53,8 +49,7 @@
     if (is_complete_ || !may_crash || find_block(now) == nullptr) {
         return;
     }
-    shared_.client.cancel(call_);
-    is_in_doubt_ = true;
+    cancel_call();
     end_attempt(attempt_result::cancelled);
     // Answers, as the prompt is blocked.
     next_attempt();
--- a/src/forward_relay.cpp
+++ b/src/forward_relay.cpp
@@ -63,7 +63,7 @@
     const error failure{error_code::backend_refused,
                         "status " + std::to_string(status_) + " of host " + relay_host_,
                         answer_.retry_after};
-    if (relay_outcome_ == relay_outcome::in_doubt) {
+    if (relay_outcome_ == run_knowledge::may_have_run) {
         return fail_attempt(run_evidence::in_doubt, attempt_result::failed, failure);
     }
     tried_hosts_.push_back(relay_host_);
--- a/src/forward_stop.cpp
+++ b/src/forward_stop.cpp
@@ -45,10 +45,7 @@
     if (is_complete_) {
         return;
     }
-    if (call_.value != 0) {
-        shared_.client.cancel(call_);
-        is_in_doubt_ = true;
-    }
+    cancel_call();
     end_attempt(attempt_result::cancelled);
     refuse_with_retry_after({error_code::stopping, "the planned stop ended before the answer"});
 }
--- a/src/gateway_port.h
+++ b/src/gateway_port.h
@@ -37,6 +37,9 @@
     /// Parses the status and header of a backend server's response.
     [[nodiscard]] virtual answer_head read_answer(unsigned status,
                                                   const http_headers& headers) const = 0;
+    /// Header of a backend server's answer that is forwarded with another status, without the
+    /// signature of its own.
+    [[nodiscard]] virtual http_headers without_signature(http_headers headers) const = 0;
     /// Header field that a backend server repeats in its response to identify the request.
     [[nodiscard]] virtual http_header echo_header(const request_head& head) const = 0;
     /// Builds the gateway's own error response.
--- a/src/host_relay.cpp
+++ b/src/host_relay.cpp
@@ -36,17 +36,21 @@
     return reader.errors().empty() ? std::optional{context} : std::nullopt;
 }
 
-void set_relay_outcome(http_response& response, relay_outcome outcome) {
-    const auto value = outcome == relay_outcome::not_run ? not_run_value : in_doubt_value;
+void set_relay_outcome(http_response& response, run_knowledge known) {
+    const auto value = known == run_knowledge::not_run ? not_run_value : in_doubt_value;
     response.headers.push_back({std::string{outcome_field}, std::string{value}});
 }
 
-std::optional<relay_outcome> read_relay_outcome(const http_headers& headers) {
+void drop_relay_outcome(http_headers& headers) {
+    drop_field(headers, outcome_field);
+}
+
+std::optional<run_knowledge> read_relay_outcome(const http_headers& headers) {
     const auto value = find_header(headers, outcome_field);
     if (value.empty()) {
         return std::nullopt;
     }
-    return value == not_run_value ? relay_outcome::not_run : relay_outcome::in_doubt;
+    return value == not_run_value ? run_knowledge::not_run : run_knowledge::may_have_run;
 }
 
 } // namespace magnolia
--- a/src/host_relay.h
+++ b/src/host_relay.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "http_types.h"
+#include "run_promise.h"
 
 #include <magnolia/schema.h>
 
@@ -11,14 +12,6 @@
 
 namespace magnolia {
 
-/// What a host that failed a relayed request knows of it.
-enum class relay_outcome : std::uint8_t {
-    /// It was not run and will not be.
-    not_run,
-    /// It may have run.
-    in_doubt,
-};
-
 /// The caller's request with the context; a context that the caller sent is dropped.
 [[nodiscard]] http_request make_relay_request(const http_request& request,
                                               const relay_context& context);
@@ -26,8 +19,11 @@
 /// readable.
 [[nodiscard]] std::optional<relay_context> take_relay_context(http_headers& headers);
 
-void set_relay_outcome(http_response& response, relay_outcome outcome);
+/// Tells the host that asked what this one knows of a request that it fails itself.
+void set_relay_outcome(http_response& response, run_knowledge known);
+/// Removes the field from the header of a backend server's answer, which must not speak for a host.
+void drop_relay_outcome(http_headers& headers);
 /// Empty if a backend server has answered.
-[[nodiscard]] std::optional<relay_outcome> read_relay_outcome(const http_headers& headers);
+[[nodiscard]] std::optional<run_knowledge> read_relay_outcome(const http_headers& headers);
 
 } // namespace magnolia
--- a/src/relay_receiver.cpp
+++ b/src/relay_receiver.cpp
@@ -34,7 +34,8 @@
 http_response relay_receiver::refusal(const error& failure) const {
     auto response = shared_.codec.write_failure({}, failure);
     const bool may_have_run = failure.code == error_code::internal;
-    set_relay_outcome(response, may_have_run ? relay_outcome::in_doubt : relay_outcome::not_run);
+    set_relay_outcome(response,
+                      may_have_run ? run_knowledge::may_have_run : run_knowledge::not_run);
     return response;
 }
 
--- a/tests/gateway_fixture.cpp
+++ b/tests/gateway_fixture.cpp
@@ -94,6 +94,12 @@
     return answer;
 }
 
+http_headers test_codec::without_signature(http_headers headers) const {
+    std::erase_if(headers,
+                  [](const auto& field) { return boost::iequals(field.name, "signature"); });
+    return headers;
+}
+
 http_header test_codec::echo_header(const request_head& head) const {
     return {"attempt", head.attempt};
 }
--- a/tests/host_relay_test.cpp
+++ b/tests/host_relay_test.cpp
@@ -47,10 +47,11 @@
 TEST(host_relay, an_outcome_tells_whether_the_request_ran) {
     http_response response;
     EXPECT_EQ(read_relay_outcome(response.headers), std::nullopt);
-    set_relay_outcome(response, relay_outcome::not_run);
-    EXPECT_EQ(read_relay_outcome(response.headers), relay_outcome::not_run);
+    set_relay_outcome(response, run_knowledge::not_run);
+    EXPECT_EQ(read_relay_outcome(response.headers), run_knowledge::not_run);
     // What cannot be understood promises nothing.
-    EXPECT_EQ(read_relay_outcome({{"Magnolia-Relay-Outcome", "later"}}), relay_outcome::in_doubt);
+    EXPECT_EQ(read_relay_outcome({{"Magnolia-Relay-Outcome", "later"}}),
+              run_knowledge::may_have_run);
 }
 
 } // namespace
--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -257,6 +257,12 @@
     EXPECT_EQ(codec.read_answer(503, {{"Retry-After", "0.25"}}).retry_after, milliseconds{250});
 }
 
+// MIXED: a failure bears a server's signature and another status than that server gave.
+TEST(wire_codec, an_answer_with_another_status_loses_its_signature) {
+    const http_headers headers{{"x-response-signature", "s"}, {"X-Attempt-Id", "a1"}};
+    EXPECT_EQ(wire_codec{}.without_signature(headers), (http_headers{{"X-Attempt-Id", "a1"}}));
+}
+
 // The gateway of the incident LIMIT did not read the limit that a server states.
 TEST(wire_codec, reads_the_limit_that_a_backend_server_states) {
     const auto limit_of = [](std::string value) {
--- a/tests/relay_receiver_test.cpp
+++ b/tests/relay_receiver_test.cpp
@@ -54,7 +54,7 @@
     newer.config_version = 2;
     const auto refused = send(relayed(newer));
     EXPECT_EQ(refused->status, 503U);
-    EXPECT_EQ(read_relay_outcome(refused->headers), relay_outcome::not_run);
+    EXPECT_EQ(read_relay_outcome(refused->headers), run_knowledge::not_run);
     EXPECT_TRUE(backends_.front()->requests().empty());
 }
 
@@ -70,7 +70,7 @@
     EXPECT_FALSE(receiver_.takes_more());
     const auto refused = send(relayed(context()));
     EXPECT_EQ(refused->status, 503U);
-    EXPECT_EQ(read_relay_outcome(refused->headers), relay_outcome::not_run);
+    EXPECT_EQ(read_relay_outcome(refused->headers), run_knowledge::not_run);
     open->send({200, {{"signature", "s"}, {"attempt", "a1"}}, "ok"});
     run_until([&] { return first.has_value(); });
     EXPECT_EQ(first, 200U);
@@ -83,7 +83,7 @@
     request.body = std::string(17, 'x');
     const auto too_large = send(request);
     EXPECT_EQ(too_large->status, 413U);
-    EXPECT_EQ(read_relay_outcome(too_large->headers), relay_outcome::not_run);
+    EXPECT_EQ(read_relay_outcome(too_large->headers), run_knowledge::not_run);
     // Above the space for the relay's own field.
     request.headers.push_back({"big", std::string(4096, 'x')});
     EXPECT_EQ(send(request)->status, 431U);
@@ -105,7 +105,62 @@
     std::ranges::replace(request.headers, http_header{"key", "k1"}, http_header{"key", "other"});
     const auto refused = send(std::move(request));
     EXPECT_EQ(refused->status, 401U);
-    EXPECT_EQ(read_relay_outcome(refused->headers), relay_outcome::not_run);
+    EXPECT_EQ(read_relay_outcome(refused->headers), run_knowledge::not_run);
+}
+
+/// What the host that asked is told of a request that a server had.
+class relayed_answers : public relay_receiver_test {
+protected:
+    http_response ask(const http_handler& handler, milliseconds time_left = milliseconds{900}) {
+        add_backend("b1", "desk").add_handler(handler);
+        auto request = relayed({.sender = "g2", .time_left = time_left, .config_version = 1});
+        request.target = "/unsafe/";
+        auto answer = send(std::move(request));
+        EXPECT_TRUE(answer);
+        return answer ? *answer : http_response{};
+    }
+};
+
+// Review case 7, REFUSED, through another host, which may be of an earlier release and forward what
+// it is told.
+TEST_F(relayed_answers, a_failure_without_a_statement_promises_nothing) {
+    for (const auto status : {408U, 429U, 503U}) {
+        const auto answer = ask(respond_with(status, "failed"));
+        EXPECT_EQ(answer.status, 502U);
+        EXPECT_EQ(answer.body, "failed");
+        EXPECT_TRUE(find_header(answer.headers, "signature").empty());
+        EXPECT_NE(read_relay_outcome(answer.headers), run_knowledge::not_run);
+    }
+}
+
+TEST_F(relayed_answers, a_refusal_is_told_as_not_run) {
+    const auto answer = ask(refuse_unexecuted());
+    EXPECT_EQ(answer.status, 503U);
+    EXPECT_EQ(read_relay_outcome(answer.headers), run_knowledge::not_run);
+}
+
+TEST_F(relayed_answers, a_broken_answer_is_told_as_in_doubt) {
+    const auto answer =
+        ask([](const auto&, const http_responder& responder) { responder.abort(); });
+    EXPECT_EQ(answer.status, 502U);
+    EXPECT_EQ(read_relay_outcome(answer.headers), run_knowledge::may_have_run);
+}
+
+TEST_F(relayed_answers, a_deadline_that_passes_after_sending_is_told_as_in_doubt) {
+    const auto answer = ask([](const auto&, const auto&) {}, milliseconds{50});
+    EXPECT_EQ(answer.status, 504U);
+    EXPECT_EQ(read_relay_outcome(answer.headers), run_knowledge::may_have_run);
+}
+
+// The field is the host's own word; a server must not speak for it.
+TEST_F(relayed_answers, a_server_cannot_state_the_outcome_of_a_relay) {
+    const auto answer = ask([](const auto&, const http_responder& responder) {
+        responder.send(
+            {500, {{"signature", "s"}, {"Magnolia-Relay-Outcome", "not-run"}}, "failed"});
+    });
+    EXPECT_EQ(answer.status, 500U);
+    EXPECT_EQ(find_header(answer.headers, "signature"), "s");
+    EXPECT_EQ(read_relay_outcome(answer.headers), std::nullopt);
 }
 
 } // namespace
