Entry: no status of a call that may have run promises "not run"

A lookup of an outcome that failed, or found no record, said `not_run` of the call with the key.

Change: caller_http and service_client ask run_promise. Such calls end with 502, recorded answers of earlier releases too. Lookups without a record say `unknown`.

--- a/src/caller_http.cpp
+++ b/src/caller_http.cpp
@@ -1,6 +1,7 @@
 #include "caller_http.h"
 
 #include "json_text.h"
+#include "run_promise.h"
 
 #include <nlohmann/json.hpp>
 
@@ -65,8 +66,11 @@
             {"retry_after_ms", failure.retry_after.count()}};
 }
 
-http_response error_response(const error& failure, outcome final_outcome) {
+http_response error_response(const error& cause, outcome final_outcome) {
     constexpr std::int64_t ms_per_s = 1000;
+    const auto failure =
+        truthful_failure(cause, final_outcome == outcome::not_run ? run_knowledge::not_run
+                                                                  : run_knowledge::may_have_run);
     auto response = json_response(http_status(failure.code),
                                   json{{"error", error_body(failure, final_outcome)}}.dump());
     response.headers.push_back({"Magnolia-Outcome", std::string{to_string(final_outcome)}});
@@ -327,6 +331,14 @@
     }
 
     void send(pending_call& call, const caller_answer& event) {
+        // Answers that were recorded by earlier releases may have such a status.
+        if (promises_not_run(event.status)) {
+            return send(call, caller_failed{event.caller,
+                                            event.request,
+                                            {error_code::backend_failed,
+                                             "status " + std::to_string(event.status)},
+                                            outcome::unknown});
+        }
         auto response = json_response(event.status, event.body);
         const auto final_outcome = event.status < 500 ? outcome::done : outcome::failed;
         add_outcome(response, event.request, final_outcome);
--- a/src/entry_service.cpp
+++ b/src/entry_service.cpp
@@ -148,8 +148,9 @@
         emit_event(event_kind::claim_refused, *record, {}, to_string(event.failure));
         end_failed(*record, event.failure, at);
     } else if (const auto caller = extract_lookup(event.request)) {
+        // Of the call with the key nothing is known.
         emit(
-            caller_command{caller_failed{*caller, event.request, event.failure, outcome::not_run}});
+            caller_command{caller_failed{*caller, event.request, event.failure, outcome::unknown}});
     }
 }
 
@@ -168,7 +169,8 @@
             caller_failed{*caller, event.request, {code, {}, retry_after}, final_outcome}});
     };
     if (!event.record) {
-        return answer(error_code::not_found, outcome::not_run);
+        // Claims are forgotten after a time, those of calls that have run too.
+        return answer(error_code::not_found, outcome::unknown);
     }
     if (!event.record->result) {
         return answer(error_code::key_in_progress, outcome::unknown, in_progress_retry_after);
--- a/src/service_client.cpp
+++ b/src/service_client.cpp
@@ -2,6 +2,7 @@
 
 #include "backend_call.h"
 #include "json_text.h"
+#include "run_promise.h"
 
 #include <boost/asio/post.hpp>
 #include <nlohmann/json.hpp>
@@ -12,12 +13,11 @@
 namespace {
 
 constexpr unsigned status_bad_gateway = 502;
-constexpr unsigned status_unavailable = 503;
 constexpr unsigned status_gateway_timeout = 504;
 
 /// Whether the status alone does not show if the service ran the call.
 bool is_ambiguous(unsigned status) {
-    return status == status_bad_gateway || status == status_unavailable ||
+    return promises_not_run(status) || status == status_bad_gateway ||
            status == status_gateway_timeout;
 }
 
--- a/tests/service_client_test.cpp
+++ b/tests/service_client_test.cpp
@@ -69,6 +69,25 @@
     EXPECT_EQ(certainty_of_call(), run_certainty::unknown);
 }
 
+// As review case 7: a status alone is no proof, and neither is another statement in the body.
+TEST_F(service_client_test, a_status_that_promises_not_run_proves_nothing) {
+    std::uint32_t number = 0;
+    for (const auto* status : {"408 Slow", "421 Other", "429 Many", "503 Full"}) {
+        for (const std::string body : {"", "full", R"({"ran":true})", R"({"ran":0})"}) {
+            const repeating_server faulty{context,
+                                          std::string{"HTTP/1.1 "} + status +
+                                              "\r\nContent-Length: " + std::to_string(body.size()) +
+                                              "\r\n\r\n" + body,
+                                          "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"};
+            const service_handle service{++number};
+            client.put_service(service, http_service{{"127.0.0.1", faulty.port()}});
+            const auto event = call(service);
+            ASSERT_TRUE(std::holds_alternative<service_failed>(event)) << status << body;
+            EXPECT_EQ(std::get<service_failed>(event).certainty, run_certainty::unknown);
+        }
+    }
+}
+
 TEST_F(service_client_test, a_draining_service_is_reported_as_leaving) {
     ASSERT_TRUE(server.apply_fault(0, "drain", 1));
     const auto failed = std::get<service_failed>(call());
