Count failures without a statement against their server

Cause: only small answers of 500 and above counted as failures of the server. A 408 or 429 of a request that may be repeated was forwarded though another server could have run it.

Change: one function says what a complete answer means for its server, whatever its size.

Evidence: on 10 of the 12 tests unstated_failures.count_against_their_server fail (all but the small 503), and promised_status.a_request_that_may_be_repeated_goes_to_another_server_first.

--- a/src/forward_answer.cpp
+++ b/src/forward_answer.cpp
@@ -40,6 +40,12 @@
     return status >= first_success && status < first_redirect;
 }
 
+/// Whether an answer that does not state that the request was not run is a failure of its backend
+/// server.
+bool is_server_failure(unsigned status) {
+    return status >= first_server_error || promises_not_run(status);
+}
+
 } // namespace
 
 std::string to_string(const answer_summary& answer) {
@@ -359,7 +365,7 @@
     case answer_form::events:
         return on_stream_end();
     case answer_form::streamed:
-        end_attempt(attempt_result::done);
+        end_answered_attempt();
         responder_.finish();
         return complete(status_, status_cause_);
     case answer_form::buffered:
@@ -425,19 +431,25 @@
         return fail_attempt(run_evidence::in_doubt, attempt_result::failed,
                             {error_code::backend_failed, "status " + std::to_string(status_)});
     }
-    const bool is_failure = status_ >= first_server_error;
-    if (is_failure && route_->repeat != repeat_rule::never && sends_made_ < max_sends() &&
-        spend_retry_budget()) {
+    const bool is_retried = is_server_failure(status_) && route_->repeat != repeat_rule::never &&
+                            sends_made_ < max_sends() && spend_retry_budget();
+    end_answered_attempt();
+    if (is_retried) {
         is_in_doubt_ = true;
-        end_attempt(attempt_result::failed, "status " + std::to_string(status_));
         drop_answer();
         return next_attempt();
     }
-    end_attempt(is_failure ? attempt_result::failed : attempt_result::done,
-                is_failure ? "status " + std::to_string(status_) : "");
     answer_buffered();
 }
 
+void forward_call::end_answered_attempt() {
+    if (!is_server_failure(status_)) {
+        return end_attempt(attempt_result::done);
+    }
+    end_attempt(attempt_result::failed,
+                status_cause_.empty() ? "status " + std::to_string(status_) : status_cause_);
+}
+
 error forward_call::with_retry_after(error failure) {
     constexpr unsigned status_unavailable = 503;
     if (http_status(failure.code) == status_unavailable) {
--- a/src/forward_call.h
+++ b/src/forward_call.h
@@ -314,6 +314,8 @@
     void settle_status();
     /// Ends the attempt, then retries, aborts the answer or reports the failure.
     void fail_attempt(run_evidence evidence, attempt_result result, const error& failure);
+    /// Ends the attempt with what its complete answer says about the backend server.
+    void end_answered_attempt();
     /// Removes the job from the fleet and releases its reservation.
     /// @param cause  failure of the attempt, for the log; empty if its answer is complete.
     void end_attempt(attempt_result result, std::string_view cause = {});
--- a/tests/promised_status_test.cpp
+++ b/tests/promised_status_test.cpp
@@ -75,6 +75,15 @@
     EXPECT_EQ(sends(), 1U);
 }
 
+// Such answers counted as sound, unless they were 503 and small: the next orders met the same server.
+TEST_P(unstated_failures, count_against_their_server) {
+    const auto& [status, path, body_bytes] = GetParam();
+    add_to_all(fail_with(status, body_bytes));
+    static_cast<void>(ask(path));
+    ASSERT_EQ(answers_.size(), 1U);
+    EXPECT_EQ(answers_.front().result, attempt_result::failed);
+}
+
 INSTANTIATE_TEST_SUITE_P(answers, unstated_failures,
                          testing::Combine(testing::ValuesIn(promising),
                                           testing::Values("/unsafe/", "/once-stream/"),
@@ -109,6 +118,20 @@
     }
 }
 
+TEST_F(promised_status, a_request_that_may_be_repeated_goes_to_another_server_first) {
+    for (const auto status : promising) {
+        backends_.clear();
+        for (const auto* id : {"desk1", "desk2"}) {
+            auto& backend = add_backend(id, "desk");
+            backend.add_handler([this, status](const auto& request, const auto& responder) {
+                respond_with(sends() == 1 ? status : 200, "answer")(request, responder);
+            });
+        }
+        EXPECT_EQ(ask("/safe/").status, 200U) << status;
+        EXPECT_EQ(sends(), 2U);
+    }
+}
+
 TEST_F(promised_status, statuses_that_promise_nothing_are_forwarded_unchanged) {
     for (const auto status : {302U, 400U, 401U, 403U, 404U, 409U, 413U, 422U, 500U, 502U, 504U}) {
         for (const auto body_bytes : {small_body, large_body}) {
