Soak: servers fail some calls after they have run, without a statement

One in 50 plain calls is run and answered 408, 429 or 503. The soak's rule that no promise is false covers them.

--- a/tests/signal_soak_test.cpp
+++ b/tests/signal_soak_test.cpp
@@ -35,6 +35,8 @@
 constexpr milliseconds part_interval{100};
 constexpr milliseconds retry_pause{50};
 constexpr std::size_t max_small_soak = 8;
+/// One in so many plain calls is run and then failed by its server.
+constexpr std::size_t calls_per_failure = 50;
 
 std::uint64_t number_from_environment(const char* name, std::uint64_t fallback) {
     const auto* text = std::getenv(name);
@@ -186,6 +188,12 @@
         if (refused_.contains(id)) {
             report_fault("REFUSED, and runs later: " + id + " " + request.target);
         }
+        if (!route.is_stream && draw(calls_per_failure) == 0) {
+            // After it has run, without a statement.
+            constexpr std::array statuses{408U, 429U, 503U};
+            record.is_finished = true;
+            return respond_with(choose(statuses), "failed")(request, responder);
+        }
         const std::string resumed{find_header(request.headers, "resume")};
         responder.start(200,
                         {{"signature", "s"},
