--- a/src/prompt_quarantine.cpp
+++ b/src/prompt_quarantine.cpp
@@ -1,4 +1,4 @@
-#include "prompt_quarantine.h"
+#include "prompt_quarantine_p.h"
 
 #include <xxhash.h>
 
@@ -11,10 +11,8 @@
 
 using std::chrono::milliseconds;
 
-/// Crashes closer together than this count as one: a rack that loses power ends many at once.
-constexpr duration simultaneous = milliseconds{50};
-/// The same prompt counts again after this time: callers repeat a request within it.
-constexpr duration repetition_time = std::chrono::seconds{15};
+/// Backend servers and gateways that a verdict names.
+constexpr std::size_t max_named = 8;
 /// Time in which the reports of the other gateways on the same crash arrive.
 constexpr duration judge_delay = milliseconds{150};
 /// Time after a broken-off answer within which a refused connection shows that the backend server
@@ -27,42 +25,11 @@
 constexpr duration probation_time = std::chrono::hours{24};
 /// Time for which it counts that an answer began before the crashes.
 constexpr duration soundness_lifetime = std::chrono::minutes{10};
-/// Factor of the crashes that prove a combination of sound segments.
-constexpr std::size_t sound_factor = 2;
 /// Longest random delay of a clearance for each other gateway, and for any number of them.
 constexpr duration clearance_delay_per_peer = milliseconds{2};
 constexpr duration max_clearance_delay = milliseconds{500};
 /// Length of the ids in one datagram, bytes; the encoding adds at most as much again.
 constexpr std::size_t max_update_bytes = std::size_t{20} << 10U;
-/// Backend servers and gateways that a verdict names.
-constexpr std::size_t max_named = 8;
-
-constexpr std::string_view whole_request_prefix = "request:";
-
-bool is_whole_request(std::string_view segment) {
-    return segment.starts_with(whole_request_prefix);
-}
-
-bool has_all(const segment_list& segments, const segment_list& wanted) {
-    return std::ranges::includes(segments, wanted);
-}
-
-segment_list sorted(segment_list segments) {
-    std::ranges::sort(segments);
-    const auto duplicates = std::ranges::unique(segments);
-    segments.erase(duplicates.begin(), duplicates.end());
-    return segments;
-}
-
-void add_name(std::vector<std::string>& names, const std::string& name) {
-    if (std::ranges::find(names, name) == names.end()) {
-        names.push_back(name);
-        std::ranges::sort(names);
-    }
-    if (names.size() > max_named) {
-        names.erase(names.begin());
-    }
-}
 
 milliseconds age_of(time_point at, time_point now) {
     return std::chrono::duration_cast<milliseconds>(std::max(now - at, duration{0}));
@@ -148,6 +115,23 @@
 
 } // namespace
 
+segment_list sorted(segment_list segments) {
+    std::ranges::sort(segments);
+    const auto duplicates = std::ranges::unique(segments);
+    segments.erase(duplicates.begin(), duplicates.end());
+    return segments;
+}
+
+void add_name(std::vector<std::string>& names, const std::string& name) {
+    if (std::ranges::find(names, name) == names.end()) {
+        names.push_back(name);
+        std::ranges::sort(names);
+    }
+    if (names.size() > max_named) {
+        names.erase(names.begin());
+    }
+}
+
 std::string whole_request_segment(std::string_view fingerprint) {
     return std::string{whole_request_prefix} + std::string{fingerprint};
 }
@@ -274,13 +258,14 @@
     }
     auto& known = clearances_[segment];
     known.at = std::max(known.at, at);
-    on_evidence_changed();
+    on_cleared(segment, known.at);
     for (auto verdict = verdicts_.begin(); verdict != verdicts_.end();) {
         const auto position = std::ranges::find(verdict->segments, segment);
         if (position == verdict->segments.end() || verdict->last_crash >= at) {
             ++verdict;
             continue;
         }
+        on_evidence_changed();
         if (verdict->segments.size() == 1) {
             changes_.push_back({quarantine_change::kind::released, *verdict});
             verdict = verdicts_.erase(verdict);
@@ -292,6 +277,21 @@
     }
 }
 
+void prompt_quarantine::on_cleared(const std::string& segment, time_point at) {
+    // The rest of the table stays as it is: each answer that begins clears many segments.
+    if (!evidence_) {
+        return;
+    }
+    const auto found = evidence_->find(segment);
+    if (found == evidence_->end()) {
+        return;
+    }
+    std::erase_if(found->second, [at](const auto& item) { return item.record->at < at; });
+    if (found->second.empty()) {
+        evidence_->erase(found);
+    }
+}
+
 // Decisions.
 
 const quarantined_prompt* prompt_quarantine::find_block(const segment_list& segments,
@@ -353,108 +353,6 @@
     });
 }
 
-std::size_t prompt_quarantine::weight_of(const segment_list& combination,
-                                         const std::vector<exhibit>& exhibits) const {
-    const bool is_explained = std::ranges::all_of(
-        exhibits, [this](const auto& item) { return explanation_of(*item.record) != nullptr; });
-    if (is_explained) {
-        return 0;
-    }
-    if (std::ranges::any_of(combination, is_whole_request)) {
-        std::set<const crash*> crashes;
-        std::ranges::transform(exhibits, std::inserter(crashes, crashes.end()), &exhibit::record);
-        return crashes.size();
-    }
-    std::vector<std::pair<time_point, std::string_view>> cases;
-    std::ranges::transform(exhibits, std::back_inserter(cases), [](const auto& item) {
-        return std::pair{item.record->at, std::string_view{item.prompt->own}};
-    });
-    std::ranges::sort(cases);
-    std::size_t crashes_apart = 0;
-    std::size_t prompts = 0;
-    auto last_crash = time_point::min();
-    std::map<std::string_view, time_point> last_counted;
-    for (const auto& [at, own] : cases) {
-        if (crashes_apart == 0 || at - last_crash >= simultaneous) {
-            ++crashes_apart;
-            last_crash = at;
-        }
-        const auto [known, is_first] = last_counted.try_emplace(own, at);
-        if (is_first || own.empty() || at - known->second >= repetition_time) {
-            ++prompts;
-            known->second = at;
-        }
-    }
-    return std::min(crashes_apart, prompts);
-}
-
-segment_list prompt_quarantine::most_specific(const std::string& segment,
-                                              const std::vector<exhibit>& exhibits) const {
-    const auto is_at_risk_each_time = [&](const segment_list& combination) {
-        return std::ranges::all_of(exhibits, [&](const auto& item) {
-            const bool is_cleared = std::ranges::any_of(combination, [&](const auto& other) {
-                return was_cleared_after(other, item.record->at);
-            });
-            return !is_cleared && std::ranges::any_of(exhibits, [&](const auto& other) {
-                return other.record == item.record && has_all(other.prompt->shared, combination);
-            });
-        });
-    };
-    segment_list others;
-    for (const auto& item : exhibits) {
-        if (item.record == exhibits.front().record) {
-            std::ranges::copy(item.prompt->shared, std::back_inserter(others));
-        }
-    }
-    segment_list combination{segment};
-    for (const auto& other : sorted(std::move(others))) {
-        auto larger = combination;
-        larger.push_back(other);
-        larger = sorted(std::move(larger));
-        if (is_at_risk_each_time(larger)) {
-            combination = std::move(larger);
-        }
-    }
-    return combination;
-}
-
-std::size_t prompt_quarantine::required_crashes(const segment_list& combination) const {
-    const bool is_sound = std::ranges::all_of(
-        combination, [this](const auto& segment) { return clearances_.contains(segment); });
-    return std::size_t{settings_.crashes} * (is_sound ? sound_factor : 1);
-}
-
-std::optional<quarantined_prompt> prompt_quarantine::find_culprit() const {
-    quarantined_prompt verdict;
-    std::vector<exhibit> proof;
-    double best_certainty = 0;
-    for (const auto& [segment, exhibits] : evidence()) {
-        auto combination = most_specific(segment, exhibits);
-        auto relevant = exhibits;
-        std::erase_if(relevant,
-                      [&](const auto& item) { return !has_all(item.prompt->shared, combination); });
-        const auto certainty = static_cast<double>(weight_of(combination, relevant)) /
-                               static_cast<double>(required_crashes(combination));
-        if (certainty > best_certainty) {
-            best_certainty = certainty;
-            verdict.segments = std::move(combination);
-            proof = std::move(relevant);
-        }
-    }
-    if (best_certainty < 1) {
-        return std::nullopt;
-    }
-    for (const auto& item : proof) {
-        const auto& record = *item.record;
-        verdict.last_crash = std::max(verdict.last_crash, record.at);
-        verdict.is_own_verdict = record.at == verdict.last_crash && record.first_reporter == host_;
-        add_name(verdict.backends, record.backend.id);
-        std::ranges::for_each(record.reporters,
-                              [&](const auto& name) { add_name(verdict.reporters, name); });
-    }
-    return verdict;
-}
-
 duration prompt_quarantine::block_time(std::uint32_t repetitions) const {
     const std::chrono::duration<double> first{settings_.block_s};
     const auto factor = static_cast<double>(std::uint64_t{1} << std::min(repetitions, 32U));
@@ -470,47 +368,6 @@
     }
 }
 
-void prompt_quarantine::judge(time_point now) {
-    judge_repetitions(now);
-    while (auto verdict = find_culprit()) {
-        verdict->blocked_at = now;
-        verdict->blocked_until = now + block_time(0);
-        if (verdicts_.size() >= config::max_quarantined) {
-            changes_.push_back({quarantine_change::kind::table_full, *verdict});
-            return;
-        }
-        block(std::move(*verdict), now);
-    }
-}
-
-void prompt_quarantine::judge_repetitions(time_point now) {
-    for (const auto& record : crashes_) {
-        for (auto& verdict : verdicts_) {
-            const bool is_at_risk = std::ranges::any_of(record.prompts, [&](const auto& prompt) {
-                return has_all(prompt.shared, verdict.segments);
-            });
-            if (!is_at_risk || record.at <= verdict.last_crash) {
-                continue;
-            }
-            verdict.last_crash = record.at;
-            add_name(verdict.backends, record.backend.id);
-            std::ranges::for_each(record.reporters,
-                                  [&](const auto& name) { add_name(verdict.reporters, name); });
-            if (record.at < verdict.blocked_until) {
-                continue;
-            }
-            ++verdict.repetitions;
-            verdict.blocked_at = now;
-            verdict.blocked_until = now + block_time(verdict.repetitions);
-            verdict.is_own_verdict = record.first_reporter == host_;
-            if (verdict.is_own_verdict) {
-                due_verdicts_.insert(verdict.segments);
-            }
-            changes_.push_back({quarantine_change::kind::blocked, verdict});
-        }
-    }
-}
-
 void prompt_quarantine::block(quarantined_prompt verdict, time_point now) {
     std::erase_if(verdicts_,
                   [&](const auto& known) { return has_all(known.segments, verdict.segments); });
--- a/src/prompt_quarantine.h
+++ b/src/prompt_quarantine.h
@@ -13,6 +13,8 @@
 #include <random>
 #include <set>
 #include <string>
+#include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace magnolia {
@@ -161,6 +163,12 @@
     /// Prompts at risk with each segment, in the order of the crashes: without crashes before it
     /// was cleared, and without those that another segment explains.
     using evidence_table = std::map<std::string, std::vector<exhibit>, std::less<>>;
+    struct prompts_of_crash {
+        const crash* record = nullptr;
+        std::vector<const prompt_outline*> prompts;
+    };
+    /// Number of crashes in which a prompt with the segment was at risk.
+    using crash_counts = std::unordered_map<std::string_view, std::size_t>;
 
     /// Adds prompts to the crash of a backend server.
     void add_crash(const backend_process& backend, const std::vector<prompt_outline>& prompts,
@@ -172,7 +180,7 @@
     /// Evidence against all segments; computed again after a change.
     [[nodiscard]] const evidence_table& evidence() const;
     [[nodiscard]] evidence_table collect_evidence() const;
-    /// Must be called after each change of crashes, clearances or verdicts.
+    /// Must be called after each change of crashes or verdicts.
     void on_evidence_changed() { evidence_.reset(); }
     /// Blocks combinations with enough evidence, and those that crash again after their block.
     void judge(time_point now);
@@ -181,13 +189,20 @@
     /// whichever is less; 0 if all crashes are explained. All crashes of a whole request count.
     [[nodiscard]] std::size_t weight_of(const segment_list& combination,
                                         const std::vector<exhibit>& exhibits) const;
+    [[nodiscard]] static std::vector<prompts_of_crash>
+    group_by_crash(const std::vector<exhibit>& exhibits);
+    [[nodiscard]] crash_counts count_crashes() const;
     /// The largest combination with the segment that was at risk as a whole in each of the crashes.
+    /// Of the other segments only those at risk in as many crashes are tried.
     [[nodiscard]] segment_list most_specific(const std::string& segment,
-                                             const std::vector<exhibit>& exhibits) const;
+                                             const std::vector<exhibit>& exhibits,
+                                             const crash_counts& counts) const;
     /// The combination with the most evidence, if that suffices.
     [[nodiscard]] std::optional<quarantined_prompt> find_culprit() const;
     /// Blocks requests with the combination from now on.
     void block(quarantined_prompt verdict, time_point now);
+    /// Takes the crashes before this time from the evidence against the segment.
+    void on_cleared(const std::string& segment, time_point at);
     /// The segment does not crash backend servers, as an answer that began at this time shows.
     void clear(const std::string& segment, time_point at);
     [[nodiscard]] bool was_cleared_after(const std::string& segment, time_point at) const;
--- a/tests/prompt_quarantine_test.cpp
+++ b/tests/prompt_quarantine_test.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
+#include <ctime>
 #include <deque>
 
 namespace magnolia {
@@ -394,5 +395,91 @@
     }
 }
 
+duration processor_time() {
+    timespec time{};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+    return std::chrono::duration_cast<duration>(std::chrono::seconds{time.tv_sec} +
+                                                std::chrono::nanoseconds{time.tv_nsec});
+}
+
+/// Crashes of engines with as many prompts as a report holds, each of as many segments as are read.
+class large_evidence : public quarantine_test {
+protected:
+    static constexpr int prompts_per_crash = 26;
+    static constexpr int segments_of_kind = 32;
+    /// A host with a quarter of a core has half a second for requests that are overdue.
+    static constexpr duration max_time = 125ms;
+
+    void add_crash() {
+        now_ += apart;
+        begin_step();
+        crash_now(gateway_, prompts_of(++crash_count_));
+        end_step("crash");
+        begin_step();
+        settle(gateway_);
+        end_step("judgement");
+    }
+
+    /// Half of the segments are those of all prompts.
+    [[nodiscard]] static std::vector<segment_list> prompts_of(int crash) {
+        std::vector<segment_list> prompts;
+        for (int prompt = 0; prompt < prompts_per_crash; ++prompt) {
+            auto& segments = prompts.emplace_back();
+            for (int index = 0; index < segments_of_kind; ++index) {
+                segments.push_back("s" + std::to_string(index));
+                segments.push_back(std::to_string(crash * prompts_per_crash + prompt) + "-" +
+                                   std::to_string(index));
+            }
+        }
+        return prompts;
+    }
+
+    void begin_step() { step_begun_ = processor_time(); }
+    void end_step(std::string_view name) {
+        EXPECT_LT(processor_time() - step_begun_, max_time) << name << " " << crash_count_;
+    }
+
+private:
+    int crash_count_ = 0;
+    duration step_begun_{};
+};
+
+// Review case 6, CONFIG: two engines crashed with 26 prompts of 65 segments each, and one judgement
+// took eight seconds of the thread that does everything else.
+TEST_F(large_evidence, is_judged_in_time) {
+    add_crash();
+    add_crash();
+    EXPECT_FALSE(blocks(gateway_, prompts_of(9).front()));
+    add_crash();
+    EXPECT_TRUE(blocks(gateway_, prompts_of(9).front()));
+    add_crash();
+    EXPECT_FALSE(blocks(gateway_, {"s0"}));
+}
+
+// As above, with answers that begin after the crashes and clear their segments.
+TEST_F(large_evidence, is_cleared_in_time) {
+    for (int crash = 1; crash <= 4; ++crash) {
+        add_crash();
+        for (const auto& prompt : prompts_of(crash)) {
+            begin_step();
+            begin_answer(gateway_, prompt);
+            end_step("answer");
+        }
+    }
+    EXPECT_FALSE(blocks(gateway_, prompts_of(9).front()));
+}
+
+// As above, after a verdict of many segments.
+TEST_F(large_evidence, of_a_verdict_is_cleared_in_time) {
+    for (int crash = 1; crash <= 4; ++crash) {
+        add_crash();
+    }
+    EXPECT_TRUE(blocks(gateway_, prompts_of(9).front()));
+    begin_step();
+    begin_answer(gateway_, prompts_of(9).front());
+    end_step("answer");
+    EXPECT_FALSE(blocks(gateway_, prompts_of(9).front()));
+}
+
 } // namespace
 } // namespace magnolia
