--- a/tests/promised_status_test.cpp
+++ b/tests/promised_status_test.cpp
@@ -75,7 +75,8 @@
     EXPECT_EQ(sends(), 1U);
 }
 
-// Such answers counted as sound, unless they were 503 and small: the next orders met the same server.
+// Such answers counted as sound, unless they were 503 and small, and the next orders met the server
+// again.
 TEST_P(unstated_failures, count_against_their_server) {
     const auto& [status, path, body_bytes] = GetParam();
     add_to_all(fail_with(status, body_bytes));
