Response ended by the close of its connection: a failed write of the request makes it incomplete

What callers saw: a server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. Callers got the part as a complete answer.

Cause: the system reports a reset to one operation only. A pending write gets ECONNRESET, and the reads after it find what had arrived and then an end of the stream, as after an orderly close. http_exchange::perform looked at the failure of the write only where reading had failed. Evidence: a system call trace of the new test on the unchanged code shows sendmsg = ECONNRESET, the data, then recvmsg = 0.

Change: such a response is complete only if no write of the request has failed. If the peer closes its side before it has read the request, the rest is still written, for one second at most (early_close_timeout): a reset right after the close fails the response too, a peer that reads on has its response accepted, and one that does neither delays it by a second. Responses with a length or chunks are complete as before, though their upload was cut. All programs read responses through this client.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -160,7 +160,11 @@
     asio::awaitable<system_error> read_message(text_parser& parser);
     /// Whether the response is an interim (1xx) response or belongs to another call.
     [[nodiscard]] bool should_skip(const text_parser& parser) const;
+    /// Decides whether the close of the connection was orderly, so that it ends the response.
+    asio::awaitable<system_error> check_close();
     asio::awaitable<void> wait_while_paused();
+    /// Waits until the writer has ended, or until the time.
+    asio::awaitable<void> wait_for_writer(steady_clock::time_point until);
     void set_timeout(std::chrono::milliseconds timeout);
     /// Passes newly parsed parts of the response to the handlers.
     void deliver(text_parser& parser);
@@ -185,6 +189,8 @@
     /// Whether the message that is being read is skipped.
     bool is_skipping_ = false;
     bool is_keep_alive_ = false;
+    /// Whether only the close of the connection ended the message that was read.
+    bool is_ended_by_close_ = false;
     /// Whether the writer is running. It runs concurrently with the reader, because the peer may
     /// respond before it has read the complete request.
     bool is_writing_ = false;
@@ -292,6 +298,22 @@
     }
 }
 
+asio::awaitable<void> http_exchange::wait_for_writer(steady_clock::time_point until) {
+    while (is_writing_ && steady_clock::now() < until) {
+        system_error ignored;
+        wake_timer_.expires_at(until);
+        co_await wake_timer_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
+asio::awaitable<system_error> http_exchange::check_close() {
+    // The system reports a reset to one operation only: after a write that failed, the reader finds
+    // an end of the stream as after an orderly close.
+    const auto until = std::min(steady_clock::now() + limits_.early_close_timeout, deadline_);
+    co_await wait_for_writer(until);
+    co_return write_failure_;
+}
+
 bool http_exchange::should_skip(const text_parser& parser) const {
     constexpr unsigned first_final_status = 200;
     if (parser.get().result_int() < first_final_status) {
@@ -325,6 +347,7 @@
         }
     }
     is_keep_alive_ = parser.is_header_done() && parser.keep_alive();
+    is_ended_by_close_ = parser.is_header_done() && parser.need_eof();
     co_return failure;
 }
 
@@ -420,6 +443,8 @@
         failure = co_await read_response();
         if (failure && write_failure_) {
             failure = write_failure_;
+        } else if (!failure && is_ended_by_close_) {
+            failure = co_await check_close();
         }
         const bool is_reusable =
             !failure && !is_writing_ && !write_failure_ && !is_cancelled_ && is_keep_alive_;
@@ -448,11 +473,7 @@
             connection_->stream.close();
         }
     }
-    while (is_writing_) {
-        system_error ignored;
-        wake_timer_.expires_at(steady_clock::time_point::max());
-        co_await wake_timer_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-    }
+    co_await wait_for_writer(steady_clock::time_point::max());
     client_->calls.erase(id.value);
     connection_.reset();
     if (!client_->is_closed) {
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -41,6 +41,10 @@
     /// Asked once there is a connection, right before the first byte is written; the call fails as
     /// withdrawn if it returns false. None to write always.
     std::function<bool()> may_write{};
+    /// How long the rest of the request is still written after the peer has closed its side of the
+    /// connection, if only the close ends the response. The response is incomplete if a write fails
+    /// by then.
+    std::chrono::milliseconds early_close_timeout{1000};
 };
 
 /// Why a call ended without a complete response.
@@ -71,7 +75,9 @@
     std::function<void(const http_response_head& head)> on_header;
     /// Called with the next bytes of the body.
     std::function<void(std::string_view text)> on_body;
-    /// Called once, as the last callback; `failure` is null if the response is complete.
+    /// Called once, as the last callback; `failure` is null if the response is complete. A response
+    /// that only the close of its connection ends is complete if the connection has had no error in
+    /// either direction.
     std::function<void(const http_failure* failure)> on_end;
 };
 
--- /dev/null
+++ b/tests/broken_answer_test.cpp
@@ -0,0 +1,215 @@
+/// Answers that are broken: cut by a reset while the request is still being written, without a
+/// status of the protocol, or with a header that is malformed. None reaches a caller as an answer.
+#include "gateway_fixture.h"
+#include "host_relay.h"
+#include "relay_receiver.h"
+
+namespace magnolia {
+namespace {
+
+constexpr unsigned bad_gateway = 502;
+
+/// Larger than the buffers of a connection, so that it is still being written when the backend
+/// server answers.
+const std::string long_upload(std::size_t{8} << 20U, 'u');
+
+/// Larger than what the gateway keeps of an answer before it forwards the answer as it arrives.
+constexpr std::size_t streamed_body = 100'000;
+constexpr std::size_t small_body = 2'000;
+
+class broken_answers : public gateway_fixture {
+protected:
+    using answer = tl::expected<http_response, http_failure>;
+
+    /// The only backend server of the service from now on.
+    raw_backend& serve(const std::string& service, std::string bytes, connection_end end) {
+        fleet_.set_gone(std::exchange(listed_, "b" + std::to_string(++list_count_)));
+        shared_.retry_budgets.clear();
+        auto& backend = add_raw_backend(listed_, service);
+        backend.add_script(std::move(bytes), end);
+        return backend;
+    }
+
+    answer ask(const std::string& path, const std::string& body = {}) {
+        return send_request({"POST", path, {}, body, {}});
+    }
+
+    /// Sends a request to the server without a gateway.
+    answer call(const raw_backend& server, http_request request,
+                const http_call_limits& limits = {}) {
+        std::optional<answer> received;
+        client_.call({"127.0.0.1", server.port()}, std::move(request), limits,
+                     [&](auto result) { received = std::move(result); });
+        run_until([&] { return received.has_value(); });
+        return *received;
+    }
+
+    answer call_alone(std::string bytes, connection_end end, const std::string& body,
+                      const http_call_limits& limits = {}) {
+        raw_backend server{context_};
+        server.add_script(std::move(bytes), end);
+        return call(server, {"POST", "/", {}, body, {}}, limits);
+    }
+
+private:
+    std::string listed_;
+    int list_count_ = 0;
+};
+
+/// Whether the caller got no answer, or the gateway's own error.
+bool is_failure(const tl::expected<http_response, http_failure>& answer) {
+    return !answer || answer->status == bad_gateway;
+}
+
+/// Event that takes several reads.
+std::string large_event(std::uint64_t id) {
+    return event_text(id, std::string(small_body, 'x'));
+}
+
+std::string signed_head(std::string_view status_line) {
+    return std::string{status_line} + "\r\nsignature: s\r\n";
+}
+
+/// Head of an answer that only the end of its connection ends, and the events with these ids.
+std::string signed_events(std::initializer_list<std::uint64_t> ids) {
+    auto text = signed_head("HTTP/1.1 200 OK") + "Content-Type: text/event-stream\r\n\r\n";
+    std::ranges::for_each(ids, [&text](auto id) { text += large_event(id); });
+    return text;
+}
+
+// Callers received a part of an answer as a complete one: the server had answered a long upload at
+// once, without a length, and reset the connection.
+TEST_F(broken_answers, a_reset_during_the_upload_does_not_complete_an_answer) {
+    for (const auto* status_line : {"HTTP/1.1 200 OK", "HTTP/1.0 200 OK", "HTTP/1.1 400 Bad"}) {
+        for (const auto* path : {"/unsafe/", "/safe/"}) {
+            for (const auto body_bytes : {std::size_t{0}, small_body, streamed_body}) {
+                serve("desk", signed_head(status_line) + "\r\n" + std::string(body_bytes, 'x'),
+                      connection_end::reset);
+                EXPECT_TRUE(is_failure(ask(path, long_upload)))
+                    << status_line << ' ' << path << ' ' << body_bytes;
+            }
+        }
+    }
+}
+
+TEST_F(broken_answers, a_reset_during_the_upload_does_not_complete_a_stream) {
+    serve("llm", signed_events({1, 2}), connection_end::reset);
+    EXPECT_FALSE(ask("/once-stream/", long_upload));
+    ASSERT_EQ(answers_.size(), 1U);
+    EXPECT_EQ(to_string(answers_.front()),
+              "result=lost framing=until_close events=2 partial_event_bytes=0");
+}
+
+TEST_F(broken_answers, a_request_whose_upload_was_cut_is_sent_again_if_it_may_be) {
+    auto& backend =
+        serve("desk", signed_head("HTTP/1.1 200 OK") + "\r\n" + std::string(small_body, 'x'),
+              connection_end::reset);
+    backend.add_script(signed_head("HTTP/1.1 200 OK") + "Content-Length: 5\r\n\r\nwhole",
+                       connection_end::orderly);
+    const auto whole = ask("/safe/", long_upload);
+    ASSERT_TRUE(whole);
+    EXPECT_EQ(whole->body, "whole");
+}
+
+TEST_F(broken_answers, a_stream_whose_upload_was_cut_is_resumed) {
+    auto& backend = serve("llm", signed_events({1}), connection_end::reset);
+    backend.add_script(signed_events({2}), connection_end::reset);
+    backend.add_script(signed_events({3}), connection_end::orderly);
+    shared_.routes = std::make_shared<const route_table>([] {
+        auto config = default_config();
+        config.version = 2;
+        std::ranges::for_each(config.routes, [](auto& route) { route.max_attempts = 3; });
+        return config;
+    }());
+    const auto whole = ask("/stream/", long_upload);
+    ASSERT_TRUE(whole);
+    EXPECT_TRUE(whole->body == large_event(1) + large_event(2) + large_event(3));
+}
+
+// The length or the last chunk proves that the answer is whole.
+TEST_F(broken_answers, a_framed_answer_is_complete_though_its_upload_was_cut) {
+    for (const std::string rest : {"Content-Length: 5\r\n\r\nwhole",
+                                   "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"}) {
+        serve("desk", signed_head("HTTP/1.1 200 OK") + rest, connection_end::reset);
+        const auto whole = ask("/unsafe/", long_upload);
+        ASSERT_TRUE(whole) << rest;
+        EXPECT_EQ(whole->status, 200U) << rest;
+        EXPECT_EQ(whole->body, "whole");
+    }
+}
+
+// A connection that closes in good order, and takes the upload to its end, has had no error.
+TEST_F(broken_answers, an_early_answer_that_an_orderly_close_ends_is_complete) {
+    for (const auto body_bytes : {small_body, streamed_body}) {
+        const std::string body(body_bytes, 'x');
+        serve("desk", signed_head("HTTP/1.1 200 OK") + "\r\n" + body, connection_end::orderly);
+        const auto whole = ask("/unsafe/", long_upload);
+        ASSERT_TRUE(whole);
+        EXPECT_EQ(whole->status, 200U);
+        EXPECT_TRUE(whole->body == body);
+    }
+    serve("llm", signed_events({1}), connection_end::orderly);
+    const auto events = ask("/once-stream/", long_upload);
+    ASSERT_TRUE(events);
+    EXPECT_TRUE(events->body == large_event(1));
+}
+
+// The close of the server's side alone does not show that the connection holds.
+TEST_F(broken_answers, a_reset_right_after_the_close_does_not_complete_an_answer) {
+    serve("desk", signed_head("HTTP/1.1 200 OK") + "\r\npart of it",
+          connection_end::orderly_then_reset);
+    EXPECT_TRUE(is_failure(ask("/unsafe/", long_upload)));
+    serve("llm", signed_events({1}), connection_end::orderly_then_reset);
+    EXPECT_FALSE(ask("/once-stream/", long_upload));
+}
+
+// A caller whose host passed the request on gets the failure of the host that had the server.
+TEST_F(broken_answers, a_reset_during_the_upload_does_not_complete_an_answer_for_another_host) {
+    object_relay reads;
+    relay_receiver receiver{shared_, reads, [](const auto&) { return true; }};
+    ASSERT_TRUE(receiver.listen(endpoint{}));
+    receiver.set_limits({}, 1);
+    for (const auto body_bytes : {small_body, streamed_body}) {
+        serve("desk", signed_head("HTTP/1.1 200 OK") + "\r\n" + std::string(body_bytes, 'x'),
+              connection_end::reset);
+        auto request = make_relay_request(
+            {"POST",
+             "/unsafe/",
+             {{"Host", "shop.example"}, {"attempt", "a1"}, {"key", "k1"}, {"time-left", "60000"}},
+             long_upload,
+             {}},
+            {.sender = "g2", .time_left = milliseconds{60000}, .config_version = 1});
+        std::optional<answer> received;
+        http_client other_host{context_, 0};
+        other_host.call({"127.0.0.1", receiver.server().port()}, std::move(request), {},
+                        [&](auto result) { received = std::move(result); });
+        run_until([&] { return received.has_value(); });
+        EXPECT_TRUE(is_failure(*received)) << body_bytes;
+    }
+}
+
+// A server that neither reads nor resets after its answer delays it for a bounded time only.
+TEST_F(broken_answers, an_orderly_close_without_further_reads_completes_an_answer) {
+    http_call_limits limits;
+    limits.early_close_timeout = milliseconds{20};
+    const auto whole = call_alone("HTTP/1.1 200 OK\r\n\r\nwhole", connection_end::orderly_unread,
+                                  long_upload, limits);
+    ASSERT_TRUE(whole);
+    EXPECT_EQ(whole->body, "whole");
+}
+
+// The client of every program: calls of services, engines, the store and the tools.
+TEST_F(broken_answers, a_call_whose_upload_was_cut_has_no_answer) {
+    for (const std::string head : {"HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.0 200 OK\r\n\r\n"}) {
+        for (const auto& body : {std::string{}, std::string(streamed_body, 'x')}) {
+            const auto cut = call_alone(head + body, connection_end::reset, long_upload);
+            ASSERT_FALSE(cut) << head;
+            EXPECT_EQ(cut.error().failure.code, error_code::connection);
+            EXPECT_TRUE(cut.error().is_request_written);
+            EXPECT_TRUE(cut.error().is_response_started);
+        }
+    }
+}
+
+} // namespace
+} // namespace magnolia
--- a/tests/gateway_fixture.cpp
+++ b/tests/gateway_fixture.cpp
@@ -279,16 +279,27 @@
     }
 
     void end() {
-        boost::system::error_code ignored;
         if (content.end == connection_end::reset) {
-            socket.set_option(boost::asio::socket_base::linger{true, 0}, ignored);
-            socket.close(ignored);
-            return;
+            return reset();
         }
         // Closing with unread input would reset the connection.
+        boost::system::error_code ignored;
         socket.shutdown(tcp::socket::shutdown_send, ignored);
-        boost::asio::async_read(socket, boost::asio::dynamic_buffer(request),
-                                [self = shared_from_this()](const auto&, auto) {});
+        const auto self = shared_from_this();
+        if (content.end == connection_end::orderly_then_reset) {
+            socket.async_wait(tcp::socket::wait_read, [self](const auto&) { self->reset(); });
+        } else if (content.end == connection_end::orderly_unread) {
+            socket.async_wait(tcp::socket::wait_error, [self](const auto&) {});
+        } else {
+            boost::asio::async_read(socket, boost::asio::dynamic_buffer(request),
+                                    [self](const auto&, auto) {});
+        }
+    }
+
+    void reset() {
+        boost::system::error_code ignored;
+        socket.set_option(boost::asio::socket_base::linger{true, 0}, ignored);
+        socket.close(ignored);
     }
 
     tcp::socket socket;
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -86,7 +86,15 @@
 [[nodiscard]] http_handler stream_events(std::vector<std::uint64_t> ids, bool ends_cleanly);
 
 /// How a raw_backend ends a connection.
-enum class connection_end : std::uint8_t { orderly, reset };
+enum class connection_end : std::uint8_t {
+    /// Closes its side and reads the rest of the request.
+    orderly,
+    reset,
+    /// Closes its side and resets the connection when more of the request arrives.
+    orderly_then_reset,
+    /// Closes its side and reads nothing more.
+    orderly_unread,
+};
 
 /// A backend server that sends scripted bytes instead of responses of the HTTP server: each
 /// connection takes the next script; the last one is used for all further connections.
