Responses whose status is not one of the protocol are no responses

What callers saw: answers with status 000; here 600 and 999, handed on with their body, and answers that followed a status 000 to 101.

Cause: Beast's parser takes any three digits. http_exchange::should_skip took each status under 200 for an interim response and read on, so that what the server sent behind a status 000, 001, 099 or 101 counted as its answer (a 200 reached the caller). Nothing compared the status with the upper end.

Change: response_parser, used for all responses, fails with bad_status unless the status is 100 to 599 (RFC 9110, section 15) and not 101, which would answer a request for another protocol that no request makes. The caller gets 502, or another attempt where that is allowed.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include "http_p.h"
 #include "log.h"
+#include "response_parser_p.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -143,8 +144,6 @@
     void resume();
 
 private:
-    using text_parser = http::response_parser<http::string_body>;
-
     /// Takes a connection from the pool or opens one.
     asio::awaitable<system_error> connect();
     /// Writes the request; runs concurrently with read_response(). An exception fails the call.
@@ -157,9 +156,9 @@
     /// Reads responses until one belongs to this call, at most max_skipped_responses + 1.
     asio::awaitable<system_error> read_response();
     /// Reads one response message and delivers its parts unless it is skipped.
-    asio::awaitable<system_error> read_message(text_parser& parser);
+    asio::awaitable<system_error> read_message(response_parser& parser);
     /// Whether the response is an interim (1xx) response or belongs to another call.
-    [[nodiscard]] bool should_skip(const text_parser& parser) const;
+    [[nodiscard]] bool should_skip(const response_parser& parser) const;
     /// Decides whether the close of the connection was orderly, so that it ends the response.
     asio::awaitable<system_error> check_close();
     asio::awaitable<void> wait_while_paused();
@@ -167,7 +166,7 @@
     asio::awaitable<void> wait_for_writer(steady_clock::time_point until);
     void set_timeout(std::chrono::milliseconds timeout);
     /// Passes newly parsed parts of the response to the handlers.
-    void deliver(text_parser& parser);
+    void deliver(response_parser& parser);
     /// Describes the failure of this call.
     [[nodiscard]] http_failure make_failure(const system_error& failure) const;
 
@@ -314,7 +313,7 @@
     co_return write_failure_;
 }
 
-bool http_exchange::should_skip(const text_parser& parser) const {
+bool http_exchange::should_skip(const response_parser& parser) const {
     constexpr unsigned first_final_status = 200;
     if (parser.get().result_int() < first_final_status) {
         return true;
@@ -326,7 +325,7 @@
     return found != parser.get().end() && found->value() != limits_.correlation_header.value;
 }
 
-asio::awaitable<system_error> http_exchange::read_message(text_parser& parser) {
+asio::awaitable<system_error> http_exchange::read_message(response_parser& parser) {
     parser.header_limit(max_header_bytes);
     parser.body_limit(limits_.max_body_bytes);
     if (request_.method == "HEAD") {
@@ -354,7 +353,7 @@
 asio::awaitable<system_error> http_exchange::read_response() {
     system_error failure;
     for (std::size_t count = 0; count <= max_skipped_responses; ++count) {
-        text_parser parser;
+        response_parser parser;
         failure = co_await read_message(parser);
         if (failure || is_cancelled_ || !is_skipping_) {
             break;
@@ -364,7 +363,7 @@
     co_return failure;
 }
 
-void http_exchange::deliver(text_parser& parser) {
+void http_exchange::deliver(response_parser& parser) {
     if (!parser.is_header_done()) {
         return;
     }
--- a/tests/broken_answer_test.cpp
+++ b/tests/broken_answer_test.cpp
@@ -211,5 +211,109 @@
     }
 }
 
+/// Status lines without a status of the protocol (RFC 9110, section 15), which has three digits and
+/// is 100 to 599. 101 would answer a request for another protocol, which no request makes.
+constexpr std::array<std::string_view, 19> invalid_status_lines{"HTTP/1.1 000 Zero",
+                                                                "HTTP/1.1 001 Low",
+                                                                "HTTP/1.1 099 Low",
+                                                                "HTTP/1.1 101 Switching",
+                                                                "HTTP/1.1 600 High",
+                                                                "HTTP/1.1 999 High",
+                                                                "HTTP/1.0 000 Zero",
+                                                                "HTTP/1.1 0 Zero",
+                                                                "HTTP/1.1 20 Short",
+                                                                "HTTP/1.1 2000 OK",
+                                                                "HTTP/1.1 20x OK",
+                                                                "HTTP/1.1 -20 OK",
+                                                                "HTTP/1.1 +20 OK",
+                                                                "HTTP/1.1  200 OK",
+                                                                "HTTP/1.1\t200 OK",
+                                                                "HTTP/1.1 2 0 OK",
+                                                                "HTTP/1.1 \xb2"
+                                                                "00 OK",
+                                                                "HTTP/1.1 200OK",
+                                                                "HTTP/1.1 "};
+
+// Callers received answers whose status was 000, 600 or 999.
+TEST_F(broken_answers, an_invalid_status_is_no_answer) {
+    for (const auto status_line : invalid_status_lines) {
+        const auto head = signed_head(status_line);
+        for (const auto& rest :
+             {std::string{"Content-Length: 5\r\n\r\nwhole"}, std::string{"\r\nwhole"},
+              "\r\n" + std::string(streamed_body, 'x')}) {
+            for (const auto* path : {"/unsafe/", "/safe/"}) {
+                serve("desk", head + rest, connection_end::orderly);
+                const auto answer = ask(path);
+                ASSERT_TRUE(answer) << status_line << ' ' << path << ' ' << rest.size();
+                EXPECT_EQ(answer->status, bad_gateway) << status_line << ' ' << path;
+                EXPECT_TRUE(find_header(answer->headers, "signature").empty()) << status_line;
+            }
+        }
+        serve("llm", head + "Content-Type: text/event-stream\r\n\r\n" + event_text(1),
+              connection_end::orderly);
+        const auto events = ask("/once-stream/");
+        ASSERT_TRUE(events) << status_line;
+        EXPECT_EQ(events->status, bad_gateway) << status_line;
+    }
+}
+
+// A status under 100 is no interim answer, so that nothing behind it is the final one.
+TEST_F(broken_answers, what_follows_an_invalid_status_is_no_answer) {
+    const std::string whole = "HTTP/1.1 200 OK\r\nsignature: s\r\nContent-Length: 5\r\n\r\nwhole";
+    for (const auto status_line : invalid_status_lines) {
+        for (const auto* rest : {"\r\n", "Content-Length: 0\r\n\r\n"}) {
+            serve("desk", signed_head(status_line) + rest + whole, connection_end::orderly);
+            const auto answer = ask("/unsafe/");
+            ASSERT_TRUE(answer) << status_line;
+            EXPECT_EQ(answer->status, bad_gateway) << status_line;
+        }
+    }
+}
+
+TEST_F(broken_answers, a_request_that_got_an_invalid_status_is_sent_again_if_it_may_be) {
+    for (const auto status_line : invalid_status_lines) {
+        auto& backend = serve("desk", signed_head(status_line) + "Content-Length: 0\r\n\r\n",
+                              connection_end::orderly);
+        backend.add_script(signed_head("HTTP/1.1 200 OK") + "Content-Length: 5\r\n\r\nwhole",
+                           connection_end::orderly);
+        const auto whole = ask("/safe/");
+        ASSERT_TRUE(whole) << status_line;
+        EXPECT_EQ(whole->body, "whole") << status_line;
+    }
+}
+
+TEST_F(broken_answers, a_stream_is_not_resumed_with_an_invalid_status) {
+    for (const auto status_line : invalid_status_lines) {
+        auto& backend = serve("llm", signed_events({1}), connection_end::reset);
+        backend.add_script(signed_head(status_line) + "Content-Type: text/event-stream\r\n\r\n" +
+                               event_text(2),
+                           connection_end::orderly);
+        EXPECT_FALSE(ask("/stream/")) << status_line;
+    }
+}
+
+TEST_F(broken_answers, a_call_that_got_an_invalid_status_has_no_answer) {
+    for (const auto status_line : invalid_status_lines) {
+        const auto broken =
+            call_alone(std::string{status_line} + "\r\nContent-Length: 5\r\n\r\nwhole",
+                       connection_end::orderly, {});
+        ASSERT_FALSE(broken) << status_line;
+        EXPECT_EQ(broken.error().failure.code, error_code::bad_request) << status_line;
+        EXPECT_TRUE(broken.error().is_request_written);
+    }
+}
+
+// The outermost statuses of the protocol, and interim answers, stay as they are.
+TEST_F(broken_answers, each_status_of_the_protocol_is_an_answer) {
+    for (unsigned status = 200; status < 600; ++status) {
+        const std::string interim = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\n\r\n";
+        const auto answer = call_alone(interim + "HTTP/1.1 " + std::to_string(status) +
+                                           " Status\r\nContent-Length: 0\r\n\r\n",
+                                       connection_end::orderly, {});
+        ASSERT_TRUE(answer) << status;
+        EXPECT_EQ(answer->status, status);
+    }
+}
+
 } // namespace
 } // namespace magnolia
