A skipped response that the close of its connection ends fails the call at once

What callers saw: a request whose server answered another request, without a length, had no answer until its time limit. Found by the test of invalid statuses: a status 000 without a length held its request in the same way.

Cause: read_response read on after the skipped response. The end of the stream had been consumed, so that the next read waited for an event of the socket that cannot come (system call trace: recvmsg = 0, then no further call on the socket until the timeout).

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -358,6 +358,11 @@
         if (failure || is_cancelled_ || !is_skipping_) {
             break;
         }
+        if (is_ended_by_close_) {
+            // Nothing follows; another read would wait for bytes of a closed connection.
+            failure = http::error::end_of_stream;
+            break;
+        }
         failure = http::error::unexpected_body;
     }
     co_return failure;
--- a/tests/broken_answer_test.cpp
+++ b/tests/broken_answer_test.cpp
@@ -315,5 +315,20 @@
     }
 }
 
+// The call waited for a further answer on the closed connection, until its time limit.
+TEST_F(broken_answers, an_answer_to_another_call_that_the_close_ends_ends_the_call) {
+    http_call_limits limits;
+    limits.correlation_header = {"number", "2"};
+    limits.inactivity_timeout = milliseconds{500};
+    for (const auto body_bytes : {std::size_t{0}, small_body, streamed_body}) {
+        const auto lost =
+            call_alone("HTTP/1.1 200 OK\r\nnumber: 1\r\n\r\n" + std::string(body_bytes, 'x'),
+                       connection_end::orderly, {}, limits);
+        ASSERT_FALSE(lost) << body_bytes;
+        EXPECT_EQ(lost.error().failure.code, error_code::connection) << body_bytes;
+        EXPECT_FALSE(lost.error().is_timeout) << body_bytes;
+    }
+}
+
 } // namespace
 } // namespace magnolia
