Responses with a line that continues the one before are no responses

What callers saw: an answer in whose header the name of a field began with a blank, with that line passed on inside the value of the line before, or with a body that was not the server's: behind a signature, " Content-Length: 2" reached the caller as a part of the signature, and the body went on to the end of the connection.

Cause: Beast's parser takes a line that begins with a blank or a tab for the continuation of the line before (RFC 9112, section 5.2), in headers, interim responses and trailers. The RFC lets a gateway answer 502 or replace the fold by blanks; after the latter, what the server meant as its length would still be lost.

The caller gets 502, or another attempt where that is allowed.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -353,7 +353,7 @@
 asio::awaitable<system_error> http_exchange::read_response() {
     system_error failure;
     for (std::size_t count = 0; count <= max_skipped_responses; ++count) {
-        response_parser parser;
+        response_parser parser{connection_->buffer};
         failure = co_await read_message(parser);
         if (failure || is_cancelled_ || !is_skipping_) {
             break;
--- a/tests/broken_answer_test.cpp
+++ b/tests/broken_answer_test.cpp
@@ -330,5 +330,175 @@
     }
 }
 
+using namespace std::string_view_literals;
+
+/// Lines of a header that are no field lines (RFC 9112, section 5). The ones that begin with a
+/// blank would continue the value of the line before.
+constexpr std::array invalid_field_lines{" Content-Length: 2"sv,
+                                         "\tContent-Length: 2"sv,
+                                         " folded: x"sv,
+                                         "\tfolded: x"sv,
+                                         "  "sv,
+                                         "empty:\r\n folded: x"sv,
+                                         "empty:\r\n\t"sv,
+                                         " no colon"sv,
+                                         "bad name: x"sv,
+                                         "bad\tname: x"sv,
+                                         "bad\x01name: x"sv,
+                                         "bad\0name: x"sv,
+                                         "bad\x7fname: x"sv,
+                                         "bad\x80name: x"sv,
+                                         "bad\rname: x"sv,
+                                         "bad\nname: x"sv,
+                                         "name : x"sv,
+                                         "name\t: x"sv,
+                                         "no-colon"sv,
+                                         ": no name"sv,
+                                         "Content-Length : 2"sv,
+                                         "Content-Length\t: 2"sv,
+                                         "Content Length: 2"sv,
+                                         "\x01"
+                                         "a: x"sv,
+                                         "Transfer-Encoding : gzip"sv,
+                                         "name: bad\x01value"sv,
+                                         "name: bad\0value"sv,
+                                         "name: bad\x7fvalue"sv,
+                                         "name: bad\rvalue"sv,
+                                         "name: bad\nvalue"sv,
+                                         "Content-Length: +2"sv};
+
+/// Answers with the line at the begin, in the middle and at the end of their header, in each
+/// framing.
+std::vector<std::string> answers_with_line(std::string_view line, std::string_view type,
+                                           const std::string& body) {
+    const std::string status = "HTTP/1.1 200 OK\r\n";
+    const auto type_line = "Content-Type: " + std::string{type} + "\r\n";
+    const auto broken = std::string{line} + "\r\n";
+    const auto size = std::to_string(body.size());
+    std::array<char, 20> chunk_size{};
+    const auto digits = std::snprintf(chunk_size.data(), chunk_size.size(), "%zx", body.size());
+    const auto chunk = std::string{chunk_size.data(), static_cast<std::size_t>(digits)} + "\r\n" +
+                       body + "\r\n0\r\n\r\n";
+    std::vector<std::string> answers;
+    for (const auto& [framing, content] :
+         {std::pair{std::string{}, body}, std::pair{"Content-Length: " + size + "\r\n", body},
+          std::pair{std::string{"Transfer-Encoding: chunked\r\n"}, chunk}}) {
+        const std::string signature = "signature: s\r\n";
+        answers.push_back(status + broken + signature + type_line + framing + "\r\n" + content);
+        answers.push_back(status + signature + broken + type_line + framing + "\r\n" + content);
+        answers.push_back(status + framing + type_line + signature + broken + "\r\n" + content);
+    }
+    return answers;
+}
+
+// Callers received answers with a malformed line in their header: it was passed on as a part of
+// the line before, and where it named the length, the body was not the server's.
+TEST_F(broken_answers, a_malformed_header_is_no_answer) {
+    for (const auto line : invalid_field_lines) {
+        for (const auto& bytes : answers_with_line(line, "text/plain", "whole")) {
+            serve("desk", bytes, connection_end::orderly);
+            const auto answer = ask("/unsafe/");
+            ASSERT_TRUE(answer) << bytes;
+            EXPECT_EQ(answer->status, bad_gateway) << bytes;
+            EXPECT_TRUE(find_header(answer->headers, "signature").empty()) << bytes;
+        }
+    }
+}
+
+TEST_F(broken_answers, a_stream_with_a_malformed_header_is_no_answer) {
+    for (const auto line : invalid_field_lines) {
+        for (const auto& bytes : answers_with_line(line, "text/event-stream", event_text(1))) {
+            serve("llm", bytes, connection_end::orderly);
+            const auto answer = ask("/once-stream/");
+            ASSERT_TRUE(answer) << bytes;
+            EXPECT_EQ(answer->status, bad_gateway) << bytes;
+        }
+    }
+}
+
+TEST_F(broken_answers, a_stream_is_not_resumed_with_a_malformed_header) {
+    for (const auto line : invalid_field_lines) {
+        for (const auto& bytes : answers_with_line(line, "text/event-stream", event_text(2))) {
+            auto& backend = serve("llm", signed_events({1}), connection_end::reset);
+            backend.add_script(bytes, connection_end::orderly);
+            EXPECT_FALSE(ask("/stream/")) << bytes;
+        }
+    }
+}
+
+TEST_F(broken_answers, a_request_that_got_a_malformed_header_is_sent_again_if_it_may_be) {
+    for (const auto line : invalid_field_lines) {
+        auto& backend = serve("desk", answers_with_line(line, "text/plain", "broken").front(),
+                              connection_end::orderly);
+        backend.add_script(signed_head("HTTP/1.1 200 OK") + "Content-Length: 5\r\n\r\nwhole",
+                           connection_end::orderly);
+        const auto whole = ask("/safe/");
+        ASSERT_TRUE(whole) << line;
+        EXPECT_EQ(whole->body, "whole") << line;
+    }
+}
+
+TEST_F(broken_answers, an_interim_answer_with_a_malformed_header_is_followed_by_no_answer) {
+    for (const auto line : invalid_field_lines) {
+        const auto interim = "HTTP/1.1 103 Hints\r\nnote: x\r\n" + std::string{line} + "\r\n\r\n";
+        EXPECT_FALSE(call_alone(interim + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole",
+                                connection_end::orderly, {}))
+            << line;
+    }
+}
+
+// Nothing of the trailers is passed on, but they are a part of the answer.
+TEST_F(broken_answers, malformed_trailers_do_not_complete_an_answer) {
+    for (const auto line : invalid_field_lines) {
+        for (const auto body_bytes : {small_body, streamed_body}) {
+            std::array<char, 20> size{};
+            const auto digits = std::snprintf(size.data(), size.size(), "%zx", body_bytes);
+            serve("desk",
+                  signed_head("HTTP/1.1 200 OK") + "Transfer-Encoding: chunked\r\n\r\n" +
+                      std::string{size.data(), static_cast<std::size_t>(digits)} + "\r\n" +
+                      std::string(body_bytes, 'x') + "\r\n0\r\nnote: x\r\n" + std::string{line} +
+                      "\r\n\r\n",
+                  connection_end::orderly);
+            EXPECT_TRUE(is_failure(ask("/unsafe/"))) << line << ' ' << body_bytes;
+        }
+    }
+}
+
+TEST_F(broken_answers, a_call_that_got_a_malformed_header_has_no_answer) {
+    for (const auto line : invalid_field_lines) {
+        for (const auto& bytes : answers_with_line(line, "text/plain", "whole")) {
+            const auto broken = call_alone(bytes, connection_end::orderly, {});
+            ASSERT_FALSE(broken) << bytes;
+            EXPECT_EQ(broken.error().failure.code, error_code::bad_request) << bytes;
+        }
+    }
+}
+
+// What a field may hold stays allowed: blanks around and in its value, 8-bit bytes, no value.
+TEST_F(broken_answers, unusual_fields_are_passed_on) {
+    serve("desk",
+          signed_head("HTTP/1.1 200 OK") +
+              "no-space:a b\r\nspaces: \t a\tb \t \r\n8-bit: \xe9\r\nempty:\r\nblank: \r\n"
+              "!#$%&'*+-.^_`|~9aZ: x\r\nContent-Length: 5\r\n\r\nwhole",
+          connection_end::orderly);
+    const auto whole = ask("/unsafe/");
+    ASSERT_TRUE(whole);
+    EXPECT_EQ(whole->body, "whole");
+    EXPECT_EQ(find_header(whole->headers, "no-space"), "a b");
+    EXPECT_EQ(find_header(whole->headers, "spaces"), "a\tb");
+    EXPECT_EQ(find_header(whole->headers, "8-bit"), "\xe9");
+    EXPECT_EQ(find_header(whole->headers, "!#$%&'*+-.^_`|~9aZ"), "x");
+}
+
+// The client reads a header in pieces: the end of one may stand anywhere in the line.
+TEST_F(broken_answers, a_malformed_header_in_pieces_is_no_answer) {
+    constexpr std::size_t max_piece = 512;
+    for (std::size_t padding = 1; padding <= max_piece; ++padding) {
+        const auto bytes = "HTTP/1.1 200 OK\r\npadding: " + std::string(padding, 'x') +
+                           "\r\n Content-Length: 2\r\nsignature: s\r\n\r\nwhole";
+        EXPECT_FALSE(call_alone(bytes, connection_end::orderly, {})) << padding;
+    }
+}
+
 } // namespace
 } // namespace magnolia
