--- a/tests/broken_answer_test.cpp
+++ b/tests/broken_answer_test.cpp
@@ -51,6 +51,9 @@
         return call(server, {"POST", "/", {}, body, {}}, limits);
     }
 
+    /// Number of times the last request was sent to a backend server.
+    [[nodiscard]] std::size_t sends() const { return summaries_.back().backends.size(); }
+
 private:
     std::string listed_;
     int list_count_ = 0;
@@ -254,6 +257,7 @@
         const auto events = ask("/once-stream/");
         ASSERT_TRUE(events) << status_line;
         EXPECT_EQ(events->status, bad_gateway) << status_line;
+        EXPECT_EQ(sends(), 1U) << status_line;
     }
 }
 
@@ -289,6 +293,7 @@
                                event_text(2),
                            connection_end::orderly);
         EXPECT_FALSE(ask("/stream/")) << status_line;
+        EXPECT_EQ(sends(), 2U) << status_line;
     }
 }
 
@@ -367,7 +372,15 @@
                                          "name: bad\nvalue"sv,
                                          "Content-Length: +2"sv};
 
-/// Answers with the line at the begin, in the middle and at the end of their header, in each
+/// The body in one chunk, followed by the trailers.
+std::string chunks(const std::string& body, const std::string& trailers) {
+    std::array<char, 20> size{};
+    const auto digits = std::snprintf(size.data(), size.size(), "%zx", body.size());
+    return std::string{size.data(), static_cast<std::size_t>(digits)} + "\r\n" + body +
+           "\r\n0\r\n" + trailers + "\r\n";
+}
+
+/// Answers with the line at the beginning, in the middle and at the end of their header, in each
 /// framing.
 std::vector<std::string> answers_with_line(std::string_view line, std::string_view type,
                                            const std::string& body) {
@@ -375,14 +388,10 @@
     const auto type_line = "Content-Type: " + std::string{type} + "\r\n";
     const auto broken = std::string{line} + "\r\n";
     const auto size = std::to_string(body.size());
-    std::array<char, 20> chunk_size{};
-    const auto digits = std::snprintf(chunk_size.data(), chunk_size.size(), "%zx", body.size());
-    const auto chunk = std::string{chunk_size.data(), static_cast<std::size_t>(digits)} + "\r\n" +
-                       body + "\r\n0\r\n\r\n";
     std::vector<std::string> answers;
     for (const auto& [framing, content] :
          {std::pair{std::string{}, body}, std::pair{"Content-Length: " + size + "\r\n", body},
-          std::pair{std::string{"Transfer-Encoding: chunked\r\n"}, chunk}}) {
+          std::pair{std::string{"Transfer-Encoding: chunked\r\n"}, chunks(body, {})}}) {
         const std::string signature = "signature: s\r\n";
         answers.push_back(status + broken + signature + type_line + framing + "\r\n" + content);
         answers.push_back(status + signature + broken + type_line + framing + "\r\n" + content);
@@ -400,6 +409,7 @@
             const auto answer = ask("/unsafe/");
             ASSERT_TRUE(answer) << bytes;
             EXPECT_EQ(answer->status, bad_gateway) << bytes;
+            EXPECT_EQ(sends(), 1U) << bytes;
             EXPECT_TRUE(find_header(answer->headers, "signature").empty()) << bytes;
         }
     }
@@ -412,6 +422,7 @@
             const auto answer = ask("/once-stream/");
             ASSERT_TRUE(answer) << bytes;
             EXPECT_EQ(answer->status, bad_gateway) << bytes;
+            EXPECT_EQ(sends(), 1U) << bytes;
         }
     }
 }
@@ -422,6 +433,7 @@
             auto& backend = serve("llm", signed_events({1}), connection_end::reset);
             backend.add_script(bytes, connection_end::orderly);
             EXPECT_FALSE(ask("/stream/")) << bytes;
+            EXPECT_EQ(sends(), 2U) << bytes;
         }
     }
 }
@@ -449,15 +461,11 @@
 
 // Nothing of the trailers is passed on, but they are a part of the answer.
 TEST_F(broken_answers, malformed_trailers_do_not_complete_an_answer) {
+    const auto head = signed_head("HTTP/1.1 200 OK") + "Transfer-Encoding: chunked\r\n\r\n";
     for (const auto line : invalid_field_lines) {
+        const auto trailers = "note: x\r\n" + std::string{line} + "\r\n";
         for (const auto body_bytes : {small_body, streamed_body}) {
-            std::array<char, 20> size{};
-            const auto digits = std::snprintf(size.data(), size.size(), "%zx", body_bytes);
-            serve("desk",
-                  signed_head("HTTP/1.1 200 OK") + "Transfer-Encoding: chunked\r\n\r\n" +
-                      std::string{size.data(), static_cast<std::size_t>(digits)} + "\r\n" +
-                      std::string(body_bytes, 'x') + "\r\n0\r\nnote: x\r\n" + std::string{line} +
-                      "\r\n\r\n",
+            serve("desk", head + chunks(std::string(body_bytes, 'x'), trailers),
                   connection_end::orderly);
             EXPECT_TRUE(is_failure(ask("/unsafe/"))) << line << ' ' << body_bytes;
         }
