Tests of broken answers: a cancelled call; the chunk of an answer is written once

No test had a caller that leaves while its call waits after an early close, and the tests of framings wrote a chunk with the same lines. Change: one test, and chunk_text in the fixture for both files.

--- a/tests/answer_framing_test.cpp
+++ b/tests/answer_framing_test.cpp
@@ -22,11 +22,7 @@
 }
 
 std::string chunked(std::string_view body, std::string_view type = event_type) {
-    std::array<char, 20> size{};
-    const auto length = std::snprintf(size.data(), size.size(), "%zx\r\n", body.size());
-    return header_of(type) + "Transfer-Encoding: chunked\r\n\r\n" +
-           std::string{size.data(), static_cast<std::size_t>(length)} + std::string{body} +
-           "\r\n0\r\n\r\n";
+    return header_of(type) + "Transfer-Encoding: chunked\r\n\r\n" + chunk_text(body);
 }
 
 /// Whether the response of the gateway, which it streams in chunks, has its last chunk.
--- a/tests/broken_answer_test.cpp
+++ b/tests/broken_answer_test.cpp
@@ -201,6 +201,32 @@
     EXPECT_EQ(whole->body, "whole");
 }
 
+// A caller that leaves does not wait for the rest of its upload.
+TEST_F(broken_answers, a_call_that_waits_after_an_early_close_can_be_cancelled) {
+    raw_backend server{context_};
+    server.add_script("HTTP/1.1 200 OK\r\n\r\nwhole", connection_end::orderly_unread);
+    http_call_limits limits;
+    limits.early_close_timeout = std::chrono::hours{1};
+    std::string body;
+    std::optional<http_failure> failure;
+    const auto id =
+        client_.stream({"127.0.0.1", server.port()}, {"POST", "/", {}, long_upload, {}}, limits,
+                       {.on_header = {},
+                        .on_body = [&](std::string_view text) { body += text; },
+                        .on_end =
+                            [&](const http_failure* cause) {
+                                failure = cause != nullptr ? *cause : http_failure{};
+                            }});
+    run_until([&] { return body == "whole"; });
+    context_.poll();
+    EXPECT_FALSE(failure);
+    client_.cancel(id);
+    run_until([&] { return failure.has_value(); });
+    EXPECT_EQ(failure->failure.code, error_code::caller_gone);
+    EXPECT_FALSE(failure->is_timeout);
+    EXPECT_EQ(client_.active_calls(), 0U);
+}
+
 // The client of every program: calls of services, engines, the store and the tools.
 TEST_F(broken_answers, a_call_whose_upload_was_cut_has_no_answer) {
     for (const std::string head : {"HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.0 200 OK\r\n\r\n"}) {
@@ -372,14 +398,6 @@
                                          "name: bad\nvalue"sv,
                                          "Content-Length: +2"sv};
 
-/// The body in one chunk, followed by the trailers.
-std::string chunks(const std::string& body, const std::string& trailers) {
-    std::array<char, 20> size{};
-    const auto digits = std::snprintf(size.data(), size.size(), "%zx", body.size());
-    return std::string{size.data(), static_cast<std::size_t>(digits)} + "\r\n" + body +
-           "\r\n0\r\n" + trailers + "\r\n";
-}
-
 /// Answers with the line at the beginning, in the middle and at the end of their header, in each
 /// framing.
 std::vector<std::string> answers_with_line(std::string_view line, std::string_view type,
@@ -391,7 +409,7 @@
     std::vector<std::string> answers;
     for (const auto& [framing, content] :
          {std::pair{std::string{}, body}, std::pair{"Content-Length: " + size + "\r\n", body},
-          std::pair{std::string{"Transfer-Encoding: chunked\r\n"}, chunks(body, {})}}) {
+          std::pair{std::string{"Transfer-Encoding: chunked\r\n"}, chunk_text(body)}}) {
         const std::string signature = "signature: s\r\n";
         answers.push_back(status + broken + signature + type_line + framing + "\r\n" + content);
         answers.push_back(status + signature + broken + type_line + framing + "\r\n" + content);
@@ -465,7 +483,7 @@
     for (const auto line : invalid_field_lines) {
         const auto trailers = "note: x\r\n" + std::string{line} + "\r\n";
         for (const auto body_bytes : {small_body, streamed_body}) {
-            serve("desk", head + chunks(std::string(body_bytes, 'x'), trailers),
+            serve("desk", head + chunk_text(std::string(body_bytes, 'x'), trailers),
                   connection_end::orderly);
             EXPECT_TRUE(is_failure(ask("/unsafe/"))) << line << ' ' << body_bytes;
         }
--- a/tests/gateway_fixture.cpp
+++ b/tests/gateway_fixture.cpp
@@ -206,6 +206,13 @@
     return count;
 }
 
+std::string chunk_text(std::string_view body, std::string_view trailers) {
+    std::array<char, 20> size{};
+    const auto length = std::snprintf(size.data(), size.size(), "%zx", body.size());
+    return std::string{size.data(), static_cast<std::size_t>(length)} + "\r\n" + std::string{body} +
+           "\r\n0\r\n" + std::string{trailers} + "\r\n";
+}
+
 std::string event_text(std::uint64_t id, std::string_view data) {
     return "id: " + std::to_string(id) + "\ndata: " + std::string{data} + "\n\n";
 }
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -56,6 +56,9 @@
 /// One event in the format of backend servers.
 [[nodiscard]] std::string event_text(std::uint64_t id, std::string_view data = "x");
 
+/// The body in one chunk, followed by the last chunk and the trailers.
+[[nodiscard]] std::string chunk_text(std::string_view body, std::string_view trailers = {});
+
 /// Number of occurrences of the part in the text.
 [[nodiscard]] std::size_t count_of(std::string_view text, std::string_view part);
 
